--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+# Targets for developers. `make test` is the test command of the README.
+
+GO ?= go
+
+.PHONY: build test dev lint
+
+build:
+	$(GO) build -o bin/tarragonridge ./cmd/tarragonridge
+
+test:
+	$(GO) test -race -timeout 20m ./...
+
+dev:
+	$(GO) run ./cmd/tarragonridge dev
+
+lint:
+	gofmt -l cmd internal
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
--- /dev/null
+++ b/internal/core/ledger/record.go
@@ -0,0 +1,49 @@
+// Package ledger holds run records, the segments in which routers store them,
+// and the fold of records into bills.
+package ledger
+
+// Outcome says how a run ended.
+type Outcome string
+
+// Outcomes of a run.
+const (
+	Whole    Outcome = "whole"    // the target finished the answer
+	Capped   Outcome = "capped"   // the sidecar stopped the run at its output cap
+	Failed   Outcome = "failed"   // the target reported an error
+	Crashed  Outcome = "crashed"  // the target went away during the run
+	Canceled Outcome = "canceled" // the caller gave up and gave no idempotency key
+	Lost     Outcome = "lost"     // no witness is left; Charged is the reservation
+)
+
+// Identity names a request. Key is the caller's idempotency key or the id that
+// the router generated.
+type Identity struct {
+	Team string `json:"team"`
+	Key  string `json:"key"`
+}
+
+// Record is the account of one run. The sidecar creates it when the run ends.
+type Record struct {
+	Identity
+	RunID        string  `json:"run_id"` // unique per attempt
+	RequestID    string  `json:"request_id"`
+	Holder       string  `json:"holder"` // router incarnation whose grant pays
+	Target       string  `json:"target"`
+	Sidecar      string  `json:"sidecar"` // sidecar incarnation
+	Model        string  `json:"model,omitempty"`
+	Service      string  `json:"service,omitempty"`
+	Workload     string  `json:"workload,omitempty"`
+	PromptTokens int64   `json:"prompt_tokens"`
+	OutputTokens int64   `json:"output_tokens"`
+	Reserved     int64   `json:"reserved"` // tokens
+	Charged      int64   `json:"charged"`  // tokens, at most Reserved
+	Outcome      Outcome `json:"outcome"`
+	StartedUS    int64   `json:"started_us"` // unix time in microseconds
+	EndedUS      int64   `json:"ended_us"`
+}
+
+// Billable reports whether the run delivered an answer that is billed. Charges
+// of other runs are shown as lost.
+func (r Record) Billable() bool {
+	return r.Outcome == Whole || r.Outcome == Capped || r.Outcome == Canceled
+}
