--- /dev/null
+++ b/internal/rpc/rpc.go
@@ -0,0 +1,289 @@
+// Package rpc carries typed messages between the system's processes over
+// jsonrpc2. A connection has a heartbeat in each direction and is closed when
+// nothing has arrived for a while, because a connection can stop delivering
+// data without an error while new connections work.
+package rpc
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+// Defaults of Options.
+const (
+	DefaultPingEvery    = 500 * time.Millisecond
+	DefaultSilenceAfter = 2 * time.Second
+	DefaultDialTimeout  = 1 * time.Second
+)
+
+// codeKind is the JSON-RPC error code of errors that carry an error kind.
+const codeKind = 1
+
+// Handler serves a connection. Notifications of one connection arrive in
+// order and Notify must not block; calls run concurrently.
+type Handler interface {
+	Call(ctx context.Context, c *Conn, method string, params json.RawMessage) (any, error)
+	Notify(c *Conn, method string, params json.RawMessage)
+	Opened(c *Conn)
+	Closed(c *Conn, err error)
+}
+
+// Options configures connections.
+type Options struct {
+	Hello        func() wire.Hello // describes this process; also the source of heartbeat headers
+	PingEvery    time.Duration     // default 500 ms
+	SilenceAfter time.Duration     // default 2 s
+	DialTimeout  time.Duration     // default 1 s
+	Logger       *slog.Logger      // default slog.Default()
+}
+
+func (o Options) withDefaults() Options {
+	if o.PingEvery <= 0 {
+		o.PingEvery = DefaultPingEvery
+	}
+	if o.SilenceAfter <= 0 {
+		o.SilenceAfter = DefaultSilenceAfter
+	}
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	if o.Logger == nil {
+		o.Logger = slog.Default()
+	}
+	return o
+}
+
+// Conn is a connection to another process.
+type Conn struct {
+	opts    Options
+	handler Handler
+	sock    *trackedConn
+	rpc     *jsonrpc2.Conn
+	ready   chan struct{} // closed once rpc is set
+	opened  atomic.Bool
+	peer    atomic.Pointer[wire.Hello]
+	once    sync.Once
+	done    chan struct{}
+}
+
+// Dial connects to addr and exchanges hellos.
+func Dial(ctx context.Context, addr string, opts Options, h Handler) (*Conn, error) {
+	opts = opts.withDefaults()
+	dialer := net.Dialer{Timeout: opts.DialTimeout}
+	sock, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Unreachable, "dial %s", addr)
+	}
+	c := newConn(sock, opts, h)
+	callCtx, cancel := context.WithTimeout(ctx, opts.SilenceAfter)
+	defer cancel()
+	var reply wire.Hello
+	if err := c.Call(callCtx, wire.MethodHello, opts.Hello(), &reply); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	c.open(reply)
+	return c, nil
+}
+
+// Serve accepts connections until ctx is done or the listener fails.
+func Serve(ctx context.Context, ln net.Listener, opts Options, h Handler) error {
+	opts = opts.withDefaults()
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	var conns sync.Map
+	defer conns.Range(func(k, _ any) bool {
+		_ = k.(*Conn).Close()
+		return true
+	})
+	for {
+		sock, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			var ne net.Error
+			if errors.As(err, &ne) && ne.Timeout() {
+				continue
+			}
+			return errkind.Wrap(err, errkind.Internal, "accept on %s", ln.Addr())
+		}
+		c := newConn(sock, opts, h)
+		conns.Store(c, struct{}{})
+		go func() {
+			<-c.done
+			conns.Delete(c)
+		}()
+	}
+}
+
+func newConn(sock net.Conn, opts Options, h Handler) *Conn {
+	c := &Conn{
+		opts:    opts,
+		handler: h,
+		sock:    newTrackedConn(sock, opts.SilenceAfter),
+		ready:   make(chan struct{}),
+		done:    make(chan struct{}),
+	}
+	stream := jsonrpc2.NewBufferedStream(c.sock, jsonrpc2.VarintObjectCodec{})
+	c.rpc = jsonrpc2.NewConn(context.Background(), stream, dispatcher{c}, jsonrpc2.SetLogger(discardLogger{}))
+	close(c.ready)
+	go c.watch()
+	return c
+}
+
+// open marks the connection as usable, once the peer's hello is known.
+func (c *Conn) open(peer wire.Hello) {
+	c.peer.Store(&peer)
+	if c.opened.CompareAndSwap(false, true) {
+		c.handler.Opened(c)
+	}
+}
+
+// Peer returns the hello of the other process.
+func (c *Conn) Peer() wire.Hello {
+	if p := c.peer.Load(); p != nil {
+		return *p
+	}
+	return wire.Hello{}
+}
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// Close ends the connection.
+func (c *Conn) Close() error { return c.rpc.Close() }
+
+// Call calls a method and decodes its result. A broken connection gives
+// errkind.Unreachable: the call may or may not have been served.
+func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
+	err := c.rpc.Call(ctx, method, params, result)
+	return decodeError(err, method)
+}
+
+// Notify sends a notification.
+func (c *Conn) Notify(ctx context.Context, method string, params any) error {
+	if err := c.rpc.Notify(ctx, method, params); err != nil {
+		return errkind.Wrap(err, errkind.Unreachable, "notify %s", method)
+	}
+	return nil
+}
+
+// watch sends heartbeats and closes the connection after silence.
+func (c *Conn) watch() {
+	ticker := time.NewTicker(c.opts.PingEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.rpc.DisconnectNotify():
+			c.finish(errkind.New(errkind.Unreachable, "connection closed"))
+			return
+		case <-ticker.C:
+		}
+		if c.sock.silentFor(time.Now()) > c.opts.SilenceAfter {
+			_ = c.rpc.Close()
+			c.finish(errkind.New(errkind.Unreachable, "nothing received for %s", c.opts.SilenceAfter))
+			return
+		}
+		go c.ping()
+	}
+}
+
+// ping runs in its own goroutine, because a write to a stalled connection
+// blocks until the write deadline and must not delay the check for silence.
+func (c *Conn) ping() {
+	_ = c.rpc.Notify(context.Background(), wire.MethodPing, wire.Ping{Header: c.opts.Hello().Header})
+}
+
+func (c *Conn) finish(err error) {
+	c.once.Do(func() {
+		close(c.done)
+		if c.opened.Load() {
+			c.handler.Closed(c, err)
+		}
+	})
+}
+
+// dispatcher adapts Handler to jsonrpc2. The library calls it from the read
+// loop, so notifications keep their order.
+type dispatcher struct{ c *Conn }
+
+// Handle implements jsonrpc2.Handler.
+func (d dispatcher) Handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	c := d.c
+	<-c.ready
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	if req.Method == wire.MethodHello && !req.Notif {
+		c.acceptHello(ctx, req, params)
+		return
+	}
+	if !c.opened.Load() && req.Method != wire.MethodPing {
+		return
+	}
+	if req.Notif {
+		c.handler.Notify(c, req.Method, params)
+		return
+	}
+	go c.serveCall(ctx, req, params)
+}
+
+func (c *Conn) acceptHello(ctx context.Context, req *jsonrpc2.Request, params json.RawMessage) {
+	var hello wire.Hello
+	if err := json.Unmarshal(params, &hello); err != nil {
+		_ = c.rpc.ReplyWithError(ctx, req.ID, encodeError(errkind.Wrap(err, errkind.InvalidRequest, "hello")))
+		return
+	}
+	_ = c.rpc.Reply(ctx, req.ID, c.opts.Hello())
+	c.open(hello)
+}
+
+func (c *Conn) serveCall(ctx context.Context, req *jsonrpc2.Request, params json.RawMessage) {
+	result, err := c.handler.Call(ctx, c, req.Method, params)
+	if err != nil {
+		_ = c.rpc.ReplyWithError(ctx, req.ID, encodeError(err))
+		return
+	}
+	_ = c.rpc.Reply(ctx, req.ID, result)
+}
+
+func encodeError(err error) *jsonrpc2.Error {
+	e := errkind.From(err)
+	out := &jsonrpc2.Error{Code: codeKind, Message: e.Detail}
+	out.SetError(wire.Refusal{Kind: e.Kind, Detail: e.Detail})
+	return out
+}
+
+func decodeError(err error, method string) error {
+	if err == nil {
+		return nil
+	}
+	var rpcErr *jsonrpc2.Error
+	if errors.As(err, &rpcErr) && rpcErr.Data != nil {
+		var refusal wire.Refusal
+		if json.Unmarshal(*rpcErr.Data, &refusal) == nil && refusal.Kind != "" {
+			return errkind.New(refusal.Kind, "%s", refusal.Detail)
+		}
+	}
+	return errkind.Wrap(err, errkind.Unreachable, "call %s", method)
+}
+
+// discardLogger drops the library's own messages; the package logs through
+// slog.
+type discardLogger struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (discardLogger) Printf(string, ...any) {}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -94,6 +94,7 @@
 	Reserved    int64   `json:"reserved"`     // tokens
 	OutputCap   int64   `json:"output_cap"`   // tokens over all choices
 	Priority    int     `json:"priority"`
+	Suspect     bool    `json:"suspect,omitempty"` // was in flight when a target crashed
 	Resumable   bool    `json:"resumable"` // the caller gave a key: keep running without a reader, keep the answer
 }
 
@@ -128,8 +129,8 @@
 	ContentType string        `json:"content_type,omitempty"`
 	Detail      string        `json:"detail,omitempty"`
 	Record      ledger.Record `json:"record"`
-	Suspect     bool          `json:"suspect,omitempty"` // in flight when the target crashed
-	Alone       bool          `json:"alone,omitempty"`   // the only suspect in flight then
+	Suspect     bool          `json:"suspect,omitempty"` // in flight when the target crashed, and no run that was a suspect before can explain it
+	Alone       bool          `json:"alone,omitempty"`   // nothing else in flight can explain the crash
 }
 
 // Attach asks for the run of an identity. If Tombstone names a run that the
