--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,235 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+)
+
+// Headers of the platform's HTTP protocol.
+const (
+	// HeaderHost names the calling host.
+	HeaderHost = "X-Host"
+	// HeaderNotApplied is "1" on a 503 or 429 answer to a call that the
+	// platform refused before it had any effect.
+	HeaderNotApplied = "X-Not-Applied"
+)
+
+// Defaults of Options.
+const (
+	DefaultTimeout          = time.Second
+	DefaultMaxResponseBytes = 16 << 20
+)
+
+const (
+	maxIdleConnections = 64
+	idleConnTimeout    = 30 * time.Second
+	contentTypeJSON    = "application/json"
+)
+
+// Options configures a Client.
+type Options struct {
+	BaseURL          string        // scheme and address of the platform; required
+	Host             string        // sent as X-Host if not empty
+	Timeout          time.Duration // per call; DefaultTimeout if 0
+	MaxResponseBytes int64         // DefaultMaxResponseBytes if 0
+	// HTTPClient replaces the client's own. It must not repeat a POST or PUT
+	// of which a byte was written, and must not follow redirects.
+	HTTPClient *http.Client
+}
+
+// Client calls the platform over HTTP and JSON. It implements Table and gives
+// access to the object store, the host list and the weight store.
+//
+// Reads fail with errkind.PlatformUnavailable. Writes fail with
+// errkind.PlatformUnavailable if they are known not to have taken effect and
+// with errkind.PlatformUncertain otherwise.
+type Client struct {
+	options Options
+	http    *http.Client
+}
+
+var _ Table = (*Client)(nil)
+
+// NewClient returns a client with the defaults of the options filled in.
+func NewClient(o Options) *Client {
+	o.BaseURL = strings.TrimRight(o.BaseURL, "/")
+	if o.Timeout <= 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.MaxResponseBytes <= 0 {
+		o.MaxResponseBytes = DefaultMaxResponseBytes
+	}
+	client := o.HTTPClient
+	if client == nil {
+		client = newHTTPClient()
+	}
+	return &Client{options: o, http: client}
+}
+
+func newHTTPClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{}).DialContext,
+			MaxIdleConns:        maxIdleConnections,
+			MaxIdleConnsPerHost: maxIdleConnections,
+			IdleConnTimeout:     idleConnTimeout,
+		},
+		// A redirect would send a write a second time.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// StatusError is an answer of the platform other than success. It is the cause
+// of the error that a call returns.
+type StatusError struct {
+	Status     int
+	NotApplied bool // the platform says that the call had no effect
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("platform answered %d", e.Status)
+}
+
+// RateLimited reports whether the platform refused the call because of its
+// rate limit. Such an answer shows that the platform is reachable.
+func RateLimited(err error) bool {
+	var status *StatusError
+	return errors.As(err, &status) && status.Status == http.StatusTooManyRequests
+}
+
+// call is one exchange with the platform.
+type call struct {
+	name        string // for errors
+	method      string
+	path        string
+	contentType string
+	body        []byte
+	write       bool
+}
+
+// do runs the call and returns the body of a 200 answer.
+func (c *Client) do(ctx context.Context, call call) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	defer cancel()
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := c.request(httptrace.WithClientTrace(ctx, trace), call)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.PlatformUnavailable, "%s", call.name)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		c.dropSilentConnections(ctx)
+		return nil, transportError(err, call, connected.Load())
+	}
+	defer resp.Body.Close()
+	body, err := c.readBody(resp)
+	if err != nil {
+		c.dropSilentConnections(ctx)
+		return nil, transportError(err, call, true)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, statusError(resp, call)
+	}
+	return body, nil
+}
+
+func (c *Client) request(ctx context.Context, call call) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, call.method, c.options.BaseURL+call.path, bytes.NewReader(call.body))
+	if err != nil {
+		return nil, err
+	}
+	if call.contentType != "" {
+		req.Header.Set("Content-Type", call.contentType)
+	}
+	if c.options.Host != "" {
+		req.Header.Set(HeaderHost, c.options.Host)
+	}
+	return req, nil
+}
+
+func (c *Client) readBody(resp *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.options.MaxResponseBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > c.options.MaxResponseBytes {
+		return nil, fmt.Errorf("answer exceeds %d bytes", c.options.MaxResponseBytes)
+	}
+	return body, nil
+}
+
+// dropSilentConnections closes the idle connections after a timeout. They may
+// have stopped delivering data together with the one that timed out, and each
+// would cost a later call its full timeout.
+func (c *Client) dropSilentConnections(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.http.CloseIdleConnections()
+	}
+}
+
+// transportError classifies a call without a usable answer. A call that got no
+// connection was not sent. The same holds for a dial error after an attempt on
+// an idle connection, because net/http repeats a write only if no byte of it
+// was written.
+func transportError(err error, call call, connected bool) error {
+	if !call.write || !connected || isDialError(err) {
+		return errkind.Wrap(err, errkind.PlatformUnavailable, "%s", call.name)
+	}
+	return errkind.Wrap(err, errkind.PlatformUncertain, "%s", call.name)
+}
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func statusError(resp *http.Response, call call) error {
+	cause := &StatusError{Status: resp.StatusCode}
+	refused := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	cause.NotApplied = refused && resp.Header.Get(HeaderNotApplied) == "1"
+	kind := errkind.PlatformUnavailable
+	if call.write && !cause.NotApplied {
+		kind = errkind.PlatformUncertain
+	}
+	err := errkind.Wrap(cause, kind, "%s", call.name)
+	if seconds, convErr := strconv.Atoi(resp.Header.Get("Retry-After")); convErr == nil && seconds > 0 {
+		err.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return err
+}
+
+// exchange posts params as JSON and decodes the answer into result.
+func (c *Client) exchange(ctx context.Context, call call, params, result any) error {
+	var err error
+	if call.body, err = json.Marshal(params); err != nil {
+		return errkind.Wrap(err, errkind.InvalidRequest, "%s", call.name)
+	}
+	call.method = http.MethodPost
+	call.contentType = contentTypeJSON
+	body, err := c.do(ctx, call)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, result); err != nil {
+		return transportError(err, call, true)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/stores.go
@@ -0,0 +1,144 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+)
+
+// GetRequest is the body of POST /v1/table/get.
+type GetRequest struct {
+	Key string `json:"key"`
+}
+
+// GetResponse answers GetRequest. A missing row is a null row and not a 404,
+// so that a wrong address is not mistaken for an empty table.
+type GetResponse struct {
+	Row *Row `json:"row"`
+}
+
+// ScanRequest is the body of POST /v1/table/scan.
+type ScanRequest struct {
+	Prefix string `json:"prefix"`
+	After  string `json:"after,omitempty"`
+	Limit  int    `json:"limit"`
+}
+
+// ScanResponse answers ScanRequest.
+type ScanResponse struct {
+	Rows []Row `json:"rows"`
+}
+
+// Get implements Table.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	var out GetResponse
+	err := c.exchange(ctx, call{name: "table get", path: "/v1/table/get"}, GetRequest{Key: key}, &out)
+	if err != nil {
+		return Row{}, err
+	}
+	if out.Row == nil {
+		return Row{}, errkind.New(errkind.NotFound, "row %s", key)
+	}
+	return *out.Row, nil
+}
+
+// Scan implements Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	var out ScanResponse
+	in := ScanRequest{Prefix: prefix, After: after, Limit: limit}
+	err := c.exchange(ctx, call{name: "table scan", path: "/v1/table/scan"}, in, &out)
+	return out.Rows, err
+}
+
+// Commit implements Table.
+func (c *Client) Commit(ctx context.Context, txn Txn) (TxnResult, error) {
+	var out TxnResult
+	err := c.exchange(ctx, call{name: "table commit", path: "/v1/table/commit", write: true}, txn, &out)
+	if err != nil {
+		return TxnResult{}, err
+	}
+	return out, nil
+}
+
+// PutObject stores an object under a key. It replaces an existing object, so a
+// repeat after errkind.PlatformUncertain is safe.
+func (c *Client) PutObject(ctx context.Context, key string, data []byte) error {
+	_, err := c.do(ctx, call{
+		name:        "object put",
+		method:      http.MethodPut,
+		path:        "/v1/objects/" + url.PathEscape(key),
+		contentType: "application/octet-stream",
+		body:        data,
+		write:       true,
+	})
+	return err
+}
+
+// GetObject returns the object, or errkind.NotFound.
+func (c *Client) GetObject(ctx context.Context, key string) ([]byte, error) {
+	body, err := c.do(ctx, call{name: "object get", method: http.MethodGet, path: "/v1/objects/" + url.PathEscape(key)})
+	return body, absent(err, "object "+key)
+}
+
+// HostState says whether a host stays in the deployment.
+type HostState string
+
+// Host states.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+)
+
+// Host is an entry of the host list. The list lags behind the actual state.
+type Host struct {
+	Host   string    `json:"host"`
+	Domain string    `json:"domain"` // failure domain
+	State  HostState `json:"state"`
+}
+
+// Hosts returns the host list, ordered by name.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	var out []Host
+	err := c.fetch(ctx, "host list", "/v1/hosts", &out)
+	return out, err
+}
+
+// Weights describes the stored weights of a model.
+type Weights struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Bytes   int64  `json:"bytes"`
+}
+
+// Weights looks up the weights of a model. It fails with errkind.NotFound for
+// an unknown model; over the store's rate, RateLimited holds for the error and
+// its RetryAfter is set.
+func (c *Client) Weights(ctx context.Context, model string) (Weights, error) {
+	var out Weights
+	err := c.fetch(ctx, "weights", "/v1/weights/"+url.PathEscape(model), &out)
+	return out, absent(err, "weights of "+model)
+}
+
+func (c *Client) fetch(ctx context.Context, name, path string, result any) error {
+	body, err := c.do(ctx, call{name: name, method: http.MethodGet, path: path})
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, result); err != nil {
+		return errkind.Wrap(err, errkind.PlatformUnavailable, "%s", name)
+	}
+	return nil
+}
+
+// absent turns a 404 answer into errkind.NotFound.
+func absent(err error, what string) error {
+	var status *StatusError
+	if errors.As(err, &status) && status.Status == http.StatusNotFound {
+		return errkind.New(errkind.NotFound, "%s", what)
+	}
+	return err
+}
