Add the commands that run the stand-ins as processes

Each prints its address once it listens, so that port 0 can be used, and finishes the calls in progress on SIGTERM. The wait for them is limited to 5 s because a fault can make a call last for ever.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -23,6 +23,7 @@
 
 // commands is the root of the command line.
 type commands struct {
+	Standin standinCmd `cmd:"" help:"Run a stand-in of an outside system."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/cli/standin.go
@@ -0,0 +1,160 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/standin/forwarder"
+	platformstandin "tarragonridge.example/tarragonridge/internal/standin/platform"
+	"tarragonridge.example/tarragonridge/internal/standin/service"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	// standinStopTimeout limits the wait for calls in progress, because a
+	// fault can make them last for ever.
+	standinStopTimeout = 5 * time.Second
+)
+
+type standinCmd struct {
+	Platform  standinPlatformCmd  `cmd:"" help:"Run the stand-in platform."`
+	Service   standinServiceCmd   `cmd:"" help:"Run a stand-in service."`
+	Forwarder standinForwarderCmd `cmd:"" help:"Run a TCP relay that can be faulty."`
+}
+
+type standinPlatformCmd struct {
+	Listen           string        `help:"Address to listen on." default:"127.0.0.1:0"`
+	WritesPerSecond  float64       `help:"Rate limit of table commits and object puts." default:"500"`
+	ReadsPerSecond   float64       `help:"Rate limit of reads." default:"2000"`
+	WeightsPerSecond float64       `help:"Rate limit of the weight store." default:"2"`
+	HostLag          time.Duration `help:"Delay until an edit of the host list is visible." default:"0s"`
+	Hosts            string        `help:"JSON file with the initial host list." type:"existingfile"`
+	Weights          string        `help:"JSON file with the contents of the weight store." type:"existingfile"`
+}
+
+// Validate is called by kong.
+func (c *standinPlatformCmd) Validate() error {
+	if c.WritesPerSecond <= 0 || c.ReadsPerSecond <= 0 || c.WeightsPerSecond <= 0 {
+		return errors.New("rate limits must be positive")
+	}
+	if c.HostLag < 0 {
+		return errors.New("--host-lag must not be negative")
+	}
+	return nil
+}
+
+// Run serves until SIGTERM or SIGINT.
+func (c *standinPlatformCmd) Run(s *Streams) error {
+	var hosts []platform.Host
+	if err := readJSONFile(c.Hosts, &hosts); err != nil {
+		return err
+	}
+	var weights []platform.Weights
+	if err := readJSONFile(c.Weights, &weights); err != nil {
+		return err
+	}
+	server := platformstandin.New(platformstandin.Options{
+		WritesPerSecond:  c.WritesPerSecond,
+		ReadsPerSecond:   c.ReadsPerSecond,
+		WeightsPerSecond: c.WeightsPerSecond,
+		HostLag:          c.HostLag,
+		Hosts:            hosts,
+		Weights:          weights,
+		Log:              newStandinLogger(s.Err),
+	})
+	defer server.Close()
+	return serveStandin(s.Out, c.Listen, server)
+}
+
+// readJSONFile decodes the file. An empty path leaves into as it is.
+func readJSONFile(path string, into any) error {
+	if path == "" {
+		return nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
+type standinServiceCmd struct {
+	Listen string `help:"Address to listen on." default:"127.0.0.1:0"`
+}
+
+// Run serves until SIGTERM or SIGINT.
+func (c *standinServiceCmd) Run(s *Streams) error {
+	return serveStandin(s.Out, c.Listen, service.New(newStandinLogger(s.Err)))
+}
+
+type standinForwarderCmd struct {
+	Listen  string `help:"Address to accept connections on." default:"127.0.0.1:0"`
+	Target  string `help:"Address to relay connections to." required:""`
+	Control string `help:"Address of the control API." default:"127.0.0.1:0"`
+}
+
+// Run relays until SIGTERM or SIGINT.
+func (c *standinForwarderCmd) Run(s *Streams) error {
+	relay, err := forwarder.Start(c.Listen, c.Target, newStandinLogger(s.Err))
+	if err != nil {
+		return err
+	}
+	defer relay.Close()
+	listener, err := net.Listen("tcp", c.Control)
+	if err != nil {
+		return err
+	}
+	ready := fmt.Sprintf("listening addr=%s control=%s", relay.Addr(), listener.Addr())
+	return serveUntilSignal(s.Out, ready, listener, relay.Control())
+}
+
+func newStandinLogger(w io.Writer) *slog.Logger {
+	return slog.New(slog.NewTextHandler(w, nil))
+}
+
+func serveStandin(out io.Writer, addr string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	return serveUntilSignal(out, fmt.Sprintf("listening addr=%s", listener.Addr()), listener, handler)
+}
+
+// serveUntilSignal prints the ready line, serves until SIGTERM or SIGINT and
+// then finishes the calls in progress.
+func serveUntilSignal(out io.Writer, ready string, listener net.Listener, handler http.Handler) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	if _, err := fmt.Fprintln(out, ready); err != nil {
+		_ = server.Close()
+		return err
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	stopCtx, cancel := context.WithTimeout(context.Background(), standinStopTimeout)
+	defer cancel()
+	if err := server.Shutdown(stopCtx); err != nil {
+		return server.Close()
+	}
+	return nil
+}
