Add the router process

Requests are admitted, reserved, routed, relayed and resumed; non-idempotent calls run under a claim.

--- /dev/null
+++ b/internal/router/admin.go
@@ -0,0 +1,304 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	"tarragonridge.example/tarragonridge/internal/admin"
+	"tarragonridge.example/tarragonridge/internal/adminapi"
+	"tarragonridge.example/tarragonridge/internal/core/budget"
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/core/member"
+	"tarragonridge.example/tarragonridge/internal/core/policy"
+	"tarragonridge.example/tarragonridge/internal/escrow"
+	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/rpc"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+// registerAdmin mounts the admin API.
+func (r *Router) registerAdmin(e *echo.Echo) {
+	adminapi.Register(e, adminapi.Deps{
+		Config:        r.config,
+		Budgets:       budgetAdmin{r.escrow},
+		Ledger:        ledgerAdmin{r.table},
+		Targets:       targetAdmin{r},
+		Timeline:      timelineAdmin{r},
+		Confirmations: r.confirmations,
+		Push:          func(policy.Document) { r.spreadConfig() },
+		Logger:        r.opts.Logger,
+	})
+}
+
+// budgetAdmin implements adminapi.Budgets.
+type budgetAdmin struct{ escrow *escrow.Manager }
+
+// Account implements adminapi.Budgets.
+func (b budgetAdmin) Account(ctx context.Context, team string) (admin.Budget, error) {
+	a, err := b.escrow.Account(ctx, team)
+	return budgetView(a), err
+}
+
+// TopUp implements adminapi.Budgets.
+func (b budgetAdmin) TopUp(ctx context.Context, team, key string, tokens int64, operator string) (admin.Budget, error) {
+	a, err := b.escrow.TopUp(ctx, team, key, tokens, operator)
+	if errkind.Is(err, errkind.Conflict) {
+		err = errkind.Wrap(err, errkind.IdempotencyConflict, "the key was used with another amount")
+	}
+	return budgetView(a), err
+}
+
+func budgetView(a budget.Account) admin.Budget {
+	return admin.Budget{ToppedUp: a.ToppedUp, Settled: a.Settled(), Held: a.Held(), Left: a.Left()}
+}
+
+// ledgerAdmin implements adminapi.Ledger.
+type ledgerAdmin struct{ table platform.Table }
+
+// Records implements adminapi.Ledger.
+func (l ledgerAdmin) Records(ctx context.Context, team, requestID string, limit int) ([]admin.Entry, error) {
+	rows, err := platform.ScanAll(ctx, l.table, ledgerPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var records []ledger.Record
+	for _, row := range rows {
+		var seg ledger.Segment
+		if err := json.Unmarshal(row.Value, &seg); err != nil {
+			return nil, errkind.Wrap(err, errkind.Internal, "segment %s is not readable", row.Key)
+		}
+		records = append(records, seg.Records...)
+	}
+	var entries []admin.Entry
+	for _, e := range ledger.Fold(records) {
+		entries = appendEntries(entries, e, team, requestID)
+	}
+	slices.SortFunc(entries, func(a, b admin.Entry) int { return int(b.EndedUS - a.EndedUS) })
+	return entries[:min(limit, len(entries))], nil
+}
+
+const ledgerPrefix = "ledger/"
+
+// targetAdmin implements adminapi.Targets.
+type targetAdmin struct{ r *Router }
+
+// List implements adminapi.Targets.
+func (t targetAdmin) List(ctx context.Context) ([]admin.Target, error) {
+	rows, err := platform.ScanAll(ctx, t.r.table, member.SidecarPrefix)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]admin.Target, 0, len(rows))
+	for _, row := range rows {
+		var reg member.SidecarRow
+		if err := json.Unmarshal(row.Value, &reg); err != nil {
+			continue
+		}
+		out = append(out, t.view(reg))
+	}
+	return out, nil
+}
+
+func (t targetAdmin) view(reg member.SidecarRow) admin.Target {
+	v := admin.Target{
+		ID: reg.Target, Kind: reg.Kind, Model: reg.Model, Service: reg.Service,
+		Host: reg.Host, FailureDomain: reg.Domain, Address: reg.Addr, Sidecar: reg.Incarnation, Fence: reg.Fence,
+	}
+	known := t.r.sched.target(reg.Target)
+	if known == nil {
+		return v
+	}
+	t.r.sched.update(known, func(known *target) {
+		v.Connected = known.conn != nil
+		v.Healthy = known.report.Healthy
+		v.Leaving = known.leavingSource()
+		v.Running = known.report.Running
+		v.Waiting = known.report.Waiting
+		v.KVUsed = known.report.KVUsed
+		v.Adapters = known.report.Adapters
+		v.Role = known.report.Role
+	})
+	return v
+}
+
+// leavingSource says who has said that the target is leaving.
+func (t *target) leavingSource() string {
+	switch {
+	case t.draining:
+		return "sidecar"
+	case t.leaving:
+		return "host_list"
+	}
+	return ""
+}
+
+// Drain implements adminapi.Targets.
+func (t targetAdmin) Drain(ctx context.Context, id string, draining bool, operator string) error {
+	known := t.r.sched.target(id)
+	if known == nil {
+		return errkind.New(errkind.NotFound, "no target %q", id)
+	}
+	t.r.event("target_drain", "", "", "", slog.String("target", id), slog.Bool("draining", draining), slog.String("operator", operator))
+	return t.call(ctx, known, wire.MethodTargetDrain, wire.Drain{Header: t.r.header(), Draining: draining})
+}
+
+func (t targetAdmin) call(ctx context.Context, known *target, method string, msg any) error {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	var reply wire.Reply
+	if err := known.link.Call(callCtx, method, msg, &reply); err != nil {
+		return orderError(err, known.id)
+	}
+	if reply.Refusal != nil {
+		return orderError(errkind.New(reply.Refusal.Kind, "%s", reply.Refusal.Detail), known.id)
+	}
+	return nil
+}
+
+// orderTimeout leaves time for a model to load.
+const orderTimeout = 2 * time.Minute
+
+// orderError maps the kinds between processes to an operator's answer.
+func orderError(err error, target string) error {
+	switch errkind.Of(err) {
+	case errkind.Unreachable:
+		return errkind.Wrap(err, errkind.OutcomeUnknown, "the sidecar of target %s could not be reached", target)
+	case errkind.Fenced:
+		return errkind.Wrap(err, errkind.Conflict, "a later order has reached target %s", target)
+	}
+	return err
+}
+
+// Forget implements adminapi.Targets.
+func (t targetAdmin) Forget(ctx context.Context, id, operator string) error {
+	row, err := t.r.table.Get(ctx, member.SidecarKey(id))
+	if errkind.Is(err, errkind.NotFound) {
+		return errkind.New(errkind.NotFound, "no target %q", id)
+	}
+	if err != nil {
+		return err
+	}
+	if known := t.r.sched.target(id); known != nil && known.link.Conn() != nil {
+		return errkind.New(errkind.Conflict, "the sidecar of target %s is connected; drain it instead", id)
+	}
+	t.r.event("target_forget", "", "", "", slog.String("target", id), slog.String("operator", operator))
+	return t.r.declareGone(ctx, row)
+}
+
+// Order implements adminapi.Targets. The fencing number is taken from the
+// target's registration by compare-and-set, so two operators never share one.
+func (t targetAdmin) Order(ctx context.Context, id string, order admin.Order, operator string) (int64, error) {
+	known := t.r.sched.target(id)
+	if known == nil {
+		return 0, errkind.New(errkind.NotFound, "no target %q", id)
+	}
+	fence, err := t.nextFence(ctx, id)
+	if err != nil {
+		return 0, err
+	}
+	t.r.event("target_order", "", "", "", slog.String("target", id), slog.String("action", order.Action), slog.Int64("fence", fence), slog.String("operator", operator))
+	msg := wire.Order{
+		Header: t.r.header(), Fence: fence, Action: order.Action,
+		Model: order.Model, Adapter: order.Adapter, Version: order.Version, Role: order.Role,
+	}
+	return fence, t.call(ctx, known, wire.MethodOrderApply, msg)
+}
+
+const fenceAttempts = 10
+
+func (t targetAdmin) nextFence(ctx context.Context, id string) (int64, error) {
+	key := member.SidecarKey(id)
+	for range fenceAttempts {
+		row, err := t.r.table.Get(ctx, key)
+		if err != nil {
+			return 0, err
+		}
+		var reg member.SidecarRow
+		if err := json.Unmarshal(row.Value, &reg); err != nil {
+			return 0, errkind.Wrap(err, errkind.Internal, "registration of target %s", id)
+		}
+		reg.Fence++
+		value, err := json.Marshal(reg)
+		if err != nil {
+			return 0, err
+		}
+		res, err := t.r.table.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: key, Version: row.Version}},
+			Puts:       []platform.Put{{Key: key, Value: value}},
+		})
+		if err == nil && res.Committed {
+			return reg.Fence, nil
+		}
+		// After an uncertain commit the number may be taken; the next one is
+		// higher in any case.
+		if err != nil && !errkind.Is(err, errkind.PlatformUncertain) {
+			return 0, err
+		}
+	}
+	return 0, errkind.New(errkind.PlatformUnavailable, "no fencing number could be taken for target %s", id)
+}
+
+// timelineAdmin implements adminapi.Timeline.
+type timelineAdmin struct{ r *Router }
+
+// Query implements adminapi.Timeline.
+func (t timelineAdmin) Query(ctx context.Context, q wire.TimelineQuery) ([]wire.TimelineResult, []string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	q.Header = t.r.header()
+	results := []wire.TimelineResult{t.r.localTimeline(q)}
+	var unreachable []string
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	ask := func(name string, c *rpc.Conn) {
+		defer wg.Done()
+		var res wire.TimelineResult
+		err := errkind.New(errkind.Unreachable, "not connected")
+		if c != nil && c.Call(ctx, wire.MethodTimeline, q, &res) == nil {
+			err = nil
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			unreachable = append(unreachable, name)
+			return
+		}
+		results = append(results, res)
+	}
+	for _, c := range t.r.peers.conns() {
+		wg.Add(1)
+		go ask("router/"+c.Peer().Incarnation, c)
+	}
+	for _, known := range t.r.sched.list(func(*target) bool { return true }) {
+		wg.Add(1)
+		go ask("sidecar/"+known.id, known.link.Conn())
+	}
+	wg.Wait()
+	slices.SortFunc(unreachable, strings.Compare)
+	return results, unreachable
+}
+
+func (r *Router) localTimeline(q wire.TimelineQuery) wire.TimelineResult {
+	res := r.opts.Timeline.Query(q)
+	res.Header = r.header()
+	return res
+}
+
+// event records an event of the time line and logs it.
+func (r *Router) event(name, requestID, runID, team string, attrs ...slog.Attr) {
+	all := make([]slog.Attr, 0, 3+len(attrs))
+	for _, a := range []slog.Attr{slog.String("request_id", requestID), slog.String("run_id", runID), slog.String("team", team)} {
+		if a.Value.String() != "" {
+			all = append(all, a)
+		}
+	}
+	r.opts.Timeline.Record(name, append(all, attrs...)...)
+}
--- /dev/null
+++ b/internal/router/caller.go
@@ -0,0 +1,196 @@
+package router
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	"tarragonridge.example/tarragonridge/internal/core/admit"
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/core/policy"
+	"tarragonridge.example/tarragonridge/internal/httpapi"
+)
+
+// Headers of callers.
+const (
+	keyHeader      = httpapi.HeaderIdempotencyKey
+	workloadHeader = "X-Workload"
+)
+
+const (
+	maxKeyBytes     = 255
+	defaultWorkload = "default"
+)
+
+// caller is the authenticated origin of a request.
+type caller struct {
+	r         *Router
+	team      policy.Team
+	workload  string
+	requestID string
+	key       string // idempotency key, empty if none was given
+	limits    *teamLimits
+}
+
+// teamLimits holds the rate and concurrency of a team at this router.
+type teamLimits struct {
+	bucket admit.Bucket
+	open   int
+}
+
+// admitCaller authenticates a request and applies the team's limits.
+func (r *Router) admitCaller(c *echo.Context) (*caller, error) {
+	in := c.Request()
+	cl := &caller{r: r, requestID: httpapi.RequestID(c), workload: in.Header.Get(workloadHeader)}
+	if cl.workload == "" {
+		cl.workload = defaultWorkload
+	}
+	if r.isStopping() {
+		return nil, errkind.New(errkind.Stopping, "this router is stopping")
+	}
+	if !r.config.Ready() {
+		return nil, errkind.New(errkind.PlatformUnavailable, "this router has no configuration yet")
+	}
+	team, err := r.authenticate(in)
+	if err != nil {
+		return nil, err
+	}
+	cl.team = team
+	if cl.key, err = idempotencyKey(in); err != nil {
+		return nil, err
+	}
+	return cl, r.applyLimits(cl)
+}
+
+func (r *Router) authenticate(in *http.Request) (policy.Team, error) {
+	key, ok := httpapi.BearerKey(in)
+	if !ok {
+		return policy.Team{}, errkind.New(errkind.Unauthenticated, "Authorization must carry a bearer key")
+	}
+	team, ok := r.config.TeamByKey(in.Context(), policy.HashKey(key))
+	if !ok {
+		return policy.Team{}, errkind.New(errkind.Unauthenticated, "the key is unknown")
+	}
+	if team.Disabled {
+		return policy.Team{}, errkind.New(errkind.Forbidden, "the team is disabled")
+	}
+	return team, nil
+}
+
+func idempotencyKey(in *http.Request) (string, error) {
+	key := in.Header.Get(keyHeader)
+	if len(key) > maxKeyBytes {
+		return "", errkind.New(errkind.InvalidRequest, "%s is longer than %d bytes", keyHeader, maxKeyBytes)
+	}
+	for _, b := range []byte(key) {
+		if b < 0x21 || b > 0x7e {
+			return "", errkind.New(errkind.InvalidRequest, "%s may hold visible ASCII characters only", keyHeader)
+		}
+	}
+	return key, nil
+}
+
+func (r *Router) applyLimits(cl *caller) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	limits := r.teams[cl.team.Name]
+	if limits == nil {
+		limits = &teamLimits{}
+		r.teams[cl.team.Name] = limits
+	}
+	if n := cl.team.MaxConcurrent; n > 0 && limits.open >= n {
+		return errkind.New(errkind.RateLimited, "the team has %d requests in progress", limits.open)
+	}
+	if rate := cl.team.RatePerSecond; rate > 0 {
+		ok, wait := limits.bucket.Take(time.Now(), rate, max(1, rate))
+		if !ok {
+			return &errkind.Error{Kind: errkind.RateLimited, Detail: "the team's rate limit is exceeded", RetryAfter: wait}
+		}
+	}
+	limits.open++
+	cl.limits = limits
+	return nil
+}
+
+// done ends the request's share of the team's limits.
+func (cl *caller) done() {
+	cl.r.mu.Lock()
+	defer cl.r.mu.Unlock()
+	cl.limits.open--
+}
+
+// request returns a request with the fields that do not depend on its kind.
+func (cl *caller) request(doc *policy.Document, preset policy.Preset) *request {
+	workload := doc.Workloads[cl.workload]
+	req := &request{timeout: callTimeoutOf(workload, preset)}
+	req.Identity = ledger.Identity{Team: cl.team.Name, Key: cl.key}
+	if cl.key == "" {
+		req.Key = cl.requestID
+	}
+	req.RequestID = cl.requestID
+	req.Workload = cl.workload
+	req.Priority = workload.Priority
+	req.Resumable = cl.key != ""
+	return req
+}
+
+func (cl *caller) checkWorkload(doc *policy.Document) (policy.Workload, error) {
+	workload, ok := doc.Workloads[cl.workload]
+	if !ok {
+		return workload, errkind.New(errkind.Forbidden, "workload %q does not exist", cl.workload)
+	}
+	if len(cl.team.Workloads) > 0 && !slices.Contains(cl.team.Workloads, cl.workload) {
+		return workload, errkind.New(errkind.Forbidden, "the team may not use workload %q", cl.workload)
+	}
+	if workload.Priority < doc.Active().MinPriority {
+		return workload, errkind.New(errkind.Overloaded, "preset %s does not serve workload %q", doc.ActivePreset, cl.workload)
+	}
+	return workload, nil
+}
+
+func (cl *caller) mayUseModel(doc *policy.Document, model string) error {
+	workload, err := cl.checkWorkload(doc)
+	if err != nil {
+		return err
+	}
+	if !permits(cl.team.Models, model) || !permits(workload.Models, model) {
+		return errkind.New(errkind.Forbidden, "team and workload do not permit model %q", model)
+	}
+	return nil
+}
+
+func (cl *caller) mayUseService(doc *policy.Document, service string) error {
+	workload, err := cl.checkWorkload(doc)
+	if err != nil {
+		return err
+	}
+	if !permits(workload.Services, service) {
+		return errkind.New(errkind.Forbidden, "workload %q does not permit service %q", cl.workload, service)
+	}
+	return nil
+}
+
+// permits reports whether a list of names permits one; an empty list permits
+// all.
+func permits(list []string, name string) bool {
+	return len(list) == 0 || slices.Contains(list, name)
+}
+
+// readBody reads the body up to the limit.
+func (r *Router) readBody(c *echo.Context) ([]byte, error) {
+	limit := r.opts.Settings.Limits.BodyBytes
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, errkind.New(errkind.BodyTooLarge, "the body is larger than %d bytes", limit)
+	}
+	if err != nil {
+		return nil, errkind.New(errkind.InvalidRequest, "the body could not be read: %v", err)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/router/completion.go
@@ -0,0 +1,259 @@
+package router
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"mime"
+	"net/http"
+	"unicode/utf8"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/labstack/echo/v5"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/policy"
+	"tarragonridge.example/tarragonridge/internal/core/route"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+// Allowances of the prompt bound. A byte-level tokenizer yields at most one
+// token per byte; chat templates add a few tokens per message and per request.
+const (
+	templateTokensPerMessage = 8
+	templateTokensPerRequest = 16
+)
+
+const maxChoices = 16 // of one request (n)
+
+// completionBody holds the fields of a completion request that the router
+// acts on. The target receives the body as the caller sent it, except for the
+// fields that the sidecar sets.
+type completionBody struct {
+	Model               string          `json:"model"`
+	Messages            []message       `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Tools               json.RawMessage `json:"tools"`
+	Functions           json.RawMessage `json:"functions"`
+	ResponseFormat      json.RawMessage `json:"response_format"`
+	MaxTokens           *int64          `json:"max_tokens"`
+	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
+	N                   *int64          `json:"n"`
+	BestOf              *int64          `json:"best_of"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// message is one message of a chat. Its token bound is derived from the raw
+// bytes, so fields that are unknown here are covered as well.
+type message struct {
+	text  string
+	bytes int64
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (m *message) UnmarshalJSON(raw []byte) error {
+	var plain struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	}
+	if err := json.Unmarshal(raw, &plain); err != nil {
+		return err
+	}
+	m.bytes = int64(len(raw))
+	var text string
+	if json.Unmarshal(plain.Content, &text) == nil {
+		m.text = text
+		// Escapes make the raw form longer than the text; everything but the
+		// content is counted raw.
+		m.bytes += int64(len(text) - len(plain.Content))
+	} else {
+		m.text = string(plain.Content)
+	}
+	return nil
+}
+
+// parseCompletion validates the body of a completion request.
+func parseCompletion(body []byte, chat bool) (*completionBody, error) {
+	if !utf8.Valid(body) {
+		return nil, errkind.New(errkind.InvalidRequest, "the body is not valid UTF-8")
+	}
+	var c completionBody
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, errkind.New(errkind.InvalidRequest, "the body is not a valid request: %v", err)
+	}
+	switch {
+	case c.Model == "":
+		return nil, errkind.New(errkind.InvalidRequest, "model is missing")
+	case chat && len(c.Messages) == 0:
+		return nil, errkind.New(errkind.InvalidRequest, "messages is missing or empty")
+	case !chat && len(c.Prompt) == 0:
+		return nil, errkind.New(errkind.InvalidRequest, "prompt is missing")
+	}
+	return &c, c.checkNumbers()
+}
+
+func (c *completionBody) checkNumbers() error {
+	fields := []struct {
+		name  string
+		value *int64
+		max   int64
+	}{
+		{"max_tokens", c.MaxTokens, 1 << 31},
+		{"max_completion_tokens", c.MaxCompletionTokens, 1 << 31},
+		{"n", c.N, maxChoices},
+		{"best_of", c.BestOf, maxChoices},
+	}
+	for _, f := range fields {
+		if f.value == nil {
+			continue
+		}
+		if *f.value < 1 || *f.value > f.max {
+			return errkind.New(errkind.InvalidRequest, "%s is %d, must be from 1 to %d", f.name, *f.value, f.max)
+		}
+	}
+	return nil
+}
+
+// promptBound returns an upper bound of the prompt's tokens.
+func (c *completionBody) promptBound() int64 {
+	bound := int64(templateTokensPerRequest)
+	for _, m := range c.Messages {
+		bound += m.bytes + templateTokensPerMessage
+	}
+	bound += int64(len(c.Prompt) + len(c.Tools) + len(c.Functions) + len(c.ResponseFormat))
+	return bound
+}
+
+// outputCap returns the most tokens that the answer may have over all choices.
+func (c *completionBody) outputCap(model policy.Model, preset policy.Preset) (int64, error) {
+	perChoice := preset.DefaultOutputTokens
+	if c.MaxTokens != nil {
+		perChoice = *c.MaxTokens
+	}
+	if c.MaxCompletionTokens != nil {
+		perChoice = *c.MaxCompletionTokens
+	}
+	if model.MaxOutputTokens > 0 && perChoice > model.MaxOutputTokens {
+		if c.MaxTokens != nil || c.MaxCompletionTokens != nil {
+			return 0, errkind.New(errkind.InvalidRequest, "max_tokens is %d, model %s allows %d", perChoice, c.Model, model.MaxOutputTokens)
+		}
+		perChoice = model.MaxOutputTokens
+	}
+	choices := int64(1)
+	if c.N != nil {
+		choices = *c.N
+	}
+	if c.BestOf != nil {
+		choices = max(choices, *c.BestOf)
+	}
+	return perChoice * choices, nil
+}
+
+// promptText returns the start of the prompt for target choice.
+func (c *completionBody) promptText() string {
+	var b bytes.Buffer
+	for _, m := range c.Messages {
+		b.WriteString(m.text)
+		b.WriteByte(0)
+		if b.Len() > prefixSample {
+			break
+		}
+	}
+	b.Write(c.Prompt)
+	return b.String()
+}
+
+// prefixSample is enough text to cover the prefix that decides affinity.
+const prefixSample = 4096
+
+func (r *Router) chatCompletions(c *echo.Context) error { return r.completion(c, true) }
+
+func (r *Router) completions(c *echo.Context) error { return r.completion(c, false) }
+
+// completion serves a completion request.
+func (r *Router) completion(c *echo.Context, chat bool) error {
+	caller, err := r.admitCaller(c)
+	if err != nil {
+		return err
+	}
+	defer caller.done()
+	if err := requireJSON(c.Request()); err != nil {
+		return err
+	}
+	body, err := r.readBody(c)
+	if err != nil {
+		return err
+	}
+	parsed, err := parseCompletion(body, chat)
+	if err != nil {
+		return err
+	}
+	req, err := r.completionRequest(c, caller, parsed, body)
+	if err != nil {
+		return err
+	}
+	if parsed.Stream {
+		req.sink = newSSESink(c.Response(), parsed.StreamOptions.IncludeUsage, caller.requestID)
+	} else {
+		req.sink = newWholeSink(c.Response(), chat, caller.requestID)
+	}
+	return r.run(c, caller, req)
+}
+
+func (r *Router) completionRequest(c *echo.Context, caller *caller, parsed *completionBody, body []byte) (*request, error) {
+	doc := r.config.Current()
+	model, ok := doc.Models[parsed.Model]
+	if !ok {
+		return nil, errkind.New(errkind.UnknownModel, "model %q is not served here", parsed.Model)
+	}
+	if err := caller.mayUseModel(doc, parsed.Model); err != nil {
+		return nil, err
+	}
+	preset := doc.Active()
+	outputCap, err := parsed.outputCap(model, preset)
+	if err != nil {
+		return nil, err
+	}
+	req := caller.request(doc, preset)
+	req.Kind = wire.Completion
+	req.Model = parsed.Model
+	req.Method = http.MethodPost
+	req.Path = c.Request().URL.Path
+	req.ContentType = "application/json"
+	req.Body = body
+	req.ContentHash = contentHash(req.Path, body)
+	req.OutputCap = outputCap
+	req.Reserved = parsed.promptBound() + outputCap
+	req.pool = modelPool(parsed.Model)
+	req.query.PrefixHash = route.PrefixHash(parsed.Model, parsed.promptText())
+	req.idempotent = true
+	return req, nil
+}
+
+func modelPool(name string) string   { return "model:" + name }
+func servicePool(name string) string { return "service:" + name }
+
+// contentHash names a request by its content. Two independent 64-bit hashes
+// make an accidental collision within a team negligible.
+func contentHash(path string, body []byte) string {
+	var d xxhash.Digest
+	d.ResetWithSeed(0)
+	_, _ = d.WriteString(path)
+	_, _ = d.Write(body)
+	sum := d.Sum(nil)
+	d.ResetWithSeed(1)
+	_, _ = d.WriteString(path)
+	_, _ = d.Write(body)
+	return hex.EncodeToString(d.Sum(sum))
+}
+
+func requireJSON(req *http.Request) error {
+	contentType, _, err := mime.ParseMediaType(req.Header.Get("Content-Type"))
+	if err != nil || contentType != "application/json" {
+		return errkind.New(errkind.UnsupportedMediaType, "Content-Type is %q, must be application/json", req.Header.Get("Content-Type"))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/router/limits.go
@@ -0,0 +1,42 @@
+package router
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/net/netutil"
+)
+
+// writeTimeout bounds each write to a caller. A caller that accepts nothing
+// for this long is disconnected.
+const writeTimeout = 30 * time.Second
+
+// limited bounds the number of open caller connections.
+func (r *Router) limited(ln net.Listener) net.Listener {
+	if n := r.opts.Settings.Limits.Connections; n > 0 {
+		return netutil.LimitListener(ln, int(n))
+	}
+	return ln
+}
+
+// withWriteDeadline sets a deadline before each write.
+func withWriteDeadline(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		next.ServeHTTP(&deadlineWriter{ResponseWriter: w, control: http.NewResponseController(w)}, req)
+	})
+}
+
+type deadlineWriter struct {
+	http.ResponseWriter
+	control *http.ResponseController
+}
+
+// Write implements http.ResponseWriter.
+func (d *deadlineWriter) Write(p []byte) (int, error) {
+	_ = d.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return d.ResponseWriter.Write(p)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (d *deadlineWriter) Unwrap() http.ResponseWriter { return d.ResponseWriter }
--- /dev/null
+++ b/internal/router/members.go
@@ -0,0 +1,158 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/member"
+	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/rpc"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+const (
+	memberPoll    = 1 * time.Second
+	memberTimeout = 3 * time.Second
+)
+
+// watchMembers follows the registrations of targets and routers and the host
+// list.
+func (r *Router) watchMembers(ctx context.Context) {
+	ticker := time.NewTicker(memberPoll)
+	defer ticker.Stop()
+	for {
+		r.refreshMembers(ctx)
+		select {
+		case <-ticker.C:
+		case <-r.membersPoke:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Router) refreshMembers(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	if rows, err := platform.ScanAll(callCtx, r.table, member.SidecarPrefix); err == nil {
+		r.applySidecars(ctx, rows)
+	}
+	if rows, err := platform.ScanAll(callCtx, r.table, member.HolderPrefix); err == nil {
+		r.applyHolders(rows)
+	}
+	r.applyHosts(callCtx)
+}
+
+// applySidecars opens links to new targets and closes those of targets whose
+// registration is gone.
+func (r *Router) applySidecars(ctx context.Context, rows []platform.Row) {
+	seen := map[string]bool{}
+	for _, row := range rows {
+		var reg member.SidecarRow
+		if err := json.Unmarshal(row.Value, &reg); err != nil {
+			r.opts.Logger.Warn("registration is not readable", "row", row.Key, "err", err)
+			continue
+		}
+		seen[reg.Target] = true
+		r.applySidecar(ctx, reg)
+	}
+	for _, t := range r.sched.list(func(t *target) bool { return !seen[t.id] }) {
+		r.forgetTarget(t)
+	}
+}
+
+func (r *Router) applySidecar(ctx context.Context, reg member.SidecarRow) {
+	if t := r.sched.target(reg.Target); t != nil {
+		if t.addr == reg.Addr && t.pool == poolOf(reg) {
+			return
+		}
+		if t.pool != poolOf(reg) {
+			r.forgetTarget(t)
+			return // added in its new pool with the next refresh
+		}
+		// A sidecar at another address is a new incarnation. Runs of the old
+		// one end when the new one says hello.
+		r.moveTarget(ctx, t, reg)
+		return
+	}
+	t := &target{id: reg.Target, addr: reg.Addr, domain: reg.Domain, host: reg.Host, pool: poolOf(reg)}
+	r.connectTarget(ctx, t)
+	r.sched.add(t)
+}
+
+func poolOf(reg member.SidecarRow) string {
+	if reg.Service != "" {
+		return servicePool(reg.Service)
+	}
+	return modelPool(reg.Model)
+}
+
+func (r *Router) connectTarget(ctx context.Context, t *target) {
+	linkCtx, stop := context.WithCancel(ctx)
+	t.stop = stop
+	t.link = rpc.NewLink(t.addr, r.rpcOptions(), sidecarHandler{r: r, t: t})
+	go t.link.Run(linkCtx)
+}
+
+func (r *Router) moveTarget(ctx context.Context, t *target, reg member.SidecarRow) {
+	r.opts.Logger.Info("target moved", "target", t.id, "addr", reg.Addr)
+	t.stop()
+	r.sched.update(t, func(t *target) {
+		t.addr = reg.Addr
+		t.domain = reg.Domain
+		t.host = reg.Host
+		t.conn = nil
+		r.connectTarget(ctx, t)
+	})
+}
+
+func (r *Router) forgetTarget(t *target) {
+	r.opts.Logger.Info("target removed", "target", t.id)
+	r.sched.remove(t)
+	t.stop()
+	for _, run := range r.runsAt(t) {
+		r.runGone(run)
+	}
+}
+
+// applyHolders opens links to routers that are live. Links to routers that are
+// not are closed after a while by the peer set.
+func (r *Router) applyHolders(rows []platform.Row) {
+	live := map[string]string{}
+	for _, row := range rows {
+		var reg member.HolderRow
+		if err := json.Unmarshal(row.Value, &reg); err != nil {
+			continue
+		}
+		if reg.State == member.HolderLive && reg.RPCAddr != r.opts.Settings.Listen.Peers {
+			live[reg.RPCAddr] = reg.Incarnation
+		}
+	}
+	r.peers.keep(live)
+}
+
+// applyHosts marks targets on hosts that the platform lists as leaving.
+func (r *Router) applyHosts(ctx context.Context) {
+	if r.opts.Hosts == nil {
+		return
+	}
+	hosts, err := r.opts.Hosts.Hosts(ctx)
+	if err != nil {
+		return
+	}
+	leaving := map[string]bool{}
+	for _, h := range hosts {
+		leaving[h.Host] = h.State == platform.HostLeaving
+	}
+	for _, t := range r.sched.list(func(*target) bool { return true }) {
+		r.sched.update(t, func(t *target) { t.leaving = leaving[t.host] })
+	}
+}
+
+// fenceAt asks one sidecar to refuse a holder's work.
+func (r *Router) fenceAt(ctx context.Context, t *target, holder string) (wire.FenceResult, error) {
+	var res wire.FenceResult
+	err := t.link.Call(ctx, wire.MethodHolderFence, wire.Fence{Header: r.header(), Holder: holder}, &res)
+	return res, err
+}
--- /dev/null
+++ b/internal/router/metrics.go
@@ -0,0 +1,48 @@
+package router
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+)
+
+// metrics are the router's collectors. Label values come from closed lists or
+// from the configuration, never from callers.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	tokens   *prometheus.CounterVec
+}
+
+func newMetrics(r *Router) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tarragonridge_requests_total",
+			Help: "Requests by kind and result; the result is answered or an error kind.",
+		}, []string{"kind", "result"}),
+		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tarragonridge_tokens_charged_total",
+			Help: "Tokens charged by outcome of the run.",
+		}, []string{"outcome"}),
+	}
+	m.registry.MustRegister(m.requests, m.tokens, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.gauge("tarragonridge_runs_open", "Runs of this router that have not ended.", func() float64 { return float64(r.openRuns()) })
+	m.gauge("tarragonridge_requests_waiting", "Requests that wait for a target.", func() float64 { return float64(r.sched.waiting()) })
+	m.gauge("tarragonridge_targets_usable", "Targets that take new work.", func() float64 { return float64(r.sched.usable()) })
+	m.gauge("tarragonridge_config_version", "Version of the configuration in force here.", func() float64 { return float64(r.config.Version()) })
+	return m
+}
+
+func (m *metrics) gauge(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+}
+
+func (m *metrics) finished(kind string, err error) {
+	result := "answered"
+	if err != nil {
+		result = string(errkind.Of(err))
+	}
+	m.requests.WithLabelValues(kind, result).Inc()
+}
--- /dev/null
+++ b/internal/router/resume.go
@@ -0,0 +1,126 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/rpc"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+// found is an earlier run of a request's identity.
+type found struct {
+	runID   string
+	hash    string
+	target  *target
+	sidecar string
+}
+
+// resume serves a request from an earlier run of the same identity, if one is
+// known to this router or to a sidecar of the pool. handled is false if none
+// was found.
+func (r *Router) resume(ctx context.Context, req *request) (handled bool, err error) {
+	if run := r.runOf(req.Identity); run != nil {
+		if run.hash != req.ContentHash {
+			return true, errkind.New(errkind.IdempotencyConflict, "the key was used with another request")
+		}
+		return true, finalError(r.serve(ctx, req, run).err)
+	}
+	f := r.lookup(ctx, req)
+	if f == nil {
+		return false, nil
+	}
+	if f.hash != req.ContentHash {
+		return true, errkind.New(errkind.IdempotencyConflict, "the key was used with another request")
+	}
+	r.event("resume", req.RequestID, f.runID, req.Team, slog.String("target", f.target.id))
+	res := r.serveForeign(ctx, req, f.runID, f.target, f.sidecar)
+	if res.retry {
+		return false, nil
+	}
+	return true, finalError(res.err)
+}
+
+// lookup asks all connected sidecars of the pool in parallel whether they know
+// the identity.
+func (r *Router) lookup(ctx context.Context, req *request) *found {
+	targets := r.sched.list(func(t *target) bool { return t.pool == req.pool && t.conn != nil })
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	results := make(chan *found, len(targets))
+	var wg sync.WaitGroup
+	for _, t := range targets {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			results <- r.probe(ctx, t, req.Identity)
+		}()
+	}
+	go func() { wg.Wait(); close(results) }()
+	for f := range results {
+		if f != nil {
+			return f
+		}
+	}
+	return nil
+}
+
+func (r *Router) probe(ctx context.Context, t *target, id ledger.Identity) *found {
+	c := t.link.Conn()
+	if c == nil {
+		return nil
+	}
+	var res wire.AttachResult
+	req := wire.Attach{Header: r.header(), Identity: id, Probe: true}
+	if err := c.Call(ctx, wire.MethodRunAttach, req, &res); err != nil || !res.Known {
+		return nil
+	}
+	return &found{runID: res.RunID, hash: res.ContentHash, target: t, sidecar: res.Sidecar}
+}
+
+// serveForeign serves a run that was started under another reservation. This
+// router relays it and books nothing.
+func (r *Router) serveForeign(ctx context.Context, req *request, runID string, t *target, sidecar string) attemptResult {
+	run, isNew := r.joinRun(runID, req, t, sidecar)
+	if isNew {
+		if c := t.link.Conn(); c != nil {
+			r.attachForeign(run, c)
+		} else {
+			run.lost(timeNow())
+		}
+	}
+	return r.serve(ctx, req, run)
+}
+
+func (r *Router) attachForeign(run *run, c *rpc.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var res wire.AttachResult
+	req := wire.Attach{Header: r.header(), Identity: run.identity, RunID: run.id}
+	if err := c.Call(ctx, wire.MethodRunAttach, req, &res); err != nil {
+		run.lost(timeNow())
+		return
+	}
+	if !res.Known && run.fail(errkind.New(errkind.OutcomeUnknown, "the earlier run of this key is no longer kept")) {
+		r.removeRun(run)
+	}
+}
+
+// joinRun returns the run with the id, or registers it.
+func (r *Router) joinRun(runID string, req *request, t *target, sidecar string) (joined *run, isNew bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known := r.runs[runID]; known != nil {
+		return known, false
+	}
+	joined = newRun(runID, req.Identity, t)
+	joined.hash = req.ContentHash
+	joined.sidecar = sidecar
+	joined.keepAll = true
+	r.runs[runID] = joined
+	r.byIdentity[req.Identity] = joined
+	return joined, true
+}
--- /dev/null
+++ b/internal/router/run.go
@@ -0,0 +1,202 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+// Reservation is a share of a team's budget set aside for one run.
+type Reservation interface {
+	Holder() string
+	Tokens() int64
+	Lower(tokens int64)
+	Cancel()
+	Settle(rec ledger.Record)
+}
+
+// run is one attempt at a sidecar as this router sees it. Chunks arrive from
+// the connection in order; readers consume them at their own pace.
+type run struct {
+	id       string
+	identity ledger.Identity
+	hash     string // content hash
+	sidecar  string // incarnation of the sidecar that has the run
+	target   *target
+	res      Reservation // nil if another router's grant pays
+	keepAll  bool        // further readers may join from the start
+	claimed  bool        // a claim names this run
+	outCap   int64       // tokens
+	template ledger.Record
+
+	mu        sync.Mutex
+	buf       []wire.Chunk
+	prompt    int64 // exact prompt tokens, 0 until known
+	end       *wire.End
+	err       error     // final failure without an End
+	lostSince time.Time // connection lost and not yet resumed; zero if connected
+	wake      chan struct{}
+}
+
+func newRun(id string, identity ledger.Identity, t *target) *run {
+	return &run{id: id, identity: identity, target: t, wake: make(chan struct{})}
+}
+
+// broadcast wakes all readers. The caller holds mu.
+func (r *run) broadcast() {
+	close(r.wake)
+	r.wake = make(chan struct{})
+}
+
+// addChunk takes a chunk. Repeats after a resume are dropped; a gap is
+// reported so that the caller attaches again.
+func (r *run) addChunk(c wire.Chunk) (gap bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := int64(len(r.buf))
+	if c.Seq < next || r.finished() {
+		return false
+	}
+	if c.Seq > next {
+		return true
+	}
+	r.buf = append(r.buf, c)
+	if c.PromptTokens > 0 && r.prompt == 0 {
+		r.prompt = c.PromptTokens
+		if r.res != nil {
+			r.res.Lower(c.PromptTokens + r.outCap)
+		}
+	}
+	r.lostSince = time.Time{}
+	r.broadcast()
+	return false
+}
+
+func (r *run) finished() bool { return r.end != nil || r.err != nil }
+
+// finish takes the End. It returns false if the run had ended before.
+func (r *run) finish(e wire.End) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.end != nil {
+		return false
+	}
+	r.end = &e
+	r.broadcast()
+	return true
+}
+
+// fail ends the run for its readers without an End.
+func (r *run) fail(err error) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.finished() {
+		return false
+	}
+	r.err = err
+	r.broadcast()
+	return true
+}
+
+// lost notes that the connection that carried the run has ended.
+func (r *run) lost(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lostSince.IsZero() {
+		r.lostSince = now
+	}
+	r.broadcast()
+}
+
+func (r *run) resumed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lostSince = time.Time{}
+	r.broadcast()
+}
+
+// data returns the body that a service has sent.
+func (r *run) data() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var body []byte
+	for _, c := range r.buf {
+		body = append(body, c.Data...)
+	}
+	return body
+}
+
+func (r *run) received() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return int64(len(r.buf))
+}
+
+// reader reads a run from the start.
+type reader struct {
+	run *run
+	pos int
+}
+
+// next returns the next chunk or, after all chunks, the End. It fails with
+// errkind.Unreachable if the connection stays lost for resumeTimeout.
+func (rd *reader) next(ctx context.Context) (*wire.Chunk, *wire.End, error) {
+	for {
+		chunk, end, err, wake, wait := rd.poll()
+		if chunk != nil || end != nil || err != nil {
+			return chunk, end, err
+		}
+		if err := waitFor(ctx, wake, wait); err != nil {
+			return nil, nil, err
+		}
+	}
+}
+
+func (rd *reader) poll() (*wire.Chunk, *wire.End, error, <-chan struct{}, time.Duration) {
+	r := rd.run
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rd.pos < len(r.buf) {
+		c := r.buf[rd.pos]
+		if !r.keepAll {
+			r.buf[rd.pos] = wire.Chunk{}
+		}
+		rd.pos++
+		return &c, nil, nil, nil, 0
+	}
+	if r.end != nil {
+		return nil, r.end, nil, nil, 0
+	}
+	if r.err != nil {
+		return nil, nil, r.err, nil, 0
+	}
+	wait := time.Duration(0)
+	if !r.lostSince.IsZero() {
+		wait = resumeTimeout - time.Since(r.lostSince)
+		if wait <= 0 {
+			return nil, nil, errkind.New(errkind.Unreachable, "sidecar of target %s stayed unreachable for %s", r.target.id, resumeTimeout), nil, 0
+		}
+	}
+	return nil, nil, nil, r.wake, wait
+}
+
+// waitFor waits for wake, for ctx, or for the wait time if it is positive.
+func waitFor(ctx context.Context, wake <-chan struct{}, wait time.Duration) error {
+	var timer <-chan time.Time
+	if wait > 0 {
+		t := time.NewTimer(wait)
+		defer t.Stop()
+		timer = t.C
+	}
+	select {
+	case <-wake:
+	case <-timer:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/router/spread.go
@@ -0,0 +1,72 @@
+package router
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+// confirmation is the highest configuration version that a process has shown.
+type confirmation struct {
+	version int64
+	seen    time.Time
+}
+
+// confirmKeep is how long a process counts as live after its last sign.
+const confirmKeep = 30 * time.Second
+
+// processName names a process in answers to operators.
+func processName(h wire.Hello) string {
+	if h.Role == "sidecar" {
+		return "sidecar/" + h.Target
+	}
+	return "router/" + h.Incarnation
+}
+
+// confirm notes that a process has shown a version.
+func (r *Router) confirm(peer wire.Hello, version int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	name := processName(peer)
+	c := r.confirmed[name]
+	c.version = max(c.version, version)
+	c.seen = time.Now()
+	r.confirmed[name] = c
+}
+
+// spreadConfig pushes the current configuration to all connected processes.
+// The push is a hint: processes that miss it learn the version from the next
+// message or from their own poll.
+func (r *Router) spreadConfig() {
+	for _, c := range r.peers.conns() {
+		go r.pushConfig(c)
+	}
+	for _, t := range r.sched.list(func(t *target) bool { return t.conn != nil }) {
+		if c := t.link.Conn(); c != nil {
+			go r.pushConfig(c)
+		}
+	}
+}
+
+// confirmations returns the live processes that have shown the version or a
+// later one, and those that have not.
+func (r *Router) confirmations(version int64) (confirmed, pending []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, c := range r.confirmed {
+		switch {
+		case time.Since(c.seen) > confirmKeep:
+			delete(r.confirmed, name)
+		case c.version >= version:
+			confirmed = append(confirmed, name)
+		default:
+			pending = append(pending, name)
+		}
+	}
+	confirmed = append(confirmed, "router/"+r.escrow.Incarnation())
+	slices.SortFunc(confirmed, strings.Compare)
+	slices.SortFunc(pending, strings.Compare)
+	return confirmed, pending
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -95,7 +95,7 @@
 	OutputCap   int64   `json:"output_cap"`   // tokens over all choices
 	Priority    int     `json:"priority"`
 	Suspect     bool    `json:"suspect,omitempty"` // was in flight when a target crashed
-	Resumable   bool    `json:"resumable"` // the caller gave a key: keep running without a reader, keep the answer
+	Resumable   bool    `json:"resumable"`         // the caller gave a key: keep running without a reader, keep the answer
 }
 
 // StartResult answers StartRun.
