--- /dev/null
+++ b/internal/core/budget/holder.go
@@ -0,0 +1,160 @@
+package budget
+
+import "time"
+
+// IdlePeriod is the span over which demand is measured and after which idle
+// share is returned.
+const IdlePeriod = 2 * time.Second
+
+const (
+	demandFactor  = 2 // share kept locally, in multiples of the demand of IdlePeriod
+	leftDivisor   = 4 // a draw beyond what is needed takes at most Left/leftDivisor
+	demandBuckets = 8
+	bucketSpan    = IdlePeriod / demandBuckets
+)
+
+// Holder is a router's local share of one team's budget. The zero value holds
+// nothing. Reserved + consumed never exceeds the granted amount, whether or
+// not a pending operation has been applied.
+type Holder struct {
+	stored      Grant // confirmed to be in the account
+	pending     Grant // in flight; Seq 0 if there is none
+	consumed    int64 // cumulative, including what is not yet settled
+	reserved    int64
+	demand      [demandBuckets]int64
+	demandAt    int64     // index of the newest bucket since the epoch
+	excessSince time.Time // zero unless the share exceeds the target
+}
+
+// Available returns the tokens that can be reserved. A pending draw does not
+// count yet; a pending return counts already.
+func (h *Holder) Available() int64 {
+	granted := h.stored.Granted
+	if h.pending.Seq != 0 {
+		granted = min(granted, h.pending.Granted)
+	}
+	return granted - h.consumed - h.reserved
+}
+
+// Reserved returns the tokens reserved by requests in progress.
+func (h *Holder) Reserved() int64 { return h.reserved }
+
+// Consumed returns the tokens consumed under this share so far.
+func (h *Holder) Consumed() int64 { return h.consumed }
+
+// Stored returns the grant that is confirmed to be in the account.
+func (h *Holder) Stored() Grant { return h.stored }
+
+// Reserve takes tokens out of the available share and reports whether it
+// covered them.
+func (h *Holder) Reserve(tokens int64) bool {
+	if tokens < 0 || tokens > h.Available() {
+		return false
+	}
+	h.reserved += tokens
+	return true
+}
+
+// Lower reduces a reservation and returns its new size. It never raises it.
+func (h *Holder) Lower(from, to int64) int64 {
+	to = min(from, max(to, 0))
+	h.reserved -= from - to
+	return to
+}
+
+// Cancel gives up a reservation.
+func (h *Holder) Cancel(tokens int64) { h.reserved -= tokens }
+
+// Settle turns a reservation into consumption and returns the charge, which is
+// at most the reservation.
+func (h *Holder) Settle(reserved, charged int64) int64 {
+	charged = min(reserved, max(charged, 0))
+	h.reserved -= reserved
+	h.consumed += charged
+	return charged
+}
+
+// Begin starts an operation that changes the grant by delta tokens (negative
+// for a return) and settles the given tokens. It returns the values to store.
+// Until Confirm or Drop, Begin returns the same values again, so that a retry
+// after a lost answer repeats the same write.
+func (h *Holder) Begin(delta, settle int64) Grant {
+	if h.pending.Seq == 0 {
+		h.pending = Grant{
+			Seq:     h.stored.Seq + 1,
+			Granted: h.stored.Granted + delta,
+			Settled: h.stored.Settled + settle,
+		}
+	}
+	return h.pending
+}
+
+// Pending returns the operation in flight, if any.
+func (h *Holder) Pending() (Grant, bool) { return h.pending, h.pending.Seq != 0 }
+
+// Confirm records that the pending operation is stored.
+func (h *Holder) Confirm() {
+	if h.pending.Seq != 0 {
+		h.stored = h.pending
+		h.pending = Grant{}
+	}
+}
+
+// Drop gives up the pending operation. It is permitted only if no attempt was
+// applied and none can be, because a row in its conditions has changed.
+func (h *Holder) Drop() { h.pending = Grant{} }
+
+// Demand records that a request asked for tokens.
+func (h *Holder) Demand(now time.Time, tokens int64) {
+	h.rotate(now)
+	h.demand[h.demandAt%demandBuckets] += tokens
+}
+
+func (h *Holder) rotate(now time.Time) {
+	at := now.UnixNano() / int64(bucketSpan)
+	if at-h.demandAt >= demandBuckets {
+		h.demand = [demandBuckets]int64{}
+		h.demandAt = at
+	}
+	for h.demandAt < at {
+		h.demandAt++
+		h.demand[h.demandAt%demandBuckets] = 0
+	}
+}
+
+func (h *Holder) target(now time.Time) int64 {
+	h.rotate(now)
+	var sum int64
+	for _, tokens := range h.demand {
+		sum += tokens
+	}
+	return demandFactor * sum
+}
+
+// WantDraw returns the size of the next draw, given the tokens that the
+// waiting request lacks and the account's Left. It is 0 if left cannot cover
+// the need.
+func (h *Holder) WantDraw(now time.Time, need, left int64) int64 {
+	if need > left {
+		return 0
+	}
+	ahead := min(h.target(now)-h.Available(), left/leftDivisor)
+	return max(need, ahead, 0)
+}
+
+// WantReturn returns the idle share to give back: what has exceeded the target
+// for IdlePeriod.
+func (h *Holder) WantReturn(now time.Time) int64 {
+	excess := h.Available() - h.target(now)
+	if excess <= 0 {
+		h.excessSince = time.Time{}
+		return 0
+	}
+	if h.excessSince.IsZero() {
+		h.excessSince = now
+	}
+	if now.Sub(h.excessSince) < IdlePeriod {
+		return 0
+	}
+	return excess
+}
--- /dev/null
+++ b/internal/escrow/recover.go
@@ -0,0 +1,177 @@
+package escrow
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/core/member"
+	"tarragonridge.example/tarragonridge/internal/platform"
+)
+
+// recover settles the runs of a fenced holder and frees the rest of its
+// grants. Without the promise of every sidecar, or while a run is active, the
+// grants stay held. Several routers may recover the same holder at once: each
+// transaction closes a grant together with its records, conditional on the
+// account, so only one of them applies.
+func (m *Manager) recover(ctx context.Context, holder member.HolderRow, version int64) error {
+	records, active, complete, err := m.opt.Fencer.FenceEverywhere(ctx, holder.Incarnation)
+	if err != nil {
+		return err
+	}
+	if !complete || active > 0 {
+		return errkind.New(errkind.Unreachable, "promises complete: %t, active runs: %d", complete, active)
+	}
+	c := &closing{m: m, holder: holder, version: version, records: records}
+	if err := c.run(ctx); err != nil {
+		return err
+	}
+	m.opt.Logger.Info("holder recovered", "holder", holder.Incarnation, "records", len(records))
+	m.opt.Durable(records)
+	return nil
+}
+
+// closing closes all grants of a holder that spends no more, and then its row.
+type closing struct {
+	m       *Manager
+	holder  member.HolderRow
+	version int64           // of the holder row, a condition of every transaction
+	records []ledger.Record // may include stored ones
+	lastSeq int64           // of the holder's segments
+}
+
+// grantOf is an account that holds a grant of the holder.
+type grantOf struct {
+	team string
+	stored
+}
+
+func (c *closing) run(ctx context.Context) error {
+	grants, err := c.grants(ctx)
+	if err != nil {
+		return err
+	}
+	// Segments are read after the accounts: if another router closes a grant in
+	// between, its records are seen here, and the condition on the account
+	// keeps this router from closing it again.
+	missing, err := c.missing(ctx)
+	if err != nil {
+		return err
+	}
+	for part := range slices.Chunk(grants, maxAccountsPerTxn) {
+		if err := c.closePart(ctx, part, missing); err != nil {
+			return err
+		}
+	}
+	if len(missing) > 0 {
+		teams := slices.Sorted(maps.Keys(missing))
+		return errkind.New(errkind.Internal, "records without a grant, teams %v", teams)
+	}
+	return c.closeRow(ctx)
+}
+
+// grants returns the accounts that hold a grant of the holder.
+func (c *closing) grants(ctx context.Context) ([]grantOf, error) {
+	rows, err := platform.ScanAll(ctx, c.m.opt.Table, accountPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var out []grantOf
+	for _, row := range rows {
+		s, err := decodeAccount(row)
+		if err != nil {
+			return nil, err
+		}
+		if _, ok := s.account.Grants[c.holder.Incarnation]; ok {
+			out = append(out, grantOf{team: row.Key[len(accountPrefix):], stored: s})
+		}
+	}
+	return out, nil
+}
+
+// missing returns the records that are in none of the holder's segments, by
+// team.
+func (c *closing) missing(ctx context.Context) (map[string][]ledger.Record, error) {
+	rows, err := platform.ScanAll(ctx, c.m.opt.Table, ledger.HolderPrefix(c.holder.Incarnation))
+	if err != nil {
+		return nil, err
+	}
+	known := map[string]bool{}
+	for _, row := range rows {
+		var s ledger.Segment
+		if err := decode(row, &s); err != nil {
+			return nil, err
+		}
+		c.lastSeq = max(c.lastSeq, s.Seq)
+		for _, r := range s.Records {
+			known[r.RunID] = true
+		}
+	}
+	missing := map[string][]ledger.Record{}
+	for _, r := range c.records {
+		if known[r.RunID] || r.Holder != c.holder.Incarnation {
+			continue
+		}
+		known[r.RunID] = true
+		missing[r.Team] = append(missing[r.Team], r)
+	}
+	return missing, nil
+}
+
+// closePart closes the grants of one transaction and removes their records
+// from missing.
+func (c *closing) closePart(ctx context.Context, part []grantOf, missing map[string][]ledger.Record) error {
+	txn := platform.Txn{Conditions: []platform.Condition{{Key: holderKey(c.holder.Incarnation), Version: c.version}}}
+	segment := ledger.Segment{Holder: c.holder.Incarnation, Seq: c.lastSeq + 1, Recovered: true}
+	for _, g := range part {
+		var extra int64
+		for _, r := range missing[g.team] {
+			extra += r.Charged
+		}
+		account, err := g.account.CloseGrant(c.holder.Incarnation, extra)
+		if err != nil {
+			return err
+		}
+		segment.Records = append(segment.Records, missing[g.team]...)
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: accountKey(g.team), Version: g.version})
+		txn.Puts = append(txn.Puts, platform.Put{Key: accountKey(g.team), Value: encode(account)})
+	}
+	if len(segment.Records) > 0 {
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: segment.Key()})
+		txn.Puts = append(txn.Puts, platform.Put{Key: segment.Key(), Value: encode(segment)})
+		c.lastSeq = segment.Seq
+	}
+	if err := c.commit(ctx, txn); err != nil {
+		return err
+	}
+	for _, g := range part {
+		delete(missing, g.team)
+	}
+	return nil
+}
+
+// closeRow marks the holder as closed. The row stays, so that a sidecar that
+// starts later still refuses the holder.
+func (c *closing) closeRow(ctx context.Context) error {
+	key := holderKey(c.holder.Incarnation)
+	c.holder.State = member.HolderClosed
+	return c.commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Version: c.version}},
+		Puts:       []platform.Put{{Key: key, Value: encode(c.holder)}},
+	})
+}
+
+// commit needs no read-back: after a lost answer the caller starts again from
+// the stored state.
+func (c *closing) commit(ctx context.Context, txn platform.Txn) error {
+	res, err := c.m.commit(ctx, txn)
+	if err != nil {
+		return err
+	}
+	if !res.Committed {
+		return errkind.New(errkind.Conflict, "another router changed the account or the holder")
+	}
+	return nil
+}
