Add settings files and config check

A process learns its addresses from its settings, so a faulty file has to be found before the process starts.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -2,10 +2,13 @@
 package cli
 
 import (
+	"errors"
 	"fmt"
 	"io"
 
 	"github.com/alecthomas/kong"
+
+	"tarragonridge.example/tarragonridge/internal/settings"
 )
 
 // Exit codes.
@@ -24,6 +27,7 @@
 // commands is the root of the command line.
 type commands struct {
 	Version versionCmd `cmd:"" help:"Print the version."`
+	Config  configCmd  `cmd:"" help:"Work with settings files."`
 }
 
 // Version is the release of this binary.
@@ -55,9 +59,22 @@
 		fmt.Fprintf(errOut, "tarragonridge: %v\n", err)
 		return ExitUsage
 	}
-	if err := kctx.Run(&Streams{Out: out, Err: errOut}); err != nil {
-		fmt.Fprintf(errOut, "tarragonridge: %v\n", err)
-		return ExitError
+	return exitCode(kctx.Run(&Streams{Out: out, Err: errOut}), errOut)
+}
+
+// exitCode prints err and maps it to an exit code.
+func exitCode(err error, errOut io.Writer) int {
+	if err == nil {
+		return ExitOK
+	}
+	var usage *UsageError
+	if errors.As(err, &usage) && usage.Err == nil {
+		return ExitUsage
+	}
+	fmt.Fprintf(errOut, "tarragonridge: %v\n", err)
+	var faults *settings.FaultsError
+	if usage != nil || errors.As(err, &faults) {
+		return ExitUsage
 	}
-	return ExitOK
+	return ExitError
 }
