Add the default policy document, validation, access checks and diff

Operators see every fault of a document in one answer. A diff compares the JSON leaves, so that a new field shows up without code of its own; key digests are cut. A missing settings object is now one fault instead of one per key inside it.

--- /dev/null
+++ b/internal/core/policy/access.go
@@ -0,0 +1,67 @@
+package policy
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+)
+
+// HashKey returns the hex SHA-256 digest of a key. Keys are stored only in
+// this form.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// MayUse reports whether the team may use the model under the workload. An
+// empty list of the team permits all.
+func (t Team) MayUse(workload, model string) bool {
+	return !t.Disabled && permits(t.Workloads, workload) && permits(t.Models, model)
+}
+
+// MayUseWorkload reports whether the team may draw on its budget under the
+// workload.
+func (t Team) MayUseWorkload(workload string) bool {
+	return !t.Disabled && permits(t.Workloads, workload)
+}
+
+// PermitsModel reports whether the workload may use the model.
+func (w Workload) PermitsModel(model string) bool { return permits(w.Models, model) }
+
+// PermitsService reports whether the workload may call the service.
+func (w Workload) PermitsService(service string) bool { return permits(w.Services, service) }
+
+func permits(list []string, name string) bool {
+	return len(list) == 0 || slices.Contains(list, name)
+}
+
+// OperatorByKey returns the name of the operator whose key has the digest.
+func (d *Document) OperatorByKey(keySHA256 string) (string, bool) {
+	for _, op := range d.Operators {
+		if op.KeySHA256 == keySHA256 {
+			return op.Name, true
+		}
+	}
+	return "", false
+}
+
+// Clone returns a deep copy.
+func (d *Document) Clone() Document { return cloneJSON(*d) }
+
+// Clone returns a deep copy.
+func (t Team) Clone() Team { return cloneJSON(t) }
+
+// cloneJSON copies a value through its JSON form. All types of this package
+// consist of JSON values, so neither direction can fail.
+func cloneJSON[T any](v T) T {
+	var out T
+	data, err := json.Marshal(v)
+	if err == nil {
+		err = json.Unmarshal(data, &out)
+	}
+	if err != nil {
+		panic(err)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/policy/default.go
@@ -0,0 +1,66 @@
+package policy
+
+// Default returns the document that an empty table starts with. It has no
+// models and services; operators add those that their targets serve.
+func Default() Document {
+	return Document{
+		Version:      1,
+		ActivePreset: PresetOrdinary,
+		Presets: map[string]Preset{
+			PresetOrdinary:    ordinaryPreset(),
+			PresetPeak:        peakPreset(),
+			PresetMaintenance: maintenancePreset(),
+		},
+		Models:   map[string]Model{},
+		Services: map[string]Service{},
+		Workloads: map[string]Workload{
+			"interactive": {Priority: 6, TimeoutMS: 120_000},
+			"batch":       {Priority: 2, TimeoutMS: 900_000},
+		},
+	}
+}
+
+// ordinaryPreset favours cache hits: targets have room, so a request may go to
+// the target that holds its prefix.
+func ordinaryPreset() Preset {
+	return Preset{
+		TargetChoice:        Affinity,
+		AffinityLoadBound:   1.5,
+		MaxRunsPerTarget:    32,
+		QueueLimit:          512,
+		AdmissionTimeoutMS:  10_000,
+		MinPriority:         0,
+		RetryShare:          0.10,
+		DefaultOutputTokens: 1024,
+	}
+}
+
+// peakPreset favours even load and short answers, refuses the lowest
+// priorities, and keeps retries from adding to the load.
+func peakPreset() Preset {
+	return Preset{
+		TargetChoice:        PowerOfTwo,
+		AffinityLoadBound:   1.1,
+		MaxRunsPerTarget:    48,
+		QueueLimit:          2048,
+		AdmissionTimeoutMS:  20_000,
+		MinPriority:         3,
+		RetryShare:          0.05,
+		DefaultOutputTokens: 512,
+	}
+}
+
+// maintenancePreset serves with part of the targets: few runs per target, so
+// that drains end soon, a long wait, and more retries on other targets.
+func maintenancePreset() Preset {
+	return Preset{
+		TargetChoice:        LeastLoad,
+		AffinityLoadBound:   1.0,
+		MaxRunsPerTarget:    16,
+		QueueLimit:          1024,
+		AdmissionTimeoutMS:  30_000,
+		MinPriority:         0,
+		RetryShare:          0.20,
+		DefaultOutputTokens: 1024,
+	}
+}
--- /dev/null
+++ b/internal/core/policy/diff.go
@@ -0,0 +1,86 @@
+package policy
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// digestShown is the length to which key digests are cut in a diff.
+const digestShown = 8
+
+// Diff returns the differences between two documents as lines, ordered by key:
+// "+ key: value" for an addition, "- key: value" for a removal and
+// "~ key: old -> new" for a change. The version is left out.
+func Diff(old, updated *Document) []string {
+	a, b := flatten(old), flatten(updated)
+	delete(a, "version")
+	delete(b, "version")
+	var lines []string
+	for _, key := range unionKeys(a, b) {
+		before, had := a[key]
+		after, has := b[key]
+		switch {
+		case !had:
+			lines = append(lines, fmt.Sprintf("+ %s: %s", key, after))
+		case !has:
+			lines = append(lines, fmt.Sprintf("- %s: %s", key, before))
+		case before != after:
+			lines = append(lines, fmt.Sprintf("~ %s: %s -> %s", key, before, after))
+		}
+	}
+	return lines
+}
+
+// flatten maps each leaf of the document's JSON form to its value.
+func flatten(d *Document) map[string]string {
+	data, err := json.Marshal(d)
+	if err != nil {
+		panic(err)
+	}
+	var tree any
+	decoder := json.NewDecoder(strings.NewReader(string(data)))
+	decoder.UseNumber()
+	if err := decoder.Decode(&tree); err != nil {
+		panic(err)
+	}
+	out := map[string]string{}
+	flattenInto(out, "", tree)
+	return out
+}
+
+func flattenInto(out map[string]string, key string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for name, child := range v {
+			flattenInto(out, strings.TrimPrefix(key+"."+name, "."), child)
+		}
+	case []any:
+		for i, child := range v {
+			flattenInto(out, fmt.Sprintf("%s[%d]", key, i), child)
+		}
+	case nil:
+	case string:
+		if strings.HasSuffix(key, "_sha256") && len(v) > digestShown {
+			v = v[:digestShown] + "…"
+		}
+		out[key] = fmt.Sprintf("%q", v)
+	default:
+		out[key] = fmt.Sprint(v)
+	}
+}
+
+func unionKeys(a, b map[string]string) []string {
+	keys := make([]string, 0, len(a)+len(b))
+	for k := range a {
+		keys = append(keys, k)
+	}
+	for k := range b {
+		if _, ok := a[k]; !ok {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/core/policy/policy_test.go
@@ -0,0 +1,84 @@
+package policy
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func valid() Document {
+	d := Default()
+	d.Operators = []Operator{{Name: "op", KeySHA256: HashKey("k")}}
+	return d
+}
+
+// Guards against a default document that bootstrap could not commit, and
+// against presets that do not differ.
+func TestDefaultIsValidAndPresetsDiffer(t *testing.T) {
+	d := valid()
+	assert.Equal(t, len(d.Validate()), 0, "%v", d.Validate())
+	assert.Assert(t, d.Presets[PresetOrdinary] != d.Presets[PresetPeak])
+	assert.Assert(t, d.Presets[PresetOrdinary] != d.Presets[PresetMaintenance])
+	assert.Assert(t, d.Presets[PresetPeak] != d.Presets[PresetMaintenance])
+}
+
+// Guards against validation that stops at the first fault.
+func TestValidateReportsAllFaults(t *testing.T) {
+	d := Default()
+	d.ActivePreset = "absent"
+	delete(d.Presets, PresetPeak)
+	d.Presets["active"] = Preset{TargetChoice: "none", AffinityLoadBound: 0.5, RetryShare: 2}
+	d.Models["m"] = Model{MaxOutputTokens: 10, ContextTokens: 5}
+	d.Workloads["w"] = Workload{Priority: 10, Models: []string{"x"}, TimeoutMS: 1}
+	d.Services["s"] = Service{Calls: []Call{{Method: "get", PathPrefix: "x"}}}
+	keys := map[string]bool{}
+	for _, f := range d.Validate() {
+		keys[f.Key] = true
+	}
+	for _, k := range []string{"active_preset", "presets.peak", "presets.active", "presets.active.target_choice",
+		"presets.active.retry_share", "models.m.max_output_tokens", "workloads.w.priority", "workloads.w.models[0]",
+		"services.s.calls[0].method", "services.s.calls[0].path_prefix", "operators"} {
+		assert.Assert(t, keys[k], "no fault for %s", k)
+	}
+}
+
+// Guards against a disabled team or a restricted list letting a request pass.
+func TestMayUse(t *testing.T) {
+	team := Team{Workloads: []string{"batch"}, Models: []string{"m"}}
+	assert.Assert(t, team.MayUse("batch", "m"))
+	assert.Assert(t, !team.MayUse("interactive", "m"))
+	assert.Assert(t, !team.MayUse("batch", "n"))
+	assert.Assert(t, Team{}.MayUse("any", "any"))
+	team.Disabled = true
+	assert.Assert(t, !team.MayUse("batch", "m"))
+}
+
+// Guards against a diff that misses a change or shows a digest in full.
+func TestDiff(t *testing.T) {
+	a := valid()
+	b := a.Clone()
+	b.Version = 9
+	assert.Equal(t, len(Diff(&a, &b)), 0)
+	b.ActivePreset = PresetPeak
+	b.Models["m"] = Model{MaxOutputTokens: 1, ContextTokens: 2}
+	delete(b.Workloads, "batch")
+	b.Operators[0].KeySHA256 = HashKey("other")
+	lines := Diff(&a, &b)
+	text := strings.Join(lines, "\n")
+	assert.Assert(t, strings.Contains(text, `~ active_preset: "ordinary" -> "peak"`), text)
+	assert.Assert(t, strings.Contains(text, `+ models.m.context_tokens: 2`), text)
+	assert.Assert(t, strings.Contains(text, `- workloads.batch.priority: 2`), text)
+	assert.Assert(t, strings.Contains(text, "operators[0].key_sha256") && !strings.Contains(text, HashKey("other")), text)
+	assert.Assert(t, a.Workloads["batch"].Priority == 2, "Clone shares maps")
+}
+
+// Guards against two keys of a team with one id, which a revocation could not
+// tell apart, and against names that the document does not define.
+func TestTeamValidate(t *testing.T) {
+	d := valid()
+	key := TeamKey{ID: "k1", SHA256: HashKey("x")}
+	faults := Team{Name: "a b", Keys: []TeamKey{key, key}, Workloads: []string{"w"}}.Validate(&d)
+	assert.Equal(t, len(faults), 3, "%v", faults)
+	assert.Equal(t, len(Team{Name: "ok", Keys: []TeamKey{key}}.Validate(&d)), 0)
+}
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -1,13 +1,13 @@
 package settings
 
 import (
-	"encoding/hex"
 	"fmt"
 	"net/netip"
 	"net/url"
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 )
 
 const (
@@ -17,7 +17,6 @@
 	maxBytes         = 1 << 30
 	maxCount         = 1 << 20
 	maxRetainS       = 7 * 24 * 3600
-	sha256HexLength  = 64
 	maxNameLength    = 64
 	wantListen       = `IP:port, such as "127.0.0.1:8080"`
 	wantPeer         = "IP:port with a port from 1 to 65535"
@@ -28,35 +27,41 @@
 )
 
 var (
-	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
-	envPattern  = regexp.MustCompile(`^[A-Za-z_][A-Za-z0-9_]*$`)
-	logLevels   = []string{"debug", "info", "warn", "error"}
+	namePattern   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+	envPattern    = regexp.MustCompile(`^[A-Za-z_][A-Za-z0-9_]*$`)
+	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	logLevels     = []string{"debug", "info", "warn", "error"}
 )
 
-// fault adds a fault at a key, unless the key has a fault of its type already.
-// A key that is absent gets the position of the closest enclosing object.
+// fault adds a fault at a key, unless the key or an object around it is known
+// to be missing or of the wrong type.
 func (r *reader) fault(key, problem, want string) {
-	if r.bad[key] {
-		return
+	for k := key; k != ""; k = parent(k) {
+		if r.bad[k] {
+			return
+		}
 	}
 	r.bad[key] = true
 	r.add(r.offset(key), key, problem, want)
 }
 
+// offset returns the position of a key's value. An absent key has the position
+// of the closest object around it.
 func (r *reader) offset(key string) int {
-	for key != "" {
+	for ; key != ""; key = parent(key) {
 		if at, ok := r.at[key]; ok {
 			return at
 		}
-		i := len(key) - 1
-		for i > 0 && key[i] != '.' && key[i] != '[' {
-			i--
-		}
-		key = key[:i]
 	}
 	return 0
 }
 
+// parent cuts the last name or index off a key path.
+func parent(key string) string {
+	i := strings.LastIndexAny(key, ".[")
+	return key[:max(i, 0)]
+}
+
 func (r *reader) checkRouter(s *Router) {
 	r.checkIdentity(s.Host, s.FailureDomain, s.LogLevel)
 	r.checkPlatform(s.Platform)
@@ -97,8 +102,8 @@
 			r.fault(key+".name", fmt.Sprintf("operator %q stands twice", op.Name), "a name of its own")
 		}
 		names[op.Name] = true
-		if raw, err := hex.DecodeString(op.KeySHA256); err != nil || len(raw)*2 != sha256HexLength {
-			r.fault(key+".key_sha256", "not a SHA-256 digest", "64 hexadecimal digits")
+		if !digestPattern.MatchString(op.KeySHA256) {
+			r.fault(key+".key_sha256", "not a SHA-256 digest", "64 hexadecimal digits in lower case")
 		}
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -75,6 +75,16 @@
 	assert.Equal(t, len(faults), 8, "%v", faults)
 }
 
+// Guards against a missing object hiding among faults of the keys inside it.
+func TestMissingObjectIsOneFault(t *testing.T) {
+	_, faults := parse("f", []byte(`{"role": "router", "host": "h", "failure_domain": "d", "operators": []}`), "")
+	var got []string
+	for _, f := range faults {
+		got = append(got, f.Key)
+	}
+	assert.DeepEqual(t, got, []string{"listen", "platform", "operators"})
+}
+
 // Guards against one role's file being loaded as the other's, and against
 // defaults that are lost.
 func TestLoad(t *testing.T) {
