--- a/internal/core/policy/validate.go
+++ b/internal/core/policy/validate.go
@@ -197,8 +197,7 @@
 	c := &checker{}
 	key := "teams." + t.Name
 	c.name(key+".name", t.Name)
-	checkDefined(c, key+".workloads", t.Workloads, d.Workloads)
-	checkDefined(c, key+".models", t.Models, d.Models)
+	c.faults = append(c.faults, t.CheckReferences(d)...)
 	c.within(key+".max_concurrent", int64(t.MaxConcurrent), 0, maxCount)
 	c.share(key+".rate_per_second", t.RatePerSecond, 0, maxCount)
 	ids := map[string]bool{}
@@ -215,3 +214,12 @@
 	}
 	return c.faults
 }
+
+// CheckReferences returns a fault for each workload or model of the team that
+// the document does not define.
+func (t Team) CheckReferences(d *Document) []Fault {
+	c := &checker{}
+	checkDefined(c, "teams."+t.Name+".workloads", t.Workloads, d.Workloads)
+	checkDefined(c, "teams."+t.Name+".models", t.Models, d.Models)
+	return c.faults
+}
