Add the sidecar's run table

The table decides acceptance, duplicates, fences and tombstones, buffers answers for resumption and accounts tokens. It holds no I/O, so a random interleaving of all messages can check its invariants.

--- /dev/null
+++ b/internal/core/run/finish.go
@@ -0,0 +1,220 @@
+package run
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+// Ending says how a run ended.
+type Ending struct {
+	Outcome     ledger.Outcome
+	Kind        errkind.Kind // unless the answer is complete
+	HTTPStatus  int
+	ContentType string
+	Detail      string
+	NotCharged  bool // the target did no work for the run
+	Suspect     bool
+	Alone       bool
+}
+
+// End ends a run and builds its record. A second End fails with
+// errkind.NotFound.
+func (t *Table) End(now time.Time, runID string, how Ending) (wire.End, error) {
+	e, err := t.inProgress(runID)
+	if err != nil {
+		return wire.End{}, err
+	}
+	if how.Outcome == ledger.Capped {
+		t.closeChoices(e)
+	}
+	e.end = t.buildEnd(now, e, how)
+	e.endedAt = now
+	delete(t.active, runID)
+	t.unacked = append(t.unacked, e)
+	return *e.end, nil
+}
+
+// closeChoices completes a capped answer, so that its reader sees a finish
+// reason.
+func (t *Table) closeChoices(e *entry) {
+	if ev := e.meter.closing(); ev != nil {
+		// A full buffer leaves only the finish reason out; the record says capped.
+		_ = t.append(e, wire.Chunk{Events: []json.RawMessage{ev}, PromptTokens: e.meter.Prompt()})
+	}
+}
+
+func (t *Table) buildEnd(now time.Time, e *entry, how Ending) *wire.End {
+	s := e.start
+	r := ledger.Record{
+		Identity:  s.Identity,
+		RunID:     s.RunID,
+		RequestID: s.RequestID,
+		Holder:    s.Holder,
+		Target:    t.target,
+		Sidecar:   t.sidecar,
+		Model:     s.Model,
+		Service:   s.Service,
+		Workload:  s.Workload,
+		Outcome:   how.Outcome,
+		StartedUS: e.startedAt.UnixMicro(),
+		EndedUS:   now.UnixMicro(),
+	}
+	e.account(&r, how)
+	return &wire.End{
+		RunID:       s.RunID,
+		Chunks:      int64(len(e.chunks)),
+		HTTPStatus:  how.HTTPStatus,
+		ContentType: how.ContentType,
+		Kind:        how.Kind,
+		Detail:      how.Detail,
+		Record:      r,
+		Suspect:     how.Suspect,
+		Alone:       how.Alone,
+	}
+}
+
+// Finished reports whether the engine finished every choice of a run in
+// progress.
+func (t *Table) Finished(runID string) bool {
+	e, ok := t.active[runID]
+	return ok && e.meter.Finished()
+}
+
+// Cancel reports whether a run in progress is to be canceled. A service call
+// that must not be repeated goes on, because interrupting it would leave its
+// outcome unknown.
+func (t *Table) Cancel(runID string) bool {
+	e, ok := t.active[runID]
+	return ok && e.repeatable()
+}
+
+// Crash ends all runs in progress, because the target went away. All of them
+// are suspects. One is alone if nothing else was in flight, or if it is the
+// only one that was a suspect before.
+func (t *Table) Crash(now time.Time, detail string) []wire.End {
+	earlier := 0
+	ids := make([]string, 0, len(t.active))
+	for id, e := range t.active {
+		ids = append(ids, id)
+		if e.start.Suspect {
+			earlier++
+		}
+	}
+	slices.Sort(ids)
+	ends := make([]wire.End, 0, len(ids))
+	for _, id := range ids {
+		alone := len(ids) == 1 || earlier == 1 && t.active[id].start.Suspect
+		end, err := t.End(now, id, Ending{
+			Outcome: ledger.Crashed,
+			Kind:    errkind.TargetCrashed,
+			Detail:  detail,
+			Suspect: true,
+			Alone:   alone,
+		})
+		if err == nil {
+			ends = append(ends, end)
+		}
+	}
+	return ends
+}
+
+// Ack notes that the records of ended runs are durable. Other ids are
+// ignored.
+func (t *Table) Ack(runIDs []string) {
+	hit := false
+	for _, id := range runIDs {
+		if e, ok := t.runs[id]; ok && e.end != nil && !e.acked {
+			e.acked = true
+			hit = true
+			if !e.dropped {
+				t.acked = append(t.acked, e)
+			}
+		}
+	}
+	if hit {
+		t.unacked = slices.DeleteFunc(t.unacked, func(e *entry) bool { return e.acked })
+		t.evict()
+	}
+}
+
+// Unacked returns the records that are not known to be durable, in the order
+// of their end, for which want returns true. The limit bounds their number; 0
+// means no bound.
+func (t *Table) Unacked(limit int, want func(holder string, endedAt time.Time) bool) []ledger.Record {
+	var out []ledger.Record
+	for _, e := range t.unacked {
+		if limit > 0 && len(out) == limit {
+			break
+		}
+		if want == nil || want(e.start.Holder, e.endedAt) {
+			out = append(out, e.end.Record)
+		}
+	}
+	return out
+}
+
+// Expire drops answers and run ids whose time is over. It returns the runs
+// that are to be canceled, because they lost their reader and cannot be
+// resumed. Records that are not acknowledged stay.
+func (t *Table) Expire(now time.Time) (cancel []string) {
+	for id, e := range t.runs {
+		switch {
+		case e.end == nil:
+			if t.orphaned(now, e) {
+				cancel = append(cancel, id)
+			}
+		case e.readers > 0:
+		default:
+			t.expireEnded(now, e)
+		}
+	}
+	t.acked = slices.DeleteFunc(t.acked, func(e *entry) bool { return e.dropped })
+	slices.Sort(cancel)
+	return cancel
+}
+
+func (t *Table) orphaned(now time.Time, e *entry) bool {
+	lost := e.readers == 0 && now.Sub(e.detachedAt) >= t.limits.OrphanFor
+	return lost && !e.start.Resumable && e.repeatable()
+}
+
+func (t *Table) expireEnded(now time.Time, e *entry) {
+	if !e.dropped && t.answerExpired(now, e) {
+		t.drop(e)
+	}
+	keep := t.limits.ResumeFor
+	if !e.repeatable() {
+		keep = max(keep, t.limits.ServiceKeepFor)
+	}
+	if e.acked && e.dropped && now.Sub(e.endedAt) >= keep {
+		t.forget(e)
+	}
+}
+
+func (t *Table) answerExpired(now time.Time, e *entry) bool {
+	if now.Sub(e.endedAt) >= t.limits.ResumeFor {
+		return true
+	}
+	last := e.endedAt
+	if e.detachedAt.After(last) {
+		last = e.detachedAt
+	}
+	return !e.start.Resumable && now.Sub(last) >= t.limits.OrphanFor
+}
+
+// forget removes a run id. A late repetition of its start is recognised by
+// the stamp, which the holder issued before that of any newer run.
+func (t *Table) forget(e *entry) {
+	delete(t.runs, e.start.RunID)
+	if t.byIdentity[e.start.Identity] == e {
+		delete(t.byIdentity, e.start.Identity)
+	}
+	if late, ok := t.forgotten[e.start.Holder]; !ok || late.Before(e.start.Stamp) {
+		t.forgotten[e.start.Holder] = e.start.Stamp
+	}
+}
--- /dev/null
+++ b/internal/core/run/meter.go
@@ -0,0 +1,177 @@
+package run
+
+import (
+	"encoding/json"
+
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+// Meter counts the tokens of a completion. Each event with content counts as
+// one token per choice until the engine reports usage, and the larger of the
+// two counts holds.
+type Meter struct {
+	cap      int64 // output tokens; 0 or less means no bound
+	reserved int64
+	prompt   int64 // exact, 0 until known
+	counted  int64
+	reported int64 // output tokens by the engine's usage
+	finished map[int]bool
+	seen     map[int]bool // choices that produced content
+	exceeded bool
+	last     streamEvent
+}
+
+// streamEvent is the part of an engine's event that the sidecar reads.
+type streamEvent struct {
+	ID      string         `json:"id,omitempty"`
+	Object  string         `json:"object,omitempty"`
+	Created int64          `json:"created,omitempty"`
+	Model   string         `json:"model,omitempty"`
+	Choices []streamChoice `json:"choices"`
+	Usage   *streamUsage   `json:"usage,omitempty"`
+}
+
+type streamChoice struct {
+	Index        int          `json:"index"`
+	Text         string       `json:"text,omitempty"`
+	Delta        *streamDelta `json:"delta,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type streamDelta struct {
+	Content          string          `json:"content,omitempty"`
+	ReasoningContent string          `json:"reasoning_content,omitempty"`
+	Refusal          string          `json:"refusal,omitempty"`
+	ToolCalls        json.RawMessage `json:"tool_calls,omitempty"`
+}
+
+type streamUsage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+}
+
+func (c streamChoice) hasContent() bool {
+	d := c.Delta
+	if d == nil {
+		return c.Text != ""
+	}
+	return c.Text != "" || d.Content != "" || d.ReasoningContent != "" || d.Refusal != "" || len(d.ToolCalls) > 0
+}
+
+// NewMeter returns a meter for a run.
+func NewMeter(s wire.StartRun) Meter {
+	return Meter{cap: s.OutputCap, reserved: s.Reserved, finished: map[int]bool{}, seen: map[int]bool{}}
+}
+
+// Take counts an event. It returns false if the event carries tokens beyond
+// the cap and must not be passed on.
+func (m *Meter) Take(raw json.RawMessage) bool {
+	if m.exceeded {
+		return false
+	}
+	var ev streamEvent
+	if json.Unmarshal(raw, &ev) != nil {
+		return true // a payload of unknown form carries no countable tokens
+	}
+	tokens := contentChoices(ev)
+	if m.cap > 0 && tokens > 0 && m.Output()+tokens > m.cap {
+		m.exceeded = true
+		m.counted += tokens
+		return false
+	}
+	m.counted += tokens
+	m.note(ev)
+	return true
+}
+
+func contentChoices(ev streamEvent) int64 {
+	var n int64
+	for _, c := range ev.Choices {
+		if c.hasContent() {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Meter) note(ev streamEvent) {
+	for _, c := range ev.Choices {
+		m.seen[c.Index] = true
+		if c.FinishReason != nil && *c.FinishReason != "" {
+			m.finished[c.Index] = true
+		}
+	}
+	if ev.Usage != nil {
+		m.prompt = max(m.prompt, ev.Usage.PromptTokens)
+		m.reported = max(m.reported, ev.Usage.CompletionTokens)
+	}
+	if len(ev.Choices) > 0 {
+		m.last = ev
+	}
+}
+
+// Output returns the output tokens known so far.
+func (m *Meter) Output() int64 { return max(m.counted, m.reported) }
+
+// Prompt returns the exact prompt tokens, 0 until the engine reports them.
+func (m *Meter) Prompt() int64 { return m.prompt }
+
+// AtCap reports whether the cap is reached while a choice is unfinished.
+func (m *Meter) AtCap() bool {
+	return m.cap > 0 && m.Output() >= m.cap && !m.Finished()
+}
+
+// Exceeded reports whether the engine produced a token beyond the cap.
+func (m *Meter) Exceeded() bool { return m.exceeded }
+
+// Finished reports whether every choice seen has a finish reason.
+func (m *Meter) Finished() bool {
+	return len(m.seen) > 0 && len(m.finished) == len(m.seen)
+}
+
+// closing returns an event that finishes the open choices with the reason
+// "length", or nil if there are none.
+func (m *Meter) closing() json.RawMessage {
+	reason := "length"
+	ev := streamEvent{ID: m.last.ID, Object: m.last.Object, Created: m.last.Created, Model: m.last.Model}
+	for i := range m.seen {
+		if !m.finished[i] {
+			ev.Choices = append(ev.Choices, streamChoice{Index: i, Delta: &streamDelta{}, FinishReason: &reason})
+		}
+	}
+	if len(ev.Choices) == 0 {
+		return nil
+	}
+	raw, err := json.Marshal(ev)
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// charge returns the prompt tokens, output tokens and charge of a completion
+// that reached the engine. A prompt count that the engine never reported is
+// replaced by its bound, the reservation less the cap. The sum is never above
+// the reservation.
+func (m *Meter) charge() (prompt, output, charged int64) {
+	prompt = m.prompt
+	if prompt == 0 {
+		prompt = max(0, m.reserved-max(0, m.cap))
+	}
+	output = m.Output()
+	return prompt, output, max(0, min(prompt+output, m.reserved))
+}
+
+// account fills the token fields of a record.
+func (e *entry) account(r *ledger.Record, how Ending) {
+	r.Reserved = e.start.Reserved
+	if how.NotCharged {
+		return
+	}
+	if e.start.Kind == wire.ServiceRun {
+		r.Charged = max(0, e.start.Reserved)
+		return
+	}
+	r.PromptTokens, r.OutputTokens, r.Charged = e.meter.charge()
+}
--- /dev/null
+++ b/internal/core/run/table_test.go
@@ -0,0 +1,298 @@
+package run_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/hlc"
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/core/run"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+const token = `{"choices":[{"index":0,"delta":{"content":"x"},"finish_reason":null}]}`
+
+// model drives a table at random and keeps what must hold about it.
+type model struct {
+	table   *run.Table
+	now     time.Time
+	wall    int64
+	started map[string]wire.StartRun // accepted as new
+	issued  []wire.StartRun
+	ended   map[string]ledger.Record
+	acked   map[string]bool
+	buried  map[string]bool
+	fenced  map[string]bool
+}
+
+func newModel() *model {
+	limits := run.DefaultLimits()
+	limits.MaxRuns = 6
+	limits.MaxBytes = 2000
+	limits.MaxRunBytes = 1000
+	return &model{
+		table:   run.New(limits, "t1", "s1"),
+		now:     time.Unix(1000, 0),
+		started: map[string]wire.StartRun{},
+		ended:   map[string]ledger.Record{},
+		acked:   map[string]bool{},
+		buried:  map[string]bool{},
+		fenced:  map[string]bool{},
+	}
+}
+
+func (m *model) start(t *rapid.T) {
+	m.wall++
+	n := len(m.issued)
+	s := wire.StartRun{
+		Header:      wire.Header{Stamp: hlc.Stamp{Wall: m.wall}},
+		Identity:    ledger.Identity{Team: "a", Key: fmt.Sprint(rapid.IntRange(0, 8).Draw(t, "key"))},
+		RunID:       fmt.Sprintf("r%d", n),
+		Holder:      rapid.SampledFrom([]string{"h1", "h2", "h3", "h4"}).Draw(t, "holder"),
+		Kind:        rapid.SampledFrom([]wire.RunKind{wire.Completion, wire.ServiceRun}).Draw(t, "kind"),
+		ContentHash: rapid.SampledFrom([]string{"c", "c", "d"}).Draw(t, "hash"),
+		Reserved:    rapid.Int64Range(0, 20).Draw(t, "reserved"),
+		OutputCap:   rapid.Int64Range(1, 8).Draw(t, "cap"),
+		Resumable:   rapid.Bool().Draw(t, "resumable"),
+		Idempotent:  rapid.Bool().Draw(t, "idempotent"),
+	}
+	m.issued = append(m.issued, s)
+	m.send(t, s)
+}
+
+func (m *model) duplicate(t *rapid.T) {
+	if len(m.issued) > 0 {
+		m.send(t, rapid.SampledFrom(m.issued).Draw(t, "repeated"))
+	}
+}
+
+func (m *model) send(t *rapid.T, s wire.StartRun) {
+	got, err := m.table.Start(m.now, s)
+	if err != nil || got.Existing {
+		return
+	}
+	if _, twice := m.started[s.RunID]; twice {
+		t.Fatalf("run %s started twice", s.RunID)
+	}
+	if m.fenced[s.Holder] || m.buried[s.RunID] {
+		t.Fatalf("run %s started after a fence or tombstone", s.RunID)
+	}
+	m.started[s.RunID] = s
+}
+
+func (m *model) pick(t *rapid.T) string {
+	if len(m.issued) == 0 {
+		return "none"
+	}
+	return rapid.SampledFrom(m.issued).Draw(t, "run").RunID
+}
+
+func (m *model) chunk(t *rapid.T) {
+	id := m.pick(t)
+	if m.started[id].Kind == wire.ServiceRun {
+		_ = m.table.Data(id, []byte("body"))
+		return
+	}
+	_, _ = m.table.Events(id, []json.RawMessage{[]byte(token), []byte(token)})
+}
+
+func (m *model) end(t *rapid.T) {
+	how := run.Ending{Outcome: rapid.SampledFrom([]ledger.Outcome{ledger.Whole, ledger.Failed, ledger.Capped}).Draw(t, "outcome")}
+	if end, err := m.table.End(m.now, m.pick(t), how); err == nil {
+		m.note(t, end)
+	}
+}
+
+func (m *model) crash(t *rapid.T) {
+	for _, end := range m.table.Crash(m.now, "gone") {
+		m.note(t, end)
+	}
+}
+
+func (m *model) note(t *rapid.T, end wire.End) {
+	if _, twice := m.ended[end.RunID]; twice {
+		t.Fatalf("run %s ended twice", end.RunID)
+	}
+	if r := end.Record; r.Charged > r.Reserved || r.Charged < 0 {
+		t.Fatalf("charged %d of %d", r.Charged, r.Reserved)
+	}
+	m.ended[end.RunID] = end.Record
+}
+
+func (m *model) attach(t *rapid.T) {
+	if len(m.issued) == 0 {
+		return
+	}
+	s := rapid.SampledFrom(m.issued).Draw(t, "attached")
+	a := wire.Attach{Identity: s.Identity, RunID: s.RunID, Tombstone: rapid.Bool().Draw(t, "tombstone")}
+	got := m.table.Attach(a)
+	if got.Known && !got.Expired {
+		m.table.ReaderAttached(got.RunID)
+	}
+	if _, ran := m.started[s.RunID]; a.Tombstone && !ran {
+		m.buried[s.RunID] = true
+	}
+}
+
+func (m *model) cancel(t *rapid.T) {
+	id := m.pick(t)
+	if !m.table.Cancel(id) {
+		return
+	}
+	end, err := m.table.End(m.now, id, run.Ending{Outcome: ledger.Canceled})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.note(t, end)
+}
+
+func (m *model) ack(t *rapid.T) {
+	id := m.pick(t)
+	m.table.Ack([]string{id})
+	if _, ok := m.ended[id]; ok {
+		m.acked[id] = true
+	}
+}
+
+func (m *model) fence(t *rapid.T) {
+	h := rapid.SampledFrom([]string{"h1", "h2"}).Draw(t, "fenced")
+	m.fenced[h] = true
+	got := m.table.Fence(h)
+	seen := map[string]bool{}
+	for _, r := range got.Records {
+		seen[r.RunID] = true
+	}
+	for _, id := range got.Active {
+		seen[id] = true
+	}
+	for id, s := range m.started {
+		if s.Holder == h && !m.acked[id] && !seen[id] {
+			t.Fatalf("fence of %s does not name run %s", h, id)
+		}
+	}
+}
+
+func (m *model) expire(t *rapid.T) {
+	m.now = m.now.Add(rapid.SampledFrom([]time.Duration{time.Second, 6 * time.Second, 16 * time.Minute, 25 * time.Hour}).Draw(t, "pass"))
+	for _, id := range m.table.Expire(m.now) {
+		if m.started[id].Resumable {
+			t.Fatalf("resumable run %s is canceled", id)
+		}
+	}
+}
+
+func (m *model) check(t *rapid.T) {
+	kept := map[string]ledger.Record{}
+	for _, r := range m.table.Unacked(0, nil) {
+		kept[r.RunID] = r
+	}
+	for id, r := range m.ended {
+		if _, ok := kept[id]; ok == m.acked[id] || ok && kept[id] != r {
+			t.Fatalf("record of %s: kept %v, acked %v", id, ok, m.acked[id])
+		}
+	}
+	for id := range m.started {
+		m.checkChunks(t, id)
+	}
+	if want := len(m.started) - len(m.ended); m.table.ActiveCount() != want {
+		t.Fatalf("%d active, want %d", m.table.ActiveCount(), want)
+	}
+}
+
+func (m *model) checkChunks(t *rapid.T, id string) {
+	chunks, end, err := m.table.Read(id, 0)
+	if err != nil {
+		return
+	}
+	for i, c := range chunks {
+		if c.Seq != int64(i) || c.RunID != id {
+			t.Fatalf("run %s has chunk %d of %s at %d", id, c.Seq, c.RunID, i)
+		}
+	}
+	if end != nil && end.Chunks != int64(len(chunks)) {
+		t.Fatalf("run %s ended with %d chunks and keeps %d", id, end.Chunks, len(chunks))
+	}
+}
+
+// Guards against a run that starts twice, after a fence or after a tombstone,
+// against gaps in an answer, lost records and charges above the reservation,
+// in any order of messages.
+func TestTableInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		t.Repeat(map[string]func(*rapid.T){
+			"start":     m.start,
+			"duplicate": m.duplicate,
+			"chunk":     m.chunk,
+			"end":       m.end,
+			"crash":     m.crash,
+			"attach":    m.attach,
+			"cancel":    m.cancel,
+			"ack":       m.ack,
+			"fence":     m.fence,
+			"expire":    m.expire,
+			"":          m.check,
+		})
+	})
+}
+
+// Guards against a refusal of the wrong kind, on which routers decide whether
+// to adopt a configuration, try elsewhere or give up their incarnation.
+func TestRefusals(t *testing.T) {
+	limits := run.DefaultLimits()
+	limits.MaxRuns = 1
+	table := run.New(limits, "t1", "s1")
+	now := time.Unix(1, 0)
+	request := func(id, key, holder string, version int64) wire.StartRun {
+		return wire.StartRun{
+			Header:      wire.Header{ConfigVersion: version},
+			Identity:    ledger.Identity{Team: "a", Key: key},
+			RunID:       id,
+			Holder:      holder,
+			ContentHash: "c",
+		}
+	}
+	refused := func(s wire.StartRun, want errkind.Kind) {
+		t.Helper()
+		_, err := table.Start(now, s)
+		assert.Equal(t, errkind.Of(err), want)
+	}
+	table.Fence("old")
+	table.SeeVersion(3)
+	table.Attach(wire.Attach{RunID: "dead", Tombstone: true})
+	refused(request("r1", "k1", "old", 3), errkind.Fenced)
+	refused(request("r1", "k1", "h", 2), errkind.StaleConfig)
+	refused(request("dead", "k1", "h", 3), errkind.Tombstoned)
+	refused(request("r1", "k1", "h", 3), "")
+	refused(request("r2", "k2", "h", 3), errkind.Overloaded)
+	other := request("r2", "k1", "h", 3)
+	other.ContentHash = "d"
+	refused(other, errkind.IdempotencyConflict)
+	table.SetDraining(true)
+	refused(request("r2", "k2", "h", 3), errkind.Draining)
+	again, err := table.Start(now, request("r2", "k1", "h", 3))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, run.Accepted{RunID: "r1", Existing: true})
+}
+
+// Guards against blaming every request that was in flight with a known
+// suspect.
+func TestCrashNamesTheOnlySuspect(t *testing.T) {
+	table := run.New(run.DefaultLimits(), "t1", "s1")
+	now := time.Unix(1, 0)
+	for i, suspect := range []bool{false, true, false} {
+		id := fmt.Sprint("r", i)
+		_, err := table.Start(now, wire.StartRun{RunID: id, Identity: ledger.Identity{Key: id}, Suspect: suspect})
+		assert.NilError(t, err)
+	}
+	for _, end := range table.Crash(now, "gone") {
+		assert.Assert(t, end.Suspect)
+		assert.Equal(t, end.Alone, end.RunID == "r1")
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -94,7 +94,9 @@
 	Reserved    int64   `json:"reserved"`     // tokens
 	OutputCap   int64   `json:"output_cap"`   // tokens over all choices
 	Priority    int     `json:"priority"`
-	Resumable   bool    `json:"resumable"` // the caller gave a key: keep running without a reader, keep the answer
+	Resumable   bool    `json:"resumable"`            // the caller gave a key: keep running without a reader, keep the answer
+	Idempotent  bool    `json:"idempotent,omitempty"` // the service call may be repeated after a failure; completions always may
+	Suspect     bool    `json:"suspect,omitempty"`    // the request was in flight when a target crashed
 }
 
 // StartResult answers StartRun.
@@ -126,6 +128,7 @@
 	Chunks      int64         `json:"chunks"`
 	HTTPStatus  int           `json:"http_status,omitempty"` // of a service or a failed engine call
 	ContentType string        `json:"content_type,omitempty"`
+	Kind        errkind.Kind  `json:"kind,omitempty"` // unless the answer is complete; no_target means that the target received nothing
 	Detail      string        `json:"detail,omitempty"`
 	Record      ledger.Record `json:"record"`
 	Suspect     bool          `json:"suspect,omitempty"` // in flight when the target crashed
@@ -148,6 +151,7 @@
 	Header
 	Known       bool   `json:"known"`
 	Active      bool   `json:"active"`
+	Expired     bool   `json:"expired,omitempty"` // the run ended here and its answer is no longer kept
 	RunID       string `json:"run_id,omitempty"`
 	Holder      string `json:"holder,omitempty"`
 	ContentHash string `json:"content_hash,omitempty"`
