--- a/internal/core/run/finish.go
+++ b/internal/core/run/finish.go
@@ -93,9 +93,9 @@
 	return ok && e.repeatable()
 }
 
-// Crash ends all runs in progress, because the target went away. All of them
-// are suspects. One is alone if nothing else was in flight, or if it is the
-// only one that was a suspect before.
+// Crash ends all runs in progress, because the target went away. If runs that
+// were suspects before were in flight, they explain the crash and only they
+// are suspects again; otherwise all are. A single suspect is alone.
 func (t *Table) Crash(now time.Time, detail string) []wire.End {
 	earlier := 0
 	ids := make([]string, 0, len(t.active))
@@ -108,13 +108,13 @@
 	slices.Sort(ids)
 	ends := make([]wire.End, 0, len(ids))
 	for _, id := range ids {
-		alone := len(ids) == 1 || earlier == 1 && t.active[id].start.Suspect
+		suspect := earlier == 0 || t.active[id].start.Suspect
 		end, err := t.End(now, id, Ending{
 			Outcome: ledger.Crashed,
 			Kind:    errkind.TargetCrashed,
 			Detail:  detail,
-			Suspect: true,
-			Alone:   alone,
+			Suspect: suspect,
+			Alone:   suspect && (len(ids) == 1 || earlier == 1),
 		})
 		if err == nil {
 			ends = append(ends, end)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -96,7 +96,7 @@
 	Priority    int     `json:"priority"`
 	Resumable   bool    `json:"resumable"`            // the caller gave a key: keep running without a reader, keep the answer
 	Idempotent  bool    `json:"idempotent,omitempty"` // the service call may be repeated after a failure; completions always may
-	Suspect     bool    `json:"suspect,omitempty"`    // the request was in flight when a target crashed
+	Suspect     bool    `json:"suspect,omitempty"`    // was in flight when a target crashed
 }
 
 // StartResult answers StartRun.
@@ -131,8 +131,8 @@
 	Kind        errkind.Kind  `json:"kind,omitempty"` // unless the answer is complete; no_target means that the target received nothing
 	Detail      string        `json:"detail,omitempty"`
 	Record      ledger.Record `json:"record"`
-	Suspect     bool          `json:"suspect,omitempty"` // in flight when the target crashed
-	Alone       bool          `json:"alone,omitempty"`   // the only suspect in flight then
+	Suspect     bool          `json:"suspect,omitempty"` // in flight when the target crashed, and no run that was a suspect before can explain it
+	Alone       bool          `json:"alone,omitempty"`   // nothing else in flight can explain the crash
 }
 
 // Attach asks for the run of an identity. If Tombstone names a run that the
