Add the sidecar process and its command

The table decides; the process moves bytes. Readers pull from the buffer, so a slow router delays neither the engine nor other runs.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -23,6 +23,7 @@
 
 // commands is the root of the command line.
 type commands struct {
+	Sidecar sidecarCmd `cmd:"" help:"Run the sidecar of a target."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- a/internal/core/run/buffer.go
+++ b/internal/core/run/buffer.go
@@ -12,29 +12,48 @@
 type Status struct {
 	AtCap  bool // OutputCap tokens are produced; only the end of the answer may follow
 	Capped bool // the engine produced a token beyond OutputCap; the run is to be ended as capped
+	Failed bool // the engine reported an error
 }
 
 // Events appends events of an engine's stream as one chunk. Events from the
-// first token beyond the cap on are left out.
-func (t *Table) Events(runID string, events []json.RawMessage) (Status, error) {
+// first token beyond the cap on are left out. Unless keepUsage is set, usage is
+// removed from events that carry choices, where only the sidecar asked for it.
+func (t *Table) Events(runID string, events []json.RawMessage, keepUsage bool) (Status, error) {
 	e, err := t.inProgress(runID)
 	if err != nil {
 		return Status{}, err
 	}
-	kept := events
-	for i, ev := range events {
-		if !e.meter.Take(ev) {
-			kept = events[:i]
+	kept := make([]json.RawMessage, 0, len(events))
+	for _, raw := range events {
+		ev, ok := e.meter.take(raw)
+		if !ok {
 			break
 		}
+		if !keepUsage && ev.Usage != nil && len(ev.Choices) > 0 {
+			raw = withoutUsage(raw)
+		}
+		kept = append(kept, raw)
 	}
-	status := Status{AtCap: e.meter.AtCap(), Capped: e.meter.Exceeded()}
+	status := Status{AtCap: e.meter.AtCap(), Capped: e.meter.Exceeded(), Failed: e.meter.failed}
 	if len(kept) == 0 {
 		return status, nil
 	}
 	return status, t.append(e, wire.Chunk{Events: kept, PromptTokens: e.meter.Prompt()})
 }
 
+func withoutUsage(raw json.RawMessage) json.RawMessage {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(raw, &fields) != nil {
+		return raw
+	}
+	delete(fields, "usage")
+	out, err := json.Marshal(fields)
+	if err != nil {
+		return raw
+	}
+	return out
+}
+
 // Data appends bytes of a service's body as one chunk.
 func (t *Table) Data(runID string, data []byte) error {
 	e, err := t.inProgress(runID)
--- a/internal/core/run/finish.go
+++ b/internal/core/run/finish.go
@@ -85,6 +85,16 @@
 	return ok && e.meter.Finished()
 }
 
+// Active returns the ids of the runs in progress, sorted.
+func (t *Table) Active() []string {
+	ids := make([]string, 0, len(t.active))
+	for id := range t.active {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Cancel reports whether a run in progress is to be canceled. A service call
 // that must not be repeated goes on, because interrupting it would leave its
 // outcome unknown.
@@ -98,20 +108,22 @@
 // are suspects again; otherwise all are. A single suspect is alone.
 func (t *Table) Crash(now time.Time, detail string) []wire.End {
 	earlier := 0
-	ids := make([]string, 0, len(t.active))
-	for id, e := range t.active {
-		ids = append(ids, id)
+	ids := t.Active()
+	for _, e := range t.active {
 		if e.start.Suspect {
 			earlier++
 		}
 	}
-	slices.Sort(ids)
 	ends := make([]wire.End, 0, len(ids))
 	for _, id := range ids {
+		kind := errkind.TargetCrashed
+		if !t.active[id].repeatable() {
+			kind = errkind.OutcomeUnknown
+		}
 		suspect := earlier == 0 || t.active[id].start.Suspect
 		end, err := t.End(now, id, Ending{
 			Outcome: ledger.Crashed,
-			Kind:    errkind.TargetCrashed,
+			Kind:    kind,
 			Detail:  detail,
 			Suspect: suspect,
 			Alone:   suspect && (len(ids) == 1 || earlier == 1),
--- a/internal/core/run/meter.go
+++ b/internal/core/run/meter.go
@@ -19,6 +19,7 @@
 	finished map[int]bool
 	seen     map[int]bool // choices that produced content
 	exceeded bool
+	failed   bool // the engine reported an error in the stream
 	last     streamEvent
 }
 
@@ -30,6 +31,8 @@
 	Model   string         `json:"model,omitempty"`
 	Choices []streamChoice `json:"choices"`
 	Usage   *streamUsage   `json:"usage,omitempty"`
+
+	Error json.RawMessage `json:"error,omitempty"`
 }
 
 type streamChoice struct {
@@ -64,25 +67,26 @@
 	return Meter{cap: s.OutputCap, reserved: s.Reserved, finished: map[int]bool{}, seen: map[int]bool{}}
 }
 
-// Take counts an event. It returns false if the event carries tokens beyond
+// take counts an event and returns its decoded form. It returns false if the event carries tokens beyond
 // the cap and must not be passed on.
-func (m *Meter) Take(raw json.RawMessage) bool {
+func (m *Meter) take(raw json.RawMessage) (streamEvent, bool) {
+	var ev streamEvent
 	if m.exceeded {
-		return false
+		return ev, false
 	}
-	var ev streamEvent
 	if json.Unmarshal(raw, &ev) != nil {
-		return true // a payload of unknown form carries no countable tokens
+		return streamEvent{}, true // a payload of unknown form carries no countable tokens
 	}
 	tokens := contentChoices(ev)
-	if m.cap > 0 && tokens > 0 && m.Output()+tokens > m.cap {
+	if m.cap > 0 && tokens > 0 && m.outputWith(ev, tokens) > m.cap {
 		m.exceeded = true
 		m.counted += tokens
-		return false
+		m.noteUsage(ev.Usage)
+		return ev, false
 	}
 	m.counted += tokens
 	m.note(ev)
-	return true
+	return ev, true
 }
 
 func contentChoices(ev streamEvent) int64 {
@@ -102,15 +106,32 @@
 			m.finished[c.Index] = true
 		}
 	}
-	if ev.Usage != nil {
-		m.prompt = max(m.prompt, ev.Usage.PromptTokens)
-		m.reported = max(m.reported, ev.Usage.CompletionTokens)
+	m.noteUsage(ev.Usage)
+	if len(ev.Error) > 0 && string(ev.Error) != "null" {
+		m.failed = true
 	}
 	if len(ev.Choices) > 0 {
 		m.last = ev
 	}
 }
 
+func (m *Meter) noteUsage(u *streamUsage) {
+	if u == nil {
+		return
+	}
+	m.prompt = max(m.prompt, u.PromptTokens)
+	m.reported = max(m.reported, u.CompletionTokens)
+}
+
+// outputWith returns the output tokens once an event has been counted.
+func (m *Meter) outputWith(ev streamEvent, tokens int64) int64 {
+	n := m.Output() + tokens
+	if ev.Usage != nil {
+		n = max(n, ev.Usage.CompletionTokens)
+	}
+	return n
+}
+
 // Output returns the output tokens known so far.
 func (m *Meter) Output() int64 { return max(m.counted, m.reported) }
 
--- a/internal/core/run/table_test.go
+++ b/internal/core/run/table_test.go
@@ -99,7 +99,7 @@
 		_ = m.table.Data(id, []byte("body"))
 		return
 	}
-	_, _ = m.table.Events(id, []json.RawMessage{[]byte(token), []byte(token)})
+	_, _ = m.table.Events(id, []json.RawMessage{[]byte(token), []byte(token)}, false)
 }
 
 func (m *model) end(t *rapid.T) {
--- /dev/null
+++ b/internal/sidecar/drain.go
@@ -0,0 +1,61 @@
+package sidecar
+
+import (
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+)
+
+// drainPoll is the period in which a stopping sidecar looks for its end.
+const drainPoll = 20 * time.Millisecond
+
+// farewell is the time for which a stopping sidecar keeps its connections at
+// least, so that reports of the drain are sent.
+const farewell = 200 * time.Millisecond
+
+// drain refuses new runs, tells the routers, waits for the runs in progress
+// without a limit and then for their records to become durable, at most
+// Options.HandoverLimit.
+func (s *Server) drain() {
+	s.mu.Lock()
+	s.stopping = true
+	s.table.SetDraining(true)
+	s.wakePeers()
+	active := s.table.ActiveCount()
+	s.mu.Unlock()
+	s.log.Info("draining", "active", active)
+	time.Sleep(farewell)
+	for !s.idle() {
+		time.Sleep(drainPoll)
+	}
+	limit := time.Now().Add(s.opts.HandoverLimit)
+	for s.unacked() > 0 && time.Now().Before(limit) {
+		time.Sleep(drainPoll)
+	}
+	s.log.Info("stopped", "unacked", s.unacked())
+}
+
+func (s *Server) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.ActiveCount() == 0 && len(s.readers) == 0
+}
+
+func (s *Server) unacked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.table.Unacked(0, nil))
+}
+
+// healthy reports why the sidecar does not accept work, or nil.
+func (s *Server) healthy() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !s.ready:
+		return errkind.New(errkind.PlatformUnavailable, "not registered")
+	case s.table.Draining():
+		return errkind.New(errkind.Stopping, "draining")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sidecar/register.go
@@ -0,0 +1,140 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/member"
+	"tarragonridge.example/tarragonridge/internal/platform"
+)
+
+// Registration delays grow with full jitter, so that many sidecars do not
+// return to a recovering table in lockstep.
+const (
+	registerFirst   = 100 * time.Millisecond
+	registerLast    = 5 * time.Second
+	registerTimeout = 5 * time.Second // of one attempt
+)
+
+// register writes the sidecar's row and reads the fenced holders, in this
+// order: a router that fences a holder after the read finds the row and asks
+// this sidecar. It repeats both until they succeed or ctx is done.
+func (s *Server) register(ctx context.Context, addr string) error {
+	delay := registerFirst
+	for {
+		err := s.tryRegister(ctx, addr)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		s.log.Warn("registration failed", "err", err)
+		if !sleep(ctx, rand.N(delay)+delay/2) {
+			return ctx.Err()
+		}
+		delay = min(2*delay, registerLast)
+	}
+}
+
+func (s *Server) tryRegister(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	if err := s.writeRow(ctx, addr); err != nil {
+		return err
+	}
+	return s.readFenced(ctx)
+}
+
+func (s *Server) writeRow(ctx context.Context, addr string) error {
+	key := member.SidecarKey(s.opts.Target)
+	row, old, err := s.readRow(ctx, key)
+	if err != nil {
+		return err
+	}
+	if old.Incarnation == s.incarnation {
+		s.raiseFence(old.Fence)
+		return nil // an earlier attempt took effect
+	}
+	value, err := json.Marshal(member.SidecarRow{
+		Target:      s.opts.Target,
+		Incarnation: s.incarnation,
+		Addr:        addr,
+		Host:        s.opts.Host,
+		Domain:      s.opts.Domain,
+		Kind:        string(s.opts.Kind),
+		Model:       s.opts.Model,
+		Service:     s.opts.Service,
+		Fence:       old.Fence,
+	})
+	if err != nil {
+		return err
+	}
+	result, err := s.opts.Table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Version: row.Version}},
+		Puts:       []platform.Put{{Key: key, Value: value}},
+	})
+	if err != nil {
+		return err // an uncertain commit is read back by the next attempt
+	}
+	if !result.Committed {
+		return errkind.New(errkind.VersionConflict, "row %s has changed", key)
+	}
+	s.raiseFence(old.Fence)
+	return nil
+}
+
+func (s *Server) readRow(ctx context.Context, key string) (platform.Row, member.SidecarRow, error) {
+	var old member.SidecarRow
+	row, err := s.opts.Table.Get(ctx, key)
+	if errkind.Is(err, errkind.NotFound) {
+		return platform.Row{}, old, nil
+	}
+	if err != nil {
+		return row, old, err
+	}
+	if err := json.Unmarshal(row.Value, &old); err != nil {
+		return row, old, errkind.Wrap(err, errkind.Internal, "row %s", key)
+	}
+	return row, old, nil
+}
+
+func (s *Server) raiseFence(fence int64) {
+	s.orderMu.Lock()
+	defer s.orderMu.Unlock()
+	s.fence = max(s.fence, fence)
+}
+
+func (s *Server) readFenced(ctx context.Context) error {
+	rows, err := platform.ScanAll(ctx, s.opts.Table, member.HolderPrefix)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		var h member.HolderRow
+		if err := json.Unmarshal(row.Value, &h); err != nil {
+			return errkind.Wrap(err, errkind.Internal, "row %s", row.Key)
+		}
+		if h.State == member.Fenced {
+			s.mu.Lock()
+			s.table.Fence(h.Incarnation)
+			s.mu.Unlock()
+		}
+	}
+	return nil
+}
+
+// sleep returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
