--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -27,6 +27,7 @@
 // commands is the root of the command line.
 type commands struct {
 	Standin standinCmd `cmd:"" help:"Run a stand-in of an outside system."`
+	Sidecar sidecarCmd `cmd:"" help:"Run the sidecar of a target."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Config  configCmd  `cmd:"" help:"Work with settings files."`
 }
