Add the model engine stand-in

Routers and sidecars need an engine that batches, caches prefixes and fails in the ways the platform's engines do, with deterministic answers and counts of its own for the audit.

The model is a core without I/O, so that step times, cache bounds and report lag are tested with exact times. Memory is taken for the whole sequence at admission; preemption of running sequences was ruled out because it adds state and no behaviour that the router sees. A crash closes the listener and resets the connections inside the process, so one process can crash many times in a test.

--- /dev/null
+++ b/internal/standin/engine/config.go
@@ -0,0 +1,70 @@
+// Package engine is a stand-in for a model engine. It serves the published
+// OpenAI format over HTTP, and control endpoints for load reports, cache
+// events, orders, faults and an audit of its own counts. Package sim holds the
+// model behind it.
+package engine
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tarragonridge.example/tarragonridge/internal/standin/engine/sim"
+)
+
+// Config sets up a stand-in. DefaultConfig states the defaults.
+type Config struct {
+	Listen             string        // TCP address; default 127.0.0.1:0
+	Model              string        // model loaded at the start; default standin-model
+	Adapters           []string      // adapters loaded at the start; default none
+	Role               string        // prefill, decode or mixed; default mixed
+	HonourFence        bool          // reject orders with an old fencing number; default true
+	OrderSecret        string        // bearer token that orders need; default empty, no check
+	LoadDelay          time.Duration // time to load a model or adapter; default 2 s
+	RestartDelay       time.Duration // time for which a crashed engine refuses connections; default 1 s
+	KVTransferPerBlock time.Duration // time per block of an export or import; default 200 µs
+	RunLimit           int           // run records kept, oldest dropped first; default 100000
+	MaxBodyBytes       int64         // largest request body; default 4 MiB
+	Sim                sim.Config    // parameters of the model
+	Logger             *slog.Logger  // default discards
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{
+		Listen:             "127.0.0.1:0",
+		Model:              "standin-model",
+		Role:               RoleMixed,
+		HonourFence:        true,
+		LoadDelay:          2 * time.Second,
+		RestartDelay:       time.Second,
+		KVTransferPerBlock: 200 * time.Microsecond,
+		RunLimit:           100_000,
+		MaxBodyBytes:       4 << 20,
+		Sim:                sim.DefaultConfig(),
+	}
+}
+
+// Validate returns the first fault of the configuration.
+func (c Config) Validate() error {
+	switch {
+	case c.Listen == "":
+		return eris.New("listen address is missing")
+	case c.Model == "":
+		return eris.New("model is missing")
+	case !validRole(c.Role):
+		return eris.Errorf("role %q is not prefill, decode or mixed", c.Role)
+	case c.LoadDelay < 0:
+		return eris.New("load delay must not be negative")
+	case c.RestartDelay < 0:
+		return eris.New("restart delay must not be negative")
+	case c.KVTransferPerBlock < 0:
+		return eris.New("kv transfer per block must not be negative")
+	case c.RunLimit <= 0:
+		return eris.New("run limit must be positive")
+	case c.MaxBodyBytes <= 0:
+		return eris.New("max body bytes must be positive")
+	}
+	return c.Sim.Validate()
+}
