Add the admin API and its client

The ETag of an answer with teams is the version up to which the teams are complete: the document can be ahead of them after a push, and an ETag taken from it would permit a lost update.

Error answers are written by internal/httpapi for both APIs. Details of kinds that stay between processes are left out. Text cells of the CSV export that a spreadsheet would run as a formula are prefixed, because idempotency keys come from callers.

--- /dev/null
+++ b/internal/adminapi/adminapi_test.go
@@ -0,0 +1,314 @@
+package adminapi_test
+
+import (
+	"context"
+	"encoding/csv"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v5"
+	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/admin"
+	"tarragonridge.example/tarragonridge/internal/adminapi"
+	"tarragonridge.example/tarragonridge/internal/configstore"
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/hlc"
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/core/policy"
+	"tarragonridge.example/tarragonridge/internal/httpapi"
+	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+const operatorKey = "operator-secret"
+
+// backend is a small double of the router behind the admin API.
+type backend struct {
+	topups  map[string]int64
+	entries []admin.Entry
+	drained map[string]bool
+	pushed  []int64
+	pending []string
+}
+
+func (b *backend) Account(_ context.Context, team string) (admin.Budget, error) {
+	var sum int64
+	for key, n := range b.topups {
+		if strings.HasPrefix(key, team+"/") {
+			sum += n
+		}
+	}
+	return admin.Budget{ToppedUp: sum, Left: sum}, nil
+}
+
+func (b *backend) TopUp(ctx context.Context, team, key string, tokens int64, _ string) (admin.Budget, error) {
+	if n, ok := b.topups[team+"/"+key]; ok && n != tokens {
+		return admin.Budget{}, errkind.New(errkind.IdempotencyConflict, "key used with %d", n)
+	}
+	b.topups[team+"/"+key] = tokens
+	return b.Account(ctx, team)
+}
+
+func (b *backend) Records(_ context.Context, _, _ string, limit int) ([]admin.Entry, error) {
+	return b.entries[:min(limit, len(b.entries))], nil
+}
+
+func (b *backend) List(context.Context) ([]admin.Target, error) {
+	return []admin.Target{{ID: "t1", Kind: "engine", Model: "m", Connected: true}}, nil
+}
+
+func (b *backend) Drain(_ context.Context, id string, draining bool, _ string) error {
+	b.drained[id] = draining
+	return nil
+}
+
+func (b *backend) Forget(_ context.Context, id, _ string) error {
+	return errkind.New(errkind.NotFound, "no target %q", id)
+}
+
+func (b *backend) Order(context.Context, string, admin.Order, string) (int64, error) { return 7, nil }
+
+func (b *backend) Query(_ context.Context, q wire.TimelineQuery) ([]wire.TimelineResult, []string) {
+	event := func(wall int64, process string) wire.TimelineResult {
+		return wire.TimelineResult{Events: []wire.Event{{
+			Stamp: hlc.Stamp{Wall: wall}, Process: process, Name: "e", RequestID: q.RequestID,
+		}}}
+	}
+	return []wire.TimelineResult{event(2, "b"), event(1, "a")}, []string{"c"}
+}
+
+type fixture struct {
+	*backend
+	store  *configstore.Store
+	client *admin.Client
+	url    string
+}
+
+func start(t *testing.T) *fixture {
+	t.Helper()
+	quiet := slog.New(slog.DiscardHandler)
+	store := configstore.New(configstore.Options{Table: platform.NewMemory(), Logger: quiet,
+		Operators: []policy.Operator{{Name: "op", KeySHA256: policy.HashKey(operatorKey)}}})
+	assert.NilError(t, store.Refresh(t.Context()))
+	b := &backend{topups: map[string]int64{}, drained: map[string]bool{}}
+	e := echo.New()
+	e.HTTPErrorHandler = httpapi.ErrorHandler
+	adminapi.Register(e, adminapi.Deps{
+		Config: store, Budgets: b, Ledger: b, Targets: b, Timeline: b, Logger: quiet,
+		Confirmations: func(int64) ([]string, []string) { return []string{"router-1"}, b.pending },
+		Push:          func(d policy.Document) { b.pushed = append(b.pushed, d.Version) },
+		ConfirmWait:   20 * time.Millisecond,
+	})
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	return &fixture{backend: b, store: store, url: server.URL,
+		client: admin.New(admin.Options{Server: server.URL, Key: operatorKey})}
+}
+
+// do sends a raw request and returns the status and the problem body.
+func (f *fixture) do(t *testing.T, method, path, key, body string, headers ...string) (int, httpapi.Problem) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, f.url+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	var p httpapi.Problem
+	if resp.StatusCode >= 400 {
+		assert.Equal(t, resp.Header.Get("Content-Type"), httpapi.ProblemType)
+		assert.NilError(t, json.Unmarshal(data, &p))
+		assert.Equal(t, p.Status, resp.StatusCode)
+		assert.Equal(t, p.RequestID, resp.Header.Get(httpapi.HeaderRequestID))
+	}
+	return resp.StatusCode, p
+}
+
+// Guards against a caller or a stranger reaching the operators' API, on every
+// route and also on unknown paths.
+func TestOnlyOperators(t *testing.T) {
+	f := start(t)
+	_, err := f.client.CreateTeam(t.Context(), admin.NewTeam{Name: "a"})
+	assert.NilError(t, err)
+	key, err := f.client.AddKey(t.Context(), "a")
+	assert.NilError(t, err)
+	for _, path := range []string{"/teams", "/config", "/ledger?team=a", "/timeline", "/no/such/path"} {
+		for k, want := range map[string]int{"": 401, "wrong": 401, key.Key: 403} {
+			status, _ := f.do(t, http.MethodGet, admin.BasePath+path, k, "")
+			assert.Equal(t, status, want, "%s with %q", path, k)
+		}
+	}
+	status, p := f.do(t, http.MethodGet, admin.BasePath+"/no/such/path", operatorKey, "")
+	assert.Equal(t, status, 404)
+	assert.Equal(t, p.Kind, errkind.NotFound)
+	status, _ = f.do(t, http.MethodPatch, admin.BasePath+"/teams", operatorKey, "")
+	assert.Equal(t, status, 405)
+}
+
+// Guards against a lost update of the configuration.
+func TestConfigNeedsTheCurrentVersion(t *testing.T) {
+	f := start(t)
+	doc, version, err := f.client.Config(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, version, int64(1))
+	doc.Models["m"] = policy.Model{MaxOutputTokens: 10, ContextTokens: 100}
+	diff, err := f.client.DiffConfig(t.Context(), doc)
+	assert.NilError(t, err)
+	assert.Equal(t, len(diff.Lines), 2)
+	a, err := f.client.PutConfig(t.Context(), doc, version)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Version, int64(2))
+	_, err = f.client.SetActivePreset(t.Context(), policy.PresetPeak, version)
+	assert.Assert(t, errkind.Is(err, errkind.VersionConflict), "%v", err)
+	_, err = f.client.SetActivePreset(t.Context(), policy.PresetPeak, a.Version)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, f.pushed, []int64{2, 3})
+	body := `{"preset": "peak"}`
+	path := admin.BasePath + "/presets/active"
+	status, _ := f.do(t, http.MethodPut, path, operatorKey, body)
+	assert.Equal(t, status, 428)
+	status, _ = f.do(t, http.MethodPut, path, operatorKey, body, "If-Match", "*")
+	assert.Equal(t, status, 400)
+	status, _ = f.do(t, http.MethodPut, path, operatorKey, `{"preset": "peak", "x": 1}`, "If-Match", `"3"`)
+	assert.Equal(t, status, 400)
+	status, _ = f.do(t, http.MethodPut, path, operatorKey, `{"preset": "absent"}`, "If-Match", `"3"`)
+	assert.Equal(t, status, 400)
+}
+
+// Guards against an answer that hides processes without the new version, or
+// waits for them for ever.
+func TestAnswerListsPendingProcesses(t *testing.T) {
+	f := start(t)
+	f.pending = []string{"sidecar-9"}
+	a, err := f.client.SetActivePreset(t.Context(), policy.PresetPeak, 1)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, a.Pending, f.pending)
+	status, err := f.client.ConfigStatus(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, status, admin.Accepted{Version: 2, Confirmed: []string{"router-1"}, Pending: f.pending})
+}
+
+// Guards against keys that survive rotation or revocation, and against digests
+// or keys in later answers.
+func TestKeyLifecycle(t *testing.T) {
+	f := start(t)
+	ctx := t.Context()
+	_, err := f.client.CreateTeam(ctx, admin.NewTeam{Name: "a"})
+	assert.NilError(t, err)
+	_, err = f.client.CreateTeam(ctx, admin.NewTeam{Name: "a"})
+	assert.Assert(t, errkind.Is(err, errkind.Conflict), "%v", err)
+	first, err := f.client.AddKey(ctx, "a")
+	assert.NilError(t, err)
+	second, err := f.client.RotateKey(ctx, "a", first.ID)
+	assert.NilError(t, err)
+	known := func(key string) bool {
+		_, ok := f.store.TeamByKey(ctx, policy.HashKey(key))
+		return ok
+	}
+	assert.Assert(t, !known(first.Key) && known(second.Key))
+	team, version, err := f.client.Team(ctx, "a")
+	assert.NilError(t, err)
+	assert.Equal(t, len(team.Keys), 1)
+	_, err = f.client.RevokeKey(ctx, "a", second.ID)
+	assert.NilError(t, err)
+	assert.Assert(t, !known(second.Key))
+	_, err = f.client.SetPermissions(ctx, "a", admin.Permissions{Disabled: true}, version)
+	assert.Assert(t, errkind.Is(err, errkind.VersionConflict), "%v", err)
+	_, err = f.client.SetPermissions(ctx, "a", admin.Permissions{Workloads: []string{"batch"}}, version+1)
+	assert.NilError(t, err)
+	stored, _ := f.store.Team("a")
+	assert.Assert(t, !stored.MayUseWorkload("interactive"))
+}
+
+// Guards against a top-up that a repeated request makes twice.
+func TestTopUpIsIdempotent(t *testing.T) {
+	f := start(t)
+	ctx := t.Context()
+	_, err := f.client.CreateTeam(ctx, admin.NewTeam{Name: "a"})
+	assert.NilError(t, err)
+	for range 2 {
+		b, err := f.client.TopUp(ctx, "a", "k1", 500)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, b, admin.Budget{ToppedUp: 500, Left: 500})
+	}
+	_, err = f.client.TopUp(ctx, "a", "k1", 501)
+	assert.Assert(t, errkind.Is(err, errkind.IdempotencyConflict), "%v", err)
+	_, err = f.client.TopUp(ctx, "absent", "k2", 1)
+	assert.Assert(t, errkind.Is(err, errkind.NotFound), "%v", err)
+	path := admin.BasePath + "/teams/a/topups"
+	for body, headers := range map[string][]string{
+		`{"tokens": 5}`:   nil,
+		`{"tokens": -5}`:  {"Idempotency-Key", "k3"},
+		`{"tokens": 1.5}`: {"Idempotency-Key", "k3"},
+	} {
+		status, _ := f.do(t, http.MethodPost, path, operatorKey, body, headers...)
+		assert.Equal(t, status, 400, "%s", body)
+	}
+	b, err := f.client.Budget(ctx, "a")
+	assert.NilError(t, err)
+	assert.Equal(t, b.ToppedUp, int64(500))
+}
+
+// Guards against totals that differ from the lines, a cut list that looks
+// complete, and callers' text running as a formula in an auditor's sheet.
+func TestLedgerFormats(t *testing.T) {
+	f := start(t)
+	record := func(key string) ledger.Record {
+		return ledger.Record{Identity: ledger.Identity{Team: "a", Key: key}, Charged: 5}
+	}
+	f.entries = []admin.Entry{{Record: record("=1+1"), Billed: 5}, {Record: record("k2"), Lost: 5}}
+	l, err := f.client.Ledger(t.Context(), admin.LedgerQuery{Team: "a"})
+	assert.NilError(t, err)
+	assert.Assert(t, l.Billed == 5 && l.Lost == 5 && !l.More)
+	assert.Equal(t, l.Entries[0].Key, "=1+1")
+	cut, err := f.client.Ledger(t.Context(), admin.LedgerQuery{Team: "a", Limit: 1})
+	assert.NilError(t, err)
+	assert.Assert(t, cut.More && len(cut.Entries) == 1)
+	data, err := f.client.LedgerExport(t.Context(), admin.LedgerQuery{Team: "a"}, "csv")
+	assert.NilError(t, err)
+	rows, err := csv.NewReader(strings.NewReader(string(data))).ReadAll()
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 3)
+	assert.Equal(t, rows[1][1], "'=1+1")
+	data, err = f.client.LedgerExport(t.Context(), admin.LedgerQuery{RequestID: "r"}, "jsonl")
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(string(data), "\n"), 2)
+	_, err = f.client.Ledger(t.Context(), admin.LedgerQuery{})
+	assert.Assert(t, errkind.Is(err, errkind.InvalidRequest), "%v", err)
+}
+
+// Guards against orders that lack their subject, and a timeline out of order.
+func TestTargetsAndTimeline(t *testing.T) {
+	f := start(t)
+	ctx := t.Context()
+	assert.NilError(t, f.client.DrainTarget(ctx, "t1", true))
+	assert.Assert(t, f.drained["t1"])
+	err := f.client.ForgetTarget(ctx, "t9")
+	assert.Assert(t, errkind.Is(err, errkind.NotFound), "%v", err)
+	o, err := f.client.OrderTarget(ctx, "t1", admin.Order{Action: "load_model", Model: "m"})
+	assert.NilError(t, err)
+	assert.Equal(t, o.Fence, int64(7))
+	for _, bad := range []admin.Order{{Action: "load_model"}, {Action: "x"}, {Action: "set_role", Role: "x"}} {
+		_, err = f.client.OrderTarget(ctx, "t1", bad)
+		assert.Assert(t, errkind.Is(err, errkind.InvalidRequest), "%v", err)
+	}
+	m, err := f.client.Timeline(ctx, wire.TimelineQuery{RequestID: "r"})
+	assert.NilError(t, err)
+	assert.Equal(t, m.Events[0].Process, "a")
+	assert.DeepEqual(t, m.Unreachable, []string{"c"})
+}
--- a/internal/configstore/change.go
+++ b/internal/configstore/change.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return 0, err
 	}
-	s.applyOwn(change.Document, teams, versions)
+	s.applyOwn(ctx, change.Document, teams, versions)
 	s.log.Info("config_changed", "version", row.Version, "operator", operator, "keys", len(row.Keys))
 	return row.Version, nil
 }
@@ -195,18 +195,26 @@
 	return errkind.New(errkind.VersionConflict, "another change became version %d", row.Version)
 }
 
-// applyOwn publishes a committed change without waiting for the poll. The
-// poll still reads the teams: the row versions are unknown after a read-back,
-// and other routers may have changed teams before.
-func (s *Store) applyOwn(doc policy.Document, teams []policy.Team, versions map[string]int64) {
+// applyOwn publishes a committed change, so that this router's next answer
+// shows it. The row versions are unknown after a read-back, and other routers
+// may have changed teams in versions that this one has not read; both cases
+// need a read of the table, which the poll repeats if it fails here.
+func (s *Store) applyOwn(ctx context.Context, doc policy.Document, teams []policy.Team, versions map[string]int64) {
 	rows := make([]TeamRow, 0, len(teams))
 	for _, t := range teams {
 		if v := versions[prefixTeam+t.Name]; v > 0 {
 			rows = append(rows, TeamRow{Row: v, Team: t})
 		}
 	}
-	s.mergeTeams(0, rows)
+	if len(rows) == len(teams) && s.TeamsVersion() == doc.Version-1 {
+		s.mergeTeams(doc.Version, rows)
+		s.Adopt(doc)
+		return
+	}
 	s.Adopt(doc)
+	if err := s.Refresh(ctx); err != nil {
+		s.log.Warn("config_refresh_failed", "version", doc.Version, "error", err)
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/internal/configstore/teams.go
+++ b/internal/configstore/teams.go
@@ -90,6 +90,10 @@
 	return out
 }
 
+// TeamsVersion returns the configuration version up to which the teams are
+// complete. It may be behind Version after an Adopt.
+func (s *Store) TeamsVersion() int64 { return s.teams.Load().version }
+
 // Team returns the team with the name.
 func (s *Store) Team(name string) (policy.Team, bool) {
 	row, ok := s.teams.Load().byName[name]
--- /dev/null
+++ b/internal/httpapi/decode.go
@@ -0,0 +1,40 @@
+package httpapi
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+)
+
+// DecodeJSON reads a JSON body of at most limit bytes into v. Unknown fields
+// and trailing data are errors, so that a misspelt field is not ignored.
+func DecodeJSON(w http.ResponseWriter, r *http.Request, limit int64, v any) error {
+	media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil || media != "application/json" {
+		return errkind.New(errkind.UnsupportedMediaType, "Content-Type must be application/json")
+	}
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(v); err != nil {
+		return decodeError(err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errkind.New(errkind.InvalidRequest, "data after the JSON value")
+	}
+	return nil
+}
+
+func decodeError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return AsError(err)
+	}
+	if errors.Is(err, io.EOF) {
+		return errkind.New(errkind.InvalidRequest, "empty body")
+	}
+	return errkind.Wrap(err, errkind.InvalidRequest, "body: %s", err)
+}
