--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -57,7 +57,7 @@
 	v := TeamView{
 		Name: t.Name,
 		Permissions: Permissions{
-			Workloads: t.Workloads, Models: t.Models, MaxConcurrent: t.MaxConcurrent,
+			Workloads: append([]string{}, t.Workloads...), Models: append([]string{}, t.Models...), MaxConcurrent: t.MaxConcurrent,
 			RatePerSecond: t.RatePerSecond, Disabled: t.Disabled,
 		},
 		Keys: make([]KeyView, 0, len(t.Keys)),
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,7 @@
 type commands struct {
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Config  configCmd  `cmd:"" help:"Work with settings files."`
+	Admin   adminCmd   `cmd:"" help:"Operate a running fleet through a router."`
 }
 
 // Version is the release of this binary.
@@ -44,17 +45,21 @@
 // Main parses args, runs the command and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var root commands
+	exited := -1 // code with which kong wanted to exit after printing help
 	parser, err := kong.New(&root,
 		kong.Name("tarragonridge"),
 		kong.Description("Router fleet for prepaid token budgets."),
 		kong.Writers(out, errOut),
-		kong.Exit(func(int) {}),
+		kong.Exit(func(code int) { exited = code }),
 	)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
 		return ExitUsage
 	}
 	kctx, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
 	if err != nil {
 		fmt.Fprintf(errOut, "tarragonridge: %v\n", err)
 		return ExitUsage
