Wire the router and sidecar commands to settings files

A registration now says whether its sidecar stopped cleanly. A recovery charges the rest of a dead holder's grant as lost if a sidecar that may have run its work ended without handing over its records, because nobody can say what those runs consumed.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,8 +26,9 @@
 
 // commands is the root of the command line.
 type commands struct {
-	Standin standinCmd `cmd:"" help:"Run a stand-in of an outside system."`
+	Router  routerCmd  `cmd:"" help:"Run a router."`
 	Sidecar sidecarCmd `cmd:"" help:"Run the sidecar of a target."`
+	Standin standinCmd `cmd:"" help:"Run a stand-in of an outside system."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Config  configCmd  `cmd:"" help:"Work with settings files."`
 	Admin   adminCmd   `cmd:"" help:"Operate a running fleet through a router."`
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -29,6 +29,7 @@
 
 type standinCmd struct {
 	Platform  standinPlatformCmd  `cmd:"" help:"Run the stand-in platform."`
+	Engine    standinEngineCmd    `cmd:"" help:"Run a stand-in model engine."`
 	Service   standinServiceCmd   `cmd:"" help:"Run a stand-in service."`
 	Forwarder standinForwarderCmd `cmd:"" help:"Run a TCP relay that can be faulty."`
 }
--- a/internal/core/member/rows.go
+++ b/internal/core/member/rows.go
@@ -39,6 +39,69 @@
 	Model       string `json:"model,omitempty"`
 	Service     string `json:"service,omitempty"`
 	Fence       int64  `json:"fence"` // fencing number of the last order
+
+	State SidecarState `json:"state"`
+	// Ended are earlier incarnations that did not hand their records over.
+	// They let a recovery see which of a holder's runs nobody can account for.
+	Ended []EndedSidecar `json:"ended,omitempty"`
+}
+
+// SidecarState is the life cycle of a sidecar registration.
+type SidecarState string
+
+// States of a SidecarRow.
+const (
+	SidecarLive   SidecarState = "live"
+	SidecarClosed SidecarState = "closed" // stopped after it had handed over all records
+	SidecarGone   SidecarState = "gone"   // declared gone by an operator
+)
+
+// EndedSidecar is a sidecar incarnation that ended without handing over its
+// records.
+type EndedSidecar struct {
+	Incarnation string `json:"incarnation"`
+	NoticedUS   int64  `json:"noticed_us"` // unix time in microseconds
+}
+
+const (
+	endedKeepUS = 24 * 3600 * 1_000_000 // a live holder has settled its runs long before
+	maxEnded    = 64
+)
+
+// End returns the row with its incarnation among the ended ones, unless it had
+// stopped cleanly.
+func (r SidecarRow) End(nowUS int64) SidecarRow {
+	var kept []EndedSidecar
+	for _, e := range r.Ended {
+		if nowUS-e.NoticedUS < endedKeepUS {
+			kept = append(kept, e)
+		}
+	}
+	if r.State == SidecarLive && r.Incarnation != "" {
+		kept = append(kept, EndedSidecar{Incarnation: r.Incarnation, NoticedUS: nowUS})
+	}
+	if len(kept) > maxEnded {
+		kept = kept[len(kept)-maxEnded:]
+	}
+	r.Ended = kept
+	return r
+}
+
+// clockMarginUS is the bound on the difference between the clocks of two hosts
+// that Unaccounted assumes. A larger difference can hide an ended sidecar from
+// the recovery of a holder that failed within the margin of it.
+const clockMarginUS = 60 * 1_000_000
+
+// Unaccounted reports whether a holder whose lease was last renewed at
+// renewedUS may have had runs at an ended incarnation that it did not settle.
+// A holder that lived on for the margin has settled them.
+func (r SidecarRow) Unaccounted(renewedUS int64) bool {
+	for _, e := range r.Ended {
+		if renewedUS < e.NoticedUS+clockMarginUS {
+			return true
+		}
+	}
+	return false
 }
 
 // HolderKey returns the key of a router's registration.
--- a/internal/core/policy/access.go
+++ b/internal/core/policy/access.go
@@ -4,7 +4,9 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"net/http"
 	"slices"
+	"strings"
 )
 
 // HashKey returns the hex SHA-256 digest of a key. Keys are stored only in
@@ -65,3 +67,15 @@
 	}
 	return out
 }
+
+// Idempotent reports whether a call of the service may be repeated after a
+// failure. Calls that the document does not list are idempotent only if HTTP
+// defines their method as safe.
+func (s Service) Idempotent(method, path string) bool {
+	for _, c := range s.Calls {
+		if c.Method == method && strings.HasPrefix(path, c.PathPrefix) {
+			return c.Idempotent
+		}
+	}
+	return method == http.MethodGet || method == http.MethodHead
+}
--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -57,6 +57,7 @@
 // Service is a plain service behind the router.
 type Service struct {
 	PriceTokens int64  `json:"price_tokens"` // per call
+	KeyRequired bool   `json:"key_required"` // non-idempotent calls without an idempotency key are refused
 	Calls       []Call `json:"calls"`        // first match wins; no match means not idempotent unless GET or HEAD
 }
 
--- a/internal/escrow/manager.go
+++ b/internal/escrow/manager.go
@@ -15,6 +15,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/budget"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/core/member"
 	"tarragonridge.example/tarragonridge/internal/platform"
 )
 
@@ -49,13 +50,19 @@
 	ReleaseAll(ctx context.Context, team string, holders []string)
 }
 
-// Fencer makes every sidecar promise to accept no more work from a holder. It
-// returns the records that sidecars keep for the holder and the number of its
-// active runs. complete is true only if every sidecar incarnation that may
-// have run work of the holder has promised; records of incarnations that were
-// declared gone are part of records, with outcome lost.
+// Fencer makes every sidecar promise to accept no more work from a holder.
 type Fencer interface {
-	FenceEverywhere(ctx context.Context, holder string) (records []ledger.Record, active int, complete bool, err error)
+	FenceEverywhere(ctx context.Context, holder member.HolderRow) (Promise, error)
+}
+
+// Promise is what the sidecars have answered about a fenced holder.
+type Promise struct {
+	Records  []ledger.Record // runs of the holder that sidecars keep
+	Active   int             // runs of the holder in progress
+	Complete bool            // every registered sidecar has promised
+	// Unaccounted says that a sidecar incarnation which may have run work of
+	// the holder has ended without handing over its records.
+	Unaccounted bool
 }
 
 // Options configures a Manager. Table is required.
--- a/internal/escrow/recover.go
+++ b/internal/escrow/recover.go
@@ -17,14 +17,15 @@
 // transaction closes a grant together with its records, conditional on the
 // account, so only one of them applies.
 func (m *Manager) recover(ctx context.Context, holder member.HolderRow, version int64) error {
-	records, active, complete, err := m.opt.Fencer.FenceEverywhere(ctx, holder.Incarnation)
+	promise, err := m.opt.Fencer.FenceEverywhere(ctx, holder)
 	if err != nil {
 		return err
 	}
-	if !complete || active > 0 {
-		return errkind.New(errkind.Unreachable, "promises complete: %t, active runs: %d", complete, active)
+	if !promise.Complete || promise.Active > 0 {
+		return errkind.New(errkind.Unreachable, "promises complete: %t, active runs: %d", promise.Complete, promise.Active)
 	}
-	c := &closing{m: m, holder: holder, version: version, records: records}
+	records := promise.Records
+	c := &closing{m: m, holder: holder, version: version, records: records, unaccounted: promise.Unaccounted}
 	if err := c.run(ctx); err != nil {
 		return err
 	}
@@ -40,6 +41,9 @@
 	version int64           // of the holder row, a condition of every transaction
 	records []ledger.Record // may include stored ones
 	lastSeq int64           // of the holder's segments
+	// unaccounted charges what is left of each grant, because runs whose
+	// records are lost may have consumed it.
+	unaccounted bool
 }
 
 // grantOf is an account that holds a grant of the holder.
@@ -130,6 +134,10 @@
 		for _, r := range missing[g.team] {
 			extra += r.Charged
 		}
+		if rec, ok := c.unaccountedRecord(g, extra); ok {
+			extra += rec.Charged
+			segment.Records = append(segment.Records, rec)
+		}
 		account, err := g.account.CloseGrant(c.holder.Incarnation, extra)
 		if err != nil {
 			return err
@@ -152,6 +160,22 @@
 	return nil
 }
 
+// unaccountedRecord is the record that charges the rest of a grant as lost.
+func (c *closing) unaccountedRecord(g grantOf, extra int64) (ledger.Record, bool) {
+	grant := g.account.Grants[c.holder.Incarnation]
+	rest := grant.Granted - grant.Settled - extra
+	if !c.unaccounted || rest <= 0 {
+		return ledger.Record{}, false
+	}
+	now := c.m.opt.Clock().UnixMicro()
+	id := "unaccounted-" + c.holder.Incarnation
+	return ledger.Record{
+		Identity: ledger.Identity{Team: g.team, Key: id}, RunID: id + "-" + g.team, RequestID: id,
+		Holder: c.holder.Incarnation, Reserved: rest, Charged: rest, Outcome: ledger.Lost,
+		StartedUS: now, EndedUS: now,
+	}, true
+}
+
 // closeRow marks the holder as closed. The row stays, so that a sidecar that
 // starts later still refuses the holder.
 func (c *closing) closeRow(ctx context.Context) error {
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -77,12 +78,30 @@
 		}
 		records = append(records, seg.Records...)
 	}
+	entries := entriesOf(records, team, requestID)
+	slices.SortFunc(entries, func(a, b admin.Entry) int { return cmp.Compare(b.EndedUS, a.EndedUS) })
+	return entries[:min(limit, len(entries))], nil
+}
+
+// entriesOf splits the charge of each record into what is billed and what is
+// lost.
+func entriesOf(records []ledger.Record, team, requestID string) []admin.Entry {
+	billed := map[string]bool{}
+	for _, b := range ledger.Fold(records).Bills {
+		billed[b.RunID] = true
+	}
 	var entries []admin.Entry
-	for _, e := range ledger.Fold(records) {
-		entries = appendEntries(entries, e, team, requestID)
+	for _, rec := range records {
+		if (team != "" && rec.Team != team) || (requestID != "" && rec.RequestID != requestID) {
+			continue
+		}
+		entry := admin.Entry{Record: rec, Lost: rec.Charged}
+		if billed[rec.RunID] {
+			entry.Billed, entry.Lost = rec.Charged, 0
+		}
+		entries = append(entries, entry)
 	}
-	slices.SortFunc(entries, func(a, b admin.Entry) int { return int(b.EndedUS - a.EndedUS) })
-	return entries[:min(limit, len(entries))], nil
+	return entries
 }
 
 const ledgerPrefix = "ledger/"
--- a/internal/router/fencer.go
+++ b/internal/router/fencer.go
@@ -5,8 +5,9 @@
 	"encoding/json"
 	"sync"
 
-	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/member"
+	"tarragonridge.example/tarragonridge/internal/escrow"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/wire"
 )
@@ -17,31 +18,52 @@
 // FenceEverywhere asks every registered sidecar to promise that it accepts no
 // more work of the holder. It reads the registrations itself, so that a
 // sidecar that this router has not met yet makes the result incomplete.
-func (f fencer) FenceEverywhere(ctx context.Context, holder string) ([]ledger.Record, int, bool, error) {
+func (f fencer) FenceEverywhere(ctx context.Context, holder member.HolderRow) (escrow.Promise, error) {
+	promise := escrow.Promise{Complete: true}
 	rows, err := platform.ScanAll(ctx, f.r.table, member.SidecarPrefix)
 	if err != nil {
-		return nil, 0, false, err
+		return escrow.Promise{}, err
 	}
-	answers := make([]*wire.FenceResult, len(rows))
+	var live []member.SidecarRow
+	for _, row := range rows {
+		var reg member.SidecarRow
+		if err := json.Unmarshal(row.Value, &reg); err != nil {
+			return escrow.Promise{}, errkind.Wrap(err, errkind.Internal, "registration %s", row.Key)
+		}
+		if reg.Unaccounted(holder.Renewed) {
+			promise.Unaccounted = true
+		}
+		if reg.State == member.SidecarLive {
+			live = append(live, reg)
+		}
+	}
+	for _, answer := range f.askAll(ctx, live, holder.Incarnation) {
+		if answer == nil {
+			promise.Complete = false
+			continue
+		}
+		promise.Records = append(promise.Records, answer.Records...)
+		promise.Active += len(answer.Active)
+	}
+	return promise, nil
+}
+
+// askAll returns the promise of each registration's incarnation, or nil.
+func (f fencer) askAll(ctx context.Context, live []member.SidecarRow, holder string) []*wire.FenceResult {
+	answers := make([]*wire.FenceResult, len(live))
 	var wg sync.WaitGroup
-	for i, row := range rows {
+	for i, reg := range live {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			answers[i] = f.askRow(ctx, row, holder)
+			answers[i] = f.ask(ctx, reg, holder)
 		}()
 	}
 	wg.Wait()
-	records, active, complete := collect(answers)
-	return records, active, complete, nil
+	return answers
 }
 
-// askRow returns the promise of the registered incarnation, or nil.
-func (f fencer) askRow(ctx context.Context, row platform.Row, holder string) *wire.FenceResult {
-	var reg member.SidecarRow
-	if err := json.Unmarshal(row.Value, &reg); err != nil {
-		return nil
-	}
+func (f fencer) ask(ctx context.Context, reg member.SidecarRow, holder string) *wire.FenceResult {
 	t := f.r.sched.target(reg.Target)
 	if t == nil {
 		return nil
@@ -54,16 +76,3 @@
 	}
 	return &res
 }
-
-func collect(answers []*wire.FenceResult) (records []ledger.Record, active int, complete bool) {
-	complete = true
-	for _, a := range answers {
-		if a == nil {
-			complete = false
-			continue
-		}
-		records = append(records, a.Records...)
-		active += len(a.Active)
-	}
-	return records, active, complete
-}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/member"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/rpc"
@@ -54,6 +55,9 @@
 			r.opts.Logger.Warn("registration is not readable", "row", row.Key, "err", err)
 			continue
 		}
+		if reg.State != member.SidecarLive {
+			continue
+		}
 		seen[reg.Target] = true
 		r.applySidecar(ctx, reg)
 	}
@@ -156,3 +160,37 @@
 	err := t.link.Call(ctx, wire.MethodHolderFence, wire.Fence{Header: r.header(), Holder: holder}, &res)
 	return res, err
 }
+
+// declareGone marks a target's registration as gone. Its runs are settled by
+// the routers that have them as lost.
+func (r *Router) declareGone(ctx context.Context, row platform.Row) error {
+	var reg member.SidecarRow
+	if err := json.Unmarshal(row.Value, &reg); err != nil {
+		return errkind.Wrap(err, errkind.Internal, "registration %s", row.Key)
+	}
+	reg = reg.End(time.Now().UnixMicro())
+	reg.State = member.SidecarGone
+	value, err := json.Marshal(reg)
+	if err != nil {
+		return err
+	}
+	res, err := r.table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
+		Puts:       []platform.Put{{Key: row.Key, Value: value}},
+	})
+	if err != nil {
+		return err
+	}
+	if !res.Committed {
+		return errkind.New(errkind.Conflict, "target %s has registered again", reg.Target)
+	}
+	r.pokeMembers()
+	return nil
+}
+
+func (r *Router) pokeMembers() {
+	select {
+	case r.membersPoke <- struct{}{}:
+	default:
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -168,8 +168,8 @@
 
 // LoadRouter reads the settings of a router. A faulty file yields a
 // *FaultsError with all faults.
-func LoadRouter(path string) (*Router, error) {
-	s, faults := load(path, RoleRouter)
+func LoadRouter(path string, overrides ...Override) (*Router, error) {
+	s, faults := load(path, RoleRouter, overrides...)
 	if len(faults) > 0 {
 		return nil, &FaultsError{Faults: faults}
 	}
@@ -178,8 +178,8 @@
 
 // LoadSidecar reads the settings of a sidecar. A faulty file yields a
 // *FaultsError with all faults.
-func LoadSidecar(path string) (*Sidecar, error) {
-	s, faults := load(path, RoleSidecar)
+func LoadSidecar(path string, overrides ...Override) (*Sidecar, error) {
+	s, faults := load(path, RoleSidecar, overrides...)
 	if len(faults) > 0 {
 		return nil, &FaultsError{Faults: faults}
 	}
@@ -192,11 +192,15 @@
 	return faults
 }
 
-func load(path, role string) (any, []Fault) {
+func load(path, role string, overrides ...Override) (any, []Fault) {
 	data, err := readFile(path)
 	if err != nil {
 		return nil, []Fault{{File: path, Problem: err.Error(), Want: "a readable settings file"}}
 	}
+	data, err = apply(data, overrides)
+	if err != nil {
+		return nil, []Fault{{File: path, Problem: err.Error(), Want: "overrides of keys that the file may hold"}}
+	}
 	return parse(path, data, role)
 }
 
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
@@ -32,6 +33,11 @@
 	for s.unacked() > 0 && time.Now().Before(limit) {
 		time.Sleep(drainPoll)
 	}
+	if s.unacked() == 0 {
+		if err := s.closeRow(context.Background()); err != nil {
+			s.log.Warn("registration not closed", "err", err)
+		}
+	}
 	s.log.Info("stopped", "unacked", s.unacked())
 }
 
--- a/internal/sidecar/register.go
+++ b/internal/sidecar/register.go
@@ -59,7 +59,7 @@
 		s.raiseFence(old.Fence)
 		return nil // an earlier attempt took effect
 	}
-	value, err := json.Marshal(member.SidecarRow{
+	reg := member.SidecarRow{
 		Target:      s.opts.Target,
 		Incarnation: s.incarnation,
 		Addr:        addr,
@@ -69,24 +69,50 @@
 		Model:       s.opts.Model,
 		Service:     s.opts.Service,
 		Fence:       old.Fence,
-	})
+		State:       member.SidecarLive,
+		Ended:       old.End(time.Now().UnixMicro()).Ended,
+	}
+	// An uncertain commit is read back by the next attempt.
+	if err := s.commitRow(ctx, row.Version, reg); err != nil {
+		return err
+	}
+	s.raiseFence(old.Fence)
+	return nil
+}
+
+func (s *Server) commitRow(ctx context.Context, version int64, reg member.SidecarRow) error {
+	key := member.SidecarKey(s.opts.Target)
+	value, err := json.Marshal(reg)
 	if err != nil {
 		return err
 	}
 	result, err := s.opts.Table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: row.Version}},
+		Conditions: []platform.Condition{{Key: key, Version: version}},
 		Puts:       []platform.Put{{Key: key, Value: value}},
 	})
 	if err != nil {
-		return err // an uncertain commit is read back by the next attempt
+		return err
 	}
 	if !result.Committed {
 		return errkind.New(errkind.VersionConflict, "row %s has changed", key)
 	}
-	s.raiseFence(old.Fence)
 	return nil
 }
 
+// closeRow marks the registration as closed, which says that all records have
+// been handed over. If the table cannot be reached the row stays live, and the
+// successor lists this incarnation as ended.
+func (s *Server) closeRow(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	row, reg, err := s.readRow(ctx, member.SidecarKey(s.opts.Target))
+	if err != nil || reg.Incarnation != s.incarnation {
+		return err
+	}
+	reg.State = member.SidecarClosed
+	return s.commitRow(ctx, row.Version, reg)
+}
+
 func (s *Server) readRow(ctx context.Context, key string) (platform.Row, member.SidecarRow, error) {
 	var old member.SidecarRow
 	row, err := s.opts.Table.Get(ctx, key)
@@ -118,7 +144,7 @@
 		if err := json.Unmarshal(row.Value, &h); err != nil {
 			return errkind.Wrap(err, errkind.Internal, "row %s", row.Key)
 		}
-		if h.State == member.HolderFenced {
+		if h.State != member.HolderLive {
 			s.mu.Lock()
 			s.table.Fence(h.Incarnation)
 			s.mu.Unlock()
