--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -23,8 +23,9 @@
 )
 
 const (
-	maxKeyBytes     = 255
-	defaultWorkload = "default"
+	maxKeyBytes = 255
+	// defaultWorkload applies if neither the request nor the team names one.
+	defaultWorkload = "interactive"
 )
 
 // caller is the authenticated origin of a request.
@@ -46,10 +47,7 @@
 // admitCaller authenticates a request and applies the team's limits.
 func (r *Router) admitCaller(c *echo.Context) (*caller, error) {
 	in := c.Request()
-	cl := &caller{r: r, requestID: httpapi.RequestID(c), workload: in.Header.Get(workloadHeader)}
-	if cl.workload == "" {
-		cl.workload = defaultWorkload
-	}
+	cl := &caller{r: r, requestID: httpapi.RequestID(c)}
 	if r.isStopping() {
 		return nil, errkind.New(errkind.Stopping, "this router is stopping")
 	}
@@ -61,6 +59,7 @@
 		return nil, err
 	}
 	cl.team = team
+	cl.workload = workloadOf(in, team)
 	if cl.key, err = idempotencyKey(in); err != nil {
 		return nil, err
 	}
@@ -82,6 +81,18 @@
 	return team, nil
 }
 
+// workloadOf returns the workload that the request names, or else the first
+// that the team is permitted.
+func workloadOf(in *http.Request, team policy.Team) string {
+	if name := in.Header.Get(workloadHeader); name != "" {
+		return name
+	}
+	if len(team.Workloads) > 0 {
+		return team.Workloads[0]
+	}
+	return defaultWorkload
+}
+
 func idempotencyKey(in *http.Request) (string, error) {
 	key := in.Header.Get(keyHeader)
 	if len(key) > maxKeyBytes {
