--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -142,46 +142,63 @@
 	pos int
 }
 
+// step is what a reader finds: a chunk, the End, an error, or nothing yet. In
+// the last case wake is closed when that changes, and wait, if positive,
+// limits the wait.
+type step struct {
+	chunk *wire.Chunk
+	end   *wire.End
+	err   error
+	wake  <-chan struct{}
+	wait  time.Duration
+}
+
 // next returns the next chunk or, after all chunks, the End. It fails with
 // errkind.Unreachable if the connection stays lost for resumeTimeout.
 func (rd *reader) next(ctx context.Context) (*wire.Chunk, *wire.End, error) {
 	for {
-		chunk, end, err, wake, wait := rd.poll()
-		if chunk != nil || end != nil || err != nil {
-			return chunk, end, err
+		s := rd.poll()
+		if s.wake == nil {
+			return s.chunk, s.end, s.err
 		}
-		if err := waitFor(ctx, wake, wait); err != nil {
+		if err := waitFor(ctx, s.wake, s.wait); err != nil {
 			return nil, nil, err
 		}
 	}
 }
 
-func (rd *reader) poll() (*wire.Chunk, *wire.End, error, <-chan struct{}, time.Duration) {
+func (rd *reader) poll() step {
 	r := rd.run
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if rd.pos < len(r.buf) {
-		c := r.buf[rd.pos]
-		if !r.keepAll {
-			r.buf[rd.pos] = wire.Chunk{}
-		}
-		rd.pos++
-		return &c, nil, nil, nil, 0
+		return step{chunk: rd.take()}
 	}
 	if r.end != nil {
-		return nil, r.end, nil, nil, 0
+		return step{end: r.end}
 	}
 	if r.err != nil {
-		return nil, nil, r.err, nil, 0
+		return step{err: r.err}
 	}
-	wait := time.Duration(0)
-	if !r.lostSince.IsZero() {
-		wait = resumeTimeout - time.Since(r.lostSince)
-		if wait <= 0 {
-			return nil, nil, errkind.New(errkind.Unreachable, "sidecar of target %s stayed unreachable for %s", r.target.id, resumeTimeout), nil, 0
-		}
+	if r.lostSince.IsZero() {
+		return step{wake: r.wake}
+	}
+	wait := resumeTimeout - time.Since(r.lostSince)
+	if wait <= 0 {
+		return step{err: errkind.New(errkind.Unreachable, "sidecar of target %s stayed unreachable for %s", r.target.id, resumeTimeout)}
+	}
+	return step{wake: r.wake, wait: wait}
+}
+
+// take returns the chunk at the reader's position. A run that has one reader
+// only gives the chunk's memory up.
+func (rd *reader) take() *wire.Chunk {
+	c := rd.run.buf[rd.pos]
+	if !rd.run.keepAll {
+		rd.run.buf[rd.pos] = wire.Chunk{}
 	}
-	return nil, nil, nil, r.wake, wait
+	rd.pos++
+	return &c
 }
 
 // waitFor waits for wake, for ctx, or for the wait time if it is positive.
