Add the load tool

Measurements of the router fleet need a client that keeps sending while the system stands still, and that proves each answer complete and its own.

Arrivals are planned from a seed and sent at their times; latencies count from the planned time. A closed loop of workers was ruled out because it sends less when the system is slow. Open requests are limited, and arrivals beyond the limit are skipped and counted, so memory stays bounded.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -23,6 +23,7 @@
 
 // commands is the root of the command line.
 type commands struct {
+	Load    loadCmd    `cmd:"" help:"Generate load and compare results."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/load/config.go
@@ -0,0 +1,125 @@
+// Package load is an open-loop load generator. Requests are sent at their
+// planned times whether or not earlier ones have been answered, and latencies
+// count from the planned time, so a slow system cannot hide its delays.
+package load
+
+import (
+	"io"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Limits of a run.
+const (
+	maxRate        = 20_000        // requests per second
+	maxDuration    = 6 * time.Hour // sending time
+	maxInFlight    = 20_000        // requests
+	maxTeams       = 100_000
+	maxFaults      = 1000
+	maxAnswerBytes = 8 << 20 // of one answer
+	maxLineBytes   = 1 << 20 // of one event of a stream
+)
+
+// Credential is a team and its caller key.
+type Credential struct {
+	Team string `json:"team"`
+	Key  string `json:"key"`
+}
+
+// Config sets up a run. DefaultConfig states the defaults.
+type Config struct {
+	Targets       []string      // base URLs; each attempt goes to the next one
+	Model         string        // default standin-model
+	Mix           string        // assay or leaf; default assay
+	Rate          float64       // mean arrivals per second; default 10
+	Duration      time.Duration // sending time; default 30 s
+	Drain         time.Duration // longest wait for answers afterwards; default 30 s
+	Timeout       time.Duration // from the planned time of a request to giving up; default 60 s
+	Teams         []Credential  // in order of popularity
+	TeamSkew      float64       // Zipf exponent of teams, above 1; default 1.2
+	PrefixSkew    float64       // Zipf exponent of shared prefixes, above 1; default 1.1
+	Prefixes      int           // shared prefixes per team and kind; default 20
+	Seed          uint64        // default 1
+	KeyShare      float64       // share of completions that carry an Idempotency-Key, 0 to 1; default 1
+	MaxRetries    int           // attempts after the first; default 4
+	MaxInFlight   int           // arrivals beyond it are skipped and counted; default 2000
+	ExactLength   bool          // send ignore_eos and expect max_tokens tokens; default true
+	ServicePrefix string        // path before the service name; default /services
+	Faults        []Fault       // schedule of orders to stand-ins
+	Progress      io.Writer     // receives a line per ProgressEvery; nil for none
+	ProgressEvery time.Duration // default 1 s
+}
+
+// DefaultConfig returns the defaults. Targets and Teams have none.
+func DefaultConfig() Config {
+	return Config{
+		Model:         "standin-model",
+		Mix:           MixAssay,
+		Rate:          10,
+		Duration:      30 * time.Second,
+		Drain:         30 * time.Second,
+		Timeout:       time.Minute,
+		TeamSkew:      1.2,
+		PrefixSkew:    1.1,
+		Prefixes:      20,
+		Seed:          1,
+		KeyShare:      1,
+		MaxRetries:    4,
+		MaxInFlight:   2000,
+		ExactLength:   true,
+		ServicePrefix: "/services",
+		ProgressEvery: time.Second,
+	}
+}
+
+// Validate returns the first fault of the configuration.
+func (c Config) Validate() error {
+	checks := []struct {
+		ok   bool
+		text string
+	}{
+		{len(c.Targets) > 0, "no target"},
+		{c.Model != "", "model is missing"},
+		{mixes[c.Mix] != nil, "mix must be assay or leaf"},
+		{c.Rate > 0 && c.Rate <= maxRate, "rate must be above 0 and at most 20000"},
+		{c.Duration > 0 && c.Duration <= maxDuration, "duration must be above 0 and at most 6h"},
+		{c.Drain >= 0 && c.Drain <= maxDuration, "drain must be between 0 and 6h"},
+		{c.Timeout > 0, "timeout must be positive"},
+		{len(c.Teams) > 0 && len(c.Teams) <= maxTeams, "between 1 and 100000 teams are needed"},
+		{c.TeamSkew > 1, "team skew must be above 1"},
+		{c.PrefixSkew > 1, "prefix skew must be above 1"},
+		{c.Prefixes > 0, "prefixes must be positive"},
+		{c.KeyShare >= 0 && c.KeyShare <= 1, "key share must be between 0 and 1"},
+		{c.MaxRetries >= 0, "max retries must not be negative"},
+		{c.MaxInFlight > 0 && c.MaxInFlight <= maxInFlight, "max in flight must be between 1 and 20000"},
+		{len(c.Faults) <= maxFaults, "at most 1000 faults can be scheduled"},
+		{c.ProgressEvery > 0, "progress interval must be positive"},
+	}
+	for _, check := range checks {
+		if !check.ok {
+			return eris.New("load: " + check.text)
+		}
+	}
+	return c.validateURLs()
+}
+
+func (c Config) validateURLs() error {
+	for _, target := range c.Targets {
+		if !isHTTP(target) {
+			return eris.Errorf("load: target %q is not an http URL", target)
+		}
+	}
+	for i, fault := range c.Faults {
+		if err := fault.validate(); err != nil {
+			return eris.Wrapf(err, "load: fault %d", i)
+		}
+	}
+	return nil
+}
+
+func isHTTP(text string) bool {
+	u, err := url.Parse(text)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
--- /dev/null
+++ b/internal/load/fault.go
@@ -0,0 +1,99 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// faultTimeout bounds an order of the schedule.
+const faultTimeout = 5 * time.Second
+
+// Fault is an entry of the schedule: a body to POST to a stand-in at a time.
+type Fault struct {
+	AtSeconds float64         `json:"at_s"`
+	URL       string          `json:"url"`
+	Body      json.RawMessage `json:"body"`
+}
+
+// FaultResult tells what became of an entry.
+type FaultResult struct {
+	AtSeconds float64 `json:"at_s"` // when it was sent
+	URL       string  `json:"url"`
+	Status    int     `json:"status,omitempty"`
+	Error     string  `json:"error,omitempty"`
+}
+
+// ParseFaults reads a schedule, a JSON list of faults.
+func ParseFaults(data []byte) ([]Fault, error) {
+	var faults []Fault
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&faults); err != nil {
+		return nil, eris.Wrap(err, "fault schedule")
+	}
+	return faults, nil
+}
+
+func (f Fault) validate() error {
+	switch {
+	case f.AtSeconds < 0 || f.AtSeconds > maxDuration.Seconds():
+		return eris.New("at_s is out of range")
+	case !isHTTP(f.URL):
+		return eris.Errorf("%q is not an http URL", f.URL)
+	case !json.Valid(f.Body):
+		return eris.New("body is missing or not JSON")
+	}
+	return nil
+}
+
+// faultLog collects the results.
+type faultLog struct {
+	mu      sync.Mutex
+	results []FaultResult
+}
+
+// runFaults posts each entry at its time until ctx ends.
+func runFaults(ctx context.Context, client *http.Client, faults []Fault, start time.Time, log *faultLog) {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	for _, f := range faults {
+		tasks.Go(func() {
+			at := time.Duration(f.AtSeconds * float64(time.Second))
+			if sleep(ctx, time.Until(start.Add(at))) {
+				log.add(f.post(ctx, client, start))
+			}
+		})
+	}
+}
+
+func (f Fault) post(ctx context.Context, client *http.Client, start time.Time) FaultResult {
+	ctx, cancel := context.WithTimeout(ctx, faultTimeout)
+	defer cancel()
+	result := FaultResult{AtSeconds: time.Since(start).Seconds(), URL: f.URL}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.URL, bytes.NewReader(f.Body))
+	if err != nil {
+		result.Error = err.Error()
+		return result
+	}
+	request.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(request)
+	if err != nil {
+		result.Error = err.Error()
+		return result
+	}
+	defer resp.Body.Close()
+	result.Status = resp.StatusCode
+	return result
+}
+
+func (l *faultLog) add(r FaultResult) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.results = append(l.results, r)
+}
