--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -29,6 +29,7 @@
 	Router  routerCmd  `cmd:"" help:"Run a router."`
 	Sidecar sidecarCmd `cmd:"" help:"Run the sidecar of a target."`
 	Standin standinCmd `cmd:"" help:"Run a stand-in of an outside system."`
+	Load    loadCmd    `cmd:"" help:"Generate load and compare results."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Config  configCmd  `cmd:"" help:"Work with settings files."`
 	Admin   adminCmd   `cmd:"" help:"Operate a running fleet through a router."`
