Start one run per idempotency key at a router and keep long answers alive

Two requests with the same key that arrived together found no earlier run and started one each; a request now waits until the first has registered its run. The server's read timeout also ended the wait for answers longer than it; the deadline is cleared once the body is read. A record whose acknowledgement was lost stayed at its sidecar for ever, because the router had forgotten the run. Routers other than the accepting one push a configuration only to processes that are still behind after a second: with every router pushing to everyone, a change costs routers x processes messages.

--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -203,5 +203,10 @@
 	if err != nil {
 		return nil, errkind.New(errkind.InvalidRequest, "the body could not be read: %v", err)
 	}
+	// The server's read timeout covers the request only. Left in force it would
+	// also end the wait for a long answer, as if the caller had gone.
+	if err := http.NewResponseController(c.Response()).SetReadDeadline(time.Time{}); err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "read deadline")
+	}
 	return body, nil
 }
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sort"
@@ -32,12 +33,32 @@
 // run serves a request that may have an earlier run of the same identity.
 func (r *Router) run(c *echo.Context, caller *caller, req *request) error {
 	ctx := c.Request().Context()
-	if req.Resumable {
+	if !req.Resumable {
+		return r.fail(c, caller, req, r.submit(ctx, req))
+	}
+	return r.fail(c, caller, req, r.submitKeyed(ctx, req))
+}
+
+// submitKeyed serves a request with an idempotency key from an earlier run of
+// the same key or, if there is none, from a new one.
+func (r *Router) submitKeyed(ctx context.Context, req *request) error {
+	for {
+		leave, running, err := r.enter(ctx, req.Identity)
+		if err != nil {
+			return err
+		}
+		if running != nil {
+			if handled, err := r.join(ctx, req, running); handled {
+				return err
+			}
+			continue
+		}
+		defer leave()
 		if handled, err := r.resume(ctx, req); handled {
-			return r.fail(c, caller, req, err)
+			return err
 		}
+		return r.submit(ctx, req)
 	}
-	return r.fail(c, caller, req, r.submit(ctx, req))
 }
 
 // fail reports the end of a request. A stream that has started ends with an
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -71,6 +71,7 @@
 		if json.Unmarshal(params, &ping) == nil {
 			h.r.observe(ping.Header)
 			h.r.confirm(c.Peer(), ping.ConfigVersion)
+			h.r.pushIfBehind(c, ping.ConfigVersion)
 		}
 	}
 }
@@ -126,9 +127,7 @@
 	for _, rec := range records {
 		h.r.settleRecord(rec)
 	}
-	if report.ConfigVersion < h.r.config.Version() {
-		go h.r.pushConfig(c)
-	}
+	h.r.pushIfBehind(c, report.ConfigVersion)
 }
 
 // noteCrash counts a crash against the requests that may have caused it.
@@ -232,6 +231,10 @@
 // settleRecord books a record that a sidecar handed over outside the run's own
 // stream. Records of other holders are left to the recovery of that holder.
 func (r *Router) settleRecord(rec ledger.Record) {
+	if r.durable.has(rec.RunID) {
+		r.ack([]ledger.Record{rec}) // the first acknowledgement was lost
+		return
+	}
 	run := r.runByID(rec.RunID)
 	if run == nil || run.res == nil || rec.Holder != run.res.Holder() {
 		return
@@ -240,6 +243,15 @@
 	run.res.Settle(rec)
 }
 
+// recordsDurable is called with records that are stored in the table.
+func (r *Router) recordsDurable(records []ledger.Record) {
+	for _, rec := range records {
+		r.durable.add(rec.RunID)
+		r.metrics.tokens.WithLabelValues(string(rec.Outcome)).Add(float64(rec.Charged))
+	}
+	r.ack(records)
+}
+
 func (r *Router) cancelRun(run *run) {
 	r.removeRun(run)
 	if run.res != nil {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -150,6 +150,7 @@
 		if json.Unmarshal(params, &ping) == nil {
 			h.r.observe(ping.Header)
 			h.r.confirm(c.Peer(), ping.ConfigVersion)
+			h.r.pushIfBehind(c, ping.ConfigVersion)
 		}
 	}
 }
--- a/internal/router/process.go
+++ b/internal/router/process.go
@@ -32,6 +32,8 @@
 		listeners:   ln,
 		runs:        map[string]*run{},
 		byIdentity:  map[ledger.Identity]*run{},
+		entered:     map[ledger.Identity]chan struct{}{},
+		durable:     newRecentRuns(),
 		crashes:     quarantine.NewTracker(),
 		teams:       map[string]*teamLimits{},
 		confirmed:   map[string]confirmation{},
@@ -70,7 +72,7 @@
 	r.peers = newPeerSet(loopCtx, r)
 	r.escrow = escrow.New(r.escrowOptions())
 	r.budgets = escrowKeeper{r.escrow}
-	r.config.OnChange(func(*policy.Document) { go r.spreadConfig() })
+	r.config.OnChange(func(*policy.Document) { r.noteAdopted() })
 	for _, addr := range r.opts.Settings.Peers {
 		if addr != r.listeners.Peers.Addr().String() {
 			r.peers.connect(addr, true)
@@ -122,7 +124,7 @@
 		},
 		Logger:  r.opts.Logger,
 		Peers:   r.peers,
-		Durable: r.ack,
+		Durable: r.recordsDurable,
 		Fencer:  fencer{r},
 	}
 }
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -24,17 +24,14 @@
 // was found.
 func (r *Router) resume(ctx context.Context, req *request) (handled bool, err error) {
 	if run := r.runOf(req.Identity); run != nil {
-		if run.hash != req.ContentHash {
-			return true, errkind.New(errkind.IdempotencyConflict, "the key was used with another request")
-		}
-		return true, finalError(r.serve(ctx, req, run).err)
+		return r.join(ctx, req, run)
 	}
 	f := r.lookup(ctx, req)
 	if f == nil {
 		return false, nil
 	}
 	if f.hash != req.ContentHash {
-		return true, errkind.New(errkind.IdempotencyConflict, "the key was used with another request")
+		return true, errReusedKey
 	}
 	r.event("resume", req.RequestID, f.runID, req.Team, slog.String("target", f.target.id))
 	res := r.serveForeign(ctx, req, f.runID, f.target, f.sidecar)
@@ -44,6 +41,68 @@
 	return true, finalError(res.err)
 }
 
+var errReusedKey = errkind.New(errkind.IdempotencyConflict, "the key was used with another request")
+
+// join serves a request from a run that this router has.
+func (r *Router) join(ctx context.Context, req *request, run *run) (handled bool, err error) {
+	if run.hash != req.ContentHash {
+		return true, errReusedKey
+	}
+	res := r.serve(ctx, req, run)
+	if res.retry {
+		r.dropIdentity(run)
+		return false, nil
+	}
+	return true, finalError(res.err)
+}
+
+// dropIdentity lets a new run of the identity start beside one that cannot be
+// served any more. The old run stays until its record has arrived.
+func (r *Router) dropIdentity(run *run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byIdentity[run.identity] == run {
+		delete(r.byIdentity, run.identity)
+	}
+}
+
+// enter admits one request per identity at a time, so that two requests with
+// the same key do not start two runs. A request that finds another one joins
+// its run, or takes its place if it ended without one.
+func (r *Router) enter(ctx context.Context, id ledger.Identity) (leave func(), running *run, err error) {
+	for {
+		r.mu.Lock()
+		if run := r.byIdentity[id]; run != nil {
+			r.mu.Unlock()
+			return nil, run, nil
+		}
+		wait := r.entered[id]
+		if wait == nil {
+			wait = make(chan struct{})
+			r.entered[id] = wait
+			r.mu.Unlock()
+			return func() { r.leave(id, wait) }, nil, nil
+		}
+		r.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, nil, &errkind.Error{Kind: errkind.Canceled, Detail: "the caller left before a run started", Ran: errkind.RanNo}
+		}
+	}
+}
+
+// leave lets requests that wait for the identity go on. It is called when the
+// run is registered and again at the end of the request.
+func (r *Router) leave(id ledger.Identity, entered chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.entered[id] == entered {
+		delete(r.entered, id)
+		close(entered)
+	}
+}
+
 // lookup asks all connected sidecars of the pool in parallel whether they know
 // the identity.
 func (r *Router) lookup(ctx context.Context, req *request) *found {
@@ -104,7 +163,17 @@
 		run.lost(timeNow())
 		return
 	}
-	if !res.Known && run.fail(errkind.New(errkind.OutcomeUnknown, "the earlier run of this key is no longer kept")) {
+	var gone *errkind.Error
+	switch {
+	case !res.Known:
+		gone = errkind.New(errkind.OutcomeUnknown, "the earlier run of this key is not known any more")
+	case res.Expired:
+		gone = errkind.New(errkind.OutcomeUnknown, "the earlier run of this key has ended and its answer is no longer kept")
+		gone.Ran = errkind.RanYes
+	default:
+		return
+	}
+	if run.fail(gone) {
 		r.removeRun(run)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/claims"
@@ -67,6 +68,8 @@
 	mu         sync.Mutex
 	runs       map[string]*run
 	byIdentity map[ledger.Identity]*run
+	entered    map[ledger.Identity]chan struct{} // requests that have not registered a run yet
+	durable    *recentRuns                       // runs whose records are stored
 	crashes    *quarantine.Tracker
 	retries    admit.Share
 	teams      map[string]*teamLimits
@@ -74,6 +77,7 @@
 	unready    bool
 	stopping   bool
 	closed     chan struct{} // closed when the process ends
+	adoptedAt  atomic.Int64  // unix time in nanoseconds of the latest configuration change here
 }
 
 // budgetKeeper is the part of the escrow manager that requests use.
@@ -131,8 +135,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[run.id] = run
-	if run.keepAll {
-		r.byIdentity[run.identity] = run
+	if !run.keepAll {
+		return
+	}
+	r.byIdentity[run.identity] = run
+	if wait := r.entered[run.identity]; wait != nil {
+		delete(r.entered, run.identity)
+		close(wait)
 	}
 }
 
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/rpc"
 	"tarragonridge.example/tarragonridge/internal/wire"
 )
 
@@ -50,6 +51,24 @@
 	}
 }
 
+// pushDelay leaves the accepting router's own push the time to arrive, so that
+// 350 routers do not all push to the same processes.
+const pushDelay = 1 * time.Second
+
+// noteAdopted is called when a new configuration version is in force here.
+func (r *Router) noteAdopted() { r.adoptedAt.Store(time.Now().UnixNano()) }
+
+// pushIfBehind pushes the configuration to a process that still shows an older
+// version when the accepting router's push should have reached it.
+func (r *Router) pushIfBehind(c *rpc.Conn, version int64) {
+	if version >= r.config.Version() {
+		return
+	}
+	if time.Since(time.Unix(0, r.adoptedAt.Load())) > pushDelay {
+		go r.pushConfig(c)
+	}
+}
+
 // confirmations returns the live processes that have shown the version or a
 // later one, and those that have not.
 func (r *Router) confirmations(version int64) (confirmed, pending []string) {
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -22,6 +22,9 @@
 	errSidecarGone = errkind.New(errkind.TargetCrashed, "the sidecar was replaced during the run")
 )
 
+// targetCoolDown covers a period of load reports.
+const targetCoolDown = 500 * time.Millisecond
+
 // maxAttempts bounds the targets that one request tries.
 const maxAttempts = 4
 
@@ -50,6 +53,7 @@
 type attemptResult struct {
 	err   error // nil: the caller has the answer
 	retry bool  // another target may be tried
+	paid  bool  // the retry has been taken from the share already
 }
 
 // submit runs a request and passes its answer to its sink. The error, if any,
@@ -72,7 +76,7 @@
 		if r.quarantined(req) {
 			return &errkind.Error{Kind: errkind.RequestQuarantined, Detail: "the request crashed the targets that ran it", Ran: errkind.RanYes}
 		}
-		if !r.mayRetry(req) {
+		if !res.paid && !r.mayRetry(req, res.err) {
 			break
 		}
 	}
@@ -282,6 +286,7 @@
 // ended handles the End of a run.
 func (r *Router) ended(req *request, rd *reader, end *wire.End) attemptResult {
 	if end.Kind == errkind.NoTarget {
+		r.coolDown(rd.run.target)
 		return attemptResult{err: errkind.New(errkind.NoTarget, "target %s refused the connection", rd.run.target.id), retry: true}
 	}
 	if end.Record.Billable() && int64(rd.pos) != end.Chunks {
@@ -290,16 +295,13 @@
 	switch end.Record.Outcome {
 	case ledger.Whole, ledger.Capped:
 		r.clearSuspect(req)
-		if err := req.sink.finish(*end); err != nil {
-			return attemptResult{err: errkind.New(errkind.Canceled, "the caller left")}
-		}
-		return attemptResult{}
+		return finish(req, end)
 	case ledger.Crashed:
 		return r.crashed(req, end)
 	case ledger.Canceled:
 		return attemptResult{err: errkind.New(errkind.Canceled, "the run was canceled")}
 	default:
-		return r.targetError(req, end)
+		return r.failed(req, end)
 	}
 }
 
@@ -311,12 +313,57 @@
 	return attemptResult{err: err, retry: !req.sink.started()}
 }
 
-// targetError reports an error answer of the target.
-func (r *Router) targetError(req *request, end *wire.End) attemptResult {
-	if end.HTTPStatus >= 400 && end.HTTPStatus < 500 {
-		return attemptResult{err: &errkind.Error{Kind: errkind.InvalidRequest, Detail: "target: " + end.Detail, Billed: end.Record.Charged}}
+// finish completes the caller's answer. An error without a kind comes from the
+// caller's connection.
+func finish(req *request, end *wire.End) attemptResult {
+	err := req.sink.finish(*end)
+	var kinded *errkind.Error
+	switch {
+	case err == nil:
+		return attemptResult{}
+	case errors.As(err, &kinded):
+		kinded.Billed = end.Record.Charged
+		return attemptResult{err: kinded}
+	}
+	return attemptResult{err: errkind.New(errkind.Canceled, "the caller left")}
+}
+
+// failed handles a run that the target ended with an error.
+func (r *Router) failed(req *request, end *wire.End) attemptResult {
+	mayRepeat := req.idempotent && !req.sink.started()
+	if req.Kind == wire.ServiceRun && end.HTTPStatus > 0 {
+		return r.serviceError(req, end)
+	}
+	err := &errkind.Error{Kind: end.Kind, Detail: end.Detail, Billed: end.Record.Charged}
+	switch end.Kind {
+	case errkind.Overloaded:
+		err.Ran = errkind.RanNo
+		return attemptResult{err: err, retry: true}
+	case errkind.InvalidRequest, errkind.UnknownModel:
+		err.Ran = errkind.RanNo
+		return attemptResult{err: err}
+	case errkind.OutcomeUnknown:
+		return attemptResult{err: err}
+	}
+	err.Kind = errkind.TargetFailed
+	return attemptResult{err: err, retry: mayRepeat}
+}
+
+// serviceError passes a service's own error answer on. An idempotent call is
+// tried elsewhere first, as far as the share of retries allows.
+func (r *Router) serviceError(req *request, end *wire.End) attemptResult {
+	if req.idempotent && r.takeRetry() {
+		err := &errkind.Error{Kind: errkind.TargetFailed, Detail: end.Detail, Billed: end.Record.Charged}
+		return attemptResult{err: err, retry: true, paid: true}
 	}
-	return attemptResult{err: &errkind.Error{Kind: errkind.TargetFailed, Detail: end.Detail, Billed: end.Record.Charged}, retry: req.idempotent && !req.sink.started()}
+	return finish(req, end)
+}
+
+// coolDown keeps new work from a target that refuses connections, until its
+// sidecar has reported whether it is healthy.
+func (r *Router) coolDown(t *target) {
+	until := time.Now().Add(targetCoolDown)
+	r.sched.update(t, func(t *target) { t.coolUntil = until })
 }
 
 func crashKey(req *request) quarantine.Key {
@@ -347,13 +394,19 @@
 	r.retries.Request(r.config.Current().Active().RetryShare)
 }
 
-// mayRetry reports whether another attempt is allowed. Attempts after a crash
-// are exempt from the share, because the quarantine bounds them.
-func (r *Router) mayRetry(req *request) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.crashes.Suspect(time.Now(), crashKey(req)) {
+// mayRetry reports whether another attempt is allowed. A target that refused
+// the run has done no work, so that attempt costs nothing, and attempts after
+// a crash are bounded by the quarantine; the rest is a share of the requests.
+func (r *Router) mayRetry(req *request, err error) bool {
+	switch errkind.Of(err) {
+	case errkind.Draining, errkind.Fenced, errkind.Tombstoned, errkind.StaleConfig:
 		return true
 	}
+	return r.suspected(req) || r.takeRetry()
+}
+
+func (r *Router) takeRetry() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return r.retries.Retry()
 }
