--- /dev/null
+++ b/internal/router/assemble_test.go
@@ -0,0 +1,95 @@
+package router
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func raw(events ...string) []json.RawMessage {
+	var out []json.RawMessage
+	for _, e := range events {
+		out = append(out, json.RawMessage(e))
+	}
+	return out
+}
+
+// Guards against parts of tool calls, choices or logprobs being lost or mixed
+// when a streamed answer is put together.
+func TestAssembleChat(t *testing.T) {
+	doc, err := assemble(raw(
+		`{"id":"x","created":5,"model":"m","choices":[{"index":1,"delta":{"role":"assistant","content":"b"}}]}`,
+		`{"choices":[{"index":0,"delta":{"content":"a"},"logprobs":{"content":[{"token":"a"}]}}]}`,
+		`{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"id":"c1","function":{"name":"f","arguments":"{\"x\""}}]}}]}`,
+		`{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":":1}"}}]},"logprobs":{"content":[{"token":"z"}]}}]}`,
+		`{"choices":[{"index":0,"delta":{},"finish_reason":"tool_calls"},{"index":1,"delta":{},"finish_reason":"stop"}]}`,
+		`{"choices":[],"usage":{"total_tokens":9}}`,
+	), true)
+	assert.NilError(t, err)
+	assert.Equal(t, string(doc), `{"id":"x","object":"chat.completion","created":5,"model":"m","choices":[`+
+		`{"index":0,"message":{"role":"assistant","content":"a","refusal":null,"tool_calls":[{"id":"c1","type":"function","function":{"name":"f","arguments":"{\"x\":1}"}}]},"logprobs":{"content":[{"token":"a"},{"token":"z"}]},"finish_reason":"tool_calls"},`+
+		`{"index":1,"message":{"role":"assistant","content":"b","refusal":null},"logprobs":null,"finish_reason":"stop"}],"usage":{"total_tokens":9}}`)
+}
+
+// Guards against a malformed event of the target being passed off as an answer.
+func TestAssembleRejectsMalformedEvents(t *testing.T) {
+	_, err := assemble(raw(`{"choices":[{"index":99}]}`), true)
+	assert.ErrorContains(t, err, "choice 99")
+	_, err = assemble(raw(`{`), false)
+	assert.ErrorContains(t, err, "malformed")
+}
+
+// Guards against a prompt bound below what the engine may count.
+func TestPromptBoundCoversEveryByte(t *testing.T) {
+	body := `{"model":"m","messages":[{"role":"user","content":"h\u00e9llo"},{"role":"user","content":[{"type":"text","text":"abc"}]}],"tools":[{"type":"function"}]}`
+	c, err := parseCompletion([]byte(body), true)
+	assert.NilError(t, err)
+	text := int64(len("héllo") + len(`[{"type":"text","text":"abc"}]`) + len(`[{"type":"function"}]`))
+	assert.Assert(t, c.promptBound() >= text+2*templateTokensPerMessage+templateTokensPerRequest)
+}
+
+// Guards against a list of prompts being reserved as a single one.
+func TestChoicesCountPrompts(t *testing.T) {
+	for body, want := range map[string]int64{
+		`{"model":"m","prompt":"a"}`:                 1,
+		`{"model":"m","prompt":["a","b"],"n":3}`:     6,
+		`{"model":"m","prompt":[[1,2],[3]]}`:         2,
+		`{"model":"m","prompt":[1,2,3],"best_of":2}`: 2,
+	} {
+		c, err := parseCompletion([]byte(body), false)
+		assert.NilError(t, err)
+		assert.Equal(t, c.choices(), want, body)
+	}
+}
+
+// Guards against bad numbers costing the team tokens or overflowing the
+// reservation.
+func TestParseCompletionRejects(t *testing.T) {
+	for name, body := range map[string]string{
+		"negative max_tokens": `{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":-1}`,
+		"zero n":              `{"model":"m","messages":[{"role":"user","content":"x"}],"n":0}`,
+		"huge max_tokens":     `{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":99999999999999}`,
+		"no messages":         `{"model":"m"}`,
+		"no model":            `{"messages":[{"role":"user","content":"x"}]}`,
+		"not JSON":            `{"model":`,
+		"invalid UTF-8":       "{\"model\":\"m\xff\"}",
+	} {
+		_, err := parseCompletion([]byte(body), true)
+		assert.ErrorContains(t, err, "invalid_request", name)
+	}
+}
+
+func FuzzParseCompletion(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":3}`), true)
+	f.Add([]byte(`{"model":"m","prompt":["a","b"],"n":2}`), false)
+	f.Fuzz(func(t *testing.T, body []byte, chat bool) {
+		c, err := parseCompletion(body, chat)
+		if err != nil {
+			return
+		}
+		if bound := c.promptBound(); bound < 0 || bound > int64(20*len(body)+templateTokensPerRequest) {
+			t.Fatalf("prompt bound %d of a body of %d bytes", bound, len(body))
+		}
+	})
+}
--- a/internal/router/completion.go
+++ b/internal/router/completion.go
@@ -142,14 +142,32 @@
 		}
 		perChoice = model.MaxOutputTokens
 	}
-	choices := int64(1)
+	return perChoice * c.choices(), nil
+}
+
+// choices returns the most sequences that the engine generates.
+func (c *completionBody) choices() int64 {
+	n := int64(1)
 	if c.N != nil {
-		choices = *c.N
+		n = *c.N
 	}
 	if c.BestOf != nil {
-		choices = max(choices, *c.BestOf)
+		n = max(n, *c.BestOf)
+	}
+	return n * c.prompts()
+}
+
+// prompts returns the number of prompts: a completion request may hold a list
+// of texts or of token lists, and each has its own choices.
+func (c *completionBody) prompts() int64 {
+	var list []json.RawMessage
+	if json.Unmarshal(c.Prompt, &list) != nil || len(list) == 0 {
+		return 1
+	}
+	if first := list[0][0]; first == '"' || first == '[' {
+		return int64(len(list))
 	}
-	return perChoice * choices, nil
+	return 1
 }
 
 // promptText returns the start of the prompt for target choice.
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -32,9 +32,15 @@
 	m.gauge("tarragonridge_requests_waiting", "Requests that wait for a target.", func() float64 { return float64(r.sched.waiting()) })
 	m.gauge("tarragonridge_targets_usable", "Targets that take new work.", func() float64 { return float64(r.sched.usable()) })
 	m.gauge("tarragonridge_config_version", "Version of the configuration in force here.", func() float64 { return float64(r.config.Version()) })
+	m.counter("tarragonridge_rpc_received_bytes_total", "Bytes received from sidecars and routers.", func() float64 { return float64(r.traffic.Received.Load()) })
+	m.counter("tarragonridge_rpc_sent_bytes_total", "Bytes sent to sidecars and routers.", func() float64 { return float64(r.traffic.Sent.Load()) })
 	return m
 }
 
+func (m *metrics) counter(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+}
+
 func (m *metrics) gauge(name, help string, value func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -77,7 +77,8 @@
 	unready    bool
 	stopping   bool
 	closed     chan struct{} // closed when the process ends
-	adoptedAt  atomic.Int64  // unix time in nanoseconds of the latest configuration change here
+	traffic    rpc.Traffic
+	adoptedAt  atomic.Int64 // unix time in nanoseconds of the latest configuration change here
 }
 
 // budgetKeeper is the part of the escrow manager that requests use.
@@ -126,7 +127,7 @@
 }
 
 func (r *Router) rpcOptions() rpc.Options {
-	return rpc.Options{Hello: r.hello, Logger: r.opts.Logger}
+	return rpc.Options{Hello: r.hello, Logger: r.opts.Logger, Traffic: &r.traffic}
 }
 
 func (r *Router) preset() policy.Preset { return r.config.Current().Active() }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -46,6 +46,14 @@
 	SilenceAfter time.Duration     // default 2 s
 	DialTimeout  time.Duration     // default 1 s
 	Logger       *slog.Logger      // default slog.Default()
+	Traffic      *Traffic          // counts bytes; may be nil
+}
+
+// Traffic counts the bytes of all connections that share it, without the
+// overhead of TCP.
+type Traffic struct {
+	Received atomic.Int64
+	Sent     atomic.Int64
 }
 
 func (o Options) withDefaults() Options {
@@ -61,6 +69,9 @@
 	if o.Logger == nil {
 		o.Logger = slog.Default()
 	}
+	if o.Traffic == nil {
+		o.Traffic = &Traffic{}
+	}
 	return o
 }
 
@@ -132,7 +143,7 @@
 	c := &Conn{
 		opts:    opts,
 		handler: h,
-		sock:    newTrackedConn(sock, opts.SilenceAfter),
+		sock:    newTrackedConn(sock, opts.SilenceAfter, opts.Traffic),
 		ready:   make(chan struct{}),
 		done:    make(chan struct{}),
 	}
--- a/internal/rpc/tracked.go
+++ b/internal/rpc/tracked.go
@@ -11,10 +11,11 @@
 	net.Conn
 	lastRead     atomic.Int64 // unix time in nanoseconds
 	writeTimeout time.Duration
+	traffic      *Traffic
 }
 
-func newTrackedConn(sock net.Conn, writeTimeout time.Duration) *trackedConn {
-	t := &trackedConn{Conn: sock, writeTimeout: writeTimeout}
+func newTrackedConn(sock net.Conn, writeTimeout time.Duration, traffic *Traffic) *trackedConn {
+	t := &trackedConn{Conn: sock, writeTimeout: writeTimeout, traffic: traffic}
 	t.lastRead.Store(time.Now().UnixNano())
 	return t
 }
@@ -23,6 +24,7 @@
 func (t *trackedConn) Read(p []byte) (int, error) {
 	n, err := t.Conn.Read(p)
 	if n > 0 {
+		t.traffic.Received.Add(int64(n))
 		t.lastRead.Store(time.Now().UnixNano())
 	}
 	return n, err
@@ -34,7 +36,9 @@
 	if err := t.Conn.SetWriteDeadline(time.Now().Add(t.writeTimeout)); err != nil {
 		return 0, err
 	}
-	return t.Conn.Write(p)
+	n, err := t.Conn.Write(p)
+	t.traffic.Sent.Add(int64(n))
+	return n, err
 }
 
 func (t *trackedConn) silentFor(now time.Time) time.Duration {
