Test budgets, claims and escrow; explore the protocols exhaustively

A state in which a grant outlives its closed holder is reachable only if account writes ignore the holder row, so that condition stays on every draw and return.

Idle share was returned after 4 s instead of 2 s, because the demand window and the idle period added up. Share without any demand in the window is now returned at once.

--- a/internal/core/budget/holder.go
+++ b/internal/core/budget/holder.go
@@ -142,10 +142,15 @@
 	return max(need, ahead, 0)
 }
 
-// WantReturn returns the idle share to give back: what has exceeded the target
-// for IdlePeriod.
+// WantReturn returns the idle share to give back: all of it if there was no
+// demand for IdlePeriod, otherwise what has exceeded the target for that long,
+// so that small changes in demand cause no writes.
 func (h *Holder) WantReturn(now time.Time) int64 {
-	excess := h.Available() - h.target(now)
+	target := h.target(now)
+	excess := h.Available() - target
+	if excess > 0 && target == 0 {
+		return excess
+	}
 	if excess <= 0 {
 		h.excessSince = time.Time{}
 		return 0
--- /dev/null
+++ b/internal/escrow/escrow_test.go
@@ -0,0 +1,229 @@
+package escrow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/member"
+	"tarragonridge.example/tarragonridge/internal/platform/platformtest"
+)
+
+// Guards against a budget that is refused although it covers the request, and
+// against one that is exceeded.
+func TestBudgetIsUsedToTheLastToken(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	c.topUp(100)
+	for i := range 10 {
+		assert.NilError(t, c.run(c.nodes[i%3], 10, 10, 5*time.Second), "request %d", i)
+	}
+	started := time.Now()
+	err := c.run(c.nodes[0], 10, 10, 5*time.Second)
+	assert.Equal(t, errkind.Of(err), errkind.BudgetExhausted)
+	assert.Assert(t, time.Since(started) < 2*time.Second, "the final answer must not wait for the deadline")
+	c.eventually("all stored", func() bool { return c.account().Settled() == 100 })
+	c.audit()
+}
+
+// Guards against a wait for a budget that nothing can release, and against a
+// refusal as exhausted while a reservation may still release enough.
+func TestWaitForReservationsInFlight(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2)
+	c.topUp(100)
+	held, err := c.reserve(c.nodes[0], 80, time.Second)
+	assert.NilError(t, err)
+	_, err = c.reserve(c.nodes[1], 90, 300*time.Millisecond)
+	assert.Equal(t, errkind.Of(err), errkind.BudgetBusy)
+	_, err = c.reserve(c.nodes[1], 101, 5*time.Second)
+	assert.Equal(t, errkind.Of(err), errkind.BudgetExhausted)
+	got := make(chan error, 1)
+	go func() {
+		_, err := c.reserve(c.nodes[1], 90, 5*time.Second)
+		got <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	held.Lower(5)
+	assert.NilError(t, <-got)
+}
+
+// Guards against requests that wait for a table that is down, and against
+// refusals while the local share covers them.
+func TestTableDown(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	c.topUp(1000)
+	n := c.nodes[0]
+	assert.NilError(t, c.run(n, 10, 1, time.Second))
+	n.table.SetDown(true)
+	r, err := c.reserve(n, 5, time.Second)
+	assert.NilError(t, err)
+	r.Cancel()
+	started := time.Now()
+	_, err = c.reserve(n, 900, 5*time.Second)
+	assert.Equal(t, errkind.Of(err), errkind.PlatformUnavailable)
+	assert.Assert(t, time.Since(started) < time.Second)
+	n.table.SetDown(false)
+	_, err = c.reserve(n, 900, 5*time.Second)
+	assert.NilError(t, err)
+}
+
+// Guards against a top-up that counts twice after a lost answer.
+func TestTopUpIsIdempotent(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	n := c.nodes[0]
+	n.table.LoseNext(1)
+	first, err := n.TopUp(t.Context(), teamName, "k", 50, "op")
+	assert.NilError(t, err)
+	c.topUp(7)
+	again, err := n.TopUp(t.Context(), teamName, "k", 50, "op")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, first)
+	_, err = n.TopUp(t.Context(), teamName, "k", 51, "op")
+	assert.Equal(t, errkind.Of(err), errkind.Conflict)
+	assert.Equal(t, c.account().ToppedUp, int64(57))
+}
+
+// Guards against idle share that stays with a router.
+func TestIdleShareIsReturned(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	c.topUp(1000)
+	r, err := c.reserve(c.nodes[0], 100, time.Second)
+	assert.NilError(t, err)
+	r.Cancel()
+	c.nodes[0].Release(t.Context(), teamName)
+	assert.Equal(t, c.account().Held(), int64(0))
+	r, err = c.reserve(c.nodes[0], 100, time.Second)
+	assert.NilError(t, err)
+	r.Cancel()
+	c.eventually("idle share returned", func() bool { return c.account().Held() == 0 })
+}
+
+// Guards against a drain that loses records, keeps grants or is taken for a
+// crash.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	c.topUp(1000)
+	n := c.nodes[0]
+	id := n.Incarnation()
+	assert.NilError(t, c.run(n, 100, 30, time.Second))
+	n.table.LoseNext(2)
+	assert.NilError(t, n.Drain(t.Context()))
+	assert.Equal(t, len(c.account().Grants), 0)
+	assert.Equal(t, c.holder(id).State, member.HolderClosed)
+	_, err := c.reserve(n, 1, time.Second)
+	assert.Equal(t, errkind.Of(err), errkind.Stopping)
+	c.audit()
+}
+
+func (c *cluster) holder(id string) member.HolderRow {
+	row, err := c.memory.Get(context.Background(), holderKey(id))
+	assert.NilError(c.t, err)
+	var h member.HolderRow
+	assert.NilError(c.t, decode(row, &h))
+	return h
+}
+
+// Guards against a grant that is freed before every sidecar has promised, and
+// against records that die with their router. Two routers recover at once.
+func TestRecoveryOfDeadHolder(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	c.topUp(1000)
+	dead := c.nodes[0]
+	id := dead.Incarnation()
+	c.sidecar.unreachable = true
+	r, err := c.reserve(dead, 100, time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, c.sidecar.begin(id))
+	dead.kill()
+	r.Settle(c.sidecar.end(id, teamName, 100, 40)) // never flushed
+	c.eventually("fenced", func() bool { return c.holder(id).State == member.HolderFenced })
+	time.Sleep(2 * testLease)
+	assert.Assert(t, c.account().Grants[id].Held() >= 100, "held until all promise")
+	c.sidecar.mu.Lock()
+	c.sidecar.unreachable = false
+	c.sidecar.mu.Unlock()
+	c.eventually("closed", func() bool { return c.holder(id).State == member.HolderClosed })
+	_, held := c.account().Grants[id]
+	assert.Assert(t, !held)
+	c.audit()
+}
+
+// Guards against a paused router that resumes and spends a grant that was
+// already settled and freed.
+func TestPausedHolderIsFenced(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2)
+	c.topUp(1000)
+	n := c.nodes[0]
+	id := n.Incarnation()
+	r, err := c.reserve(n, 100, time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, c.sidecar.begin(id))
+	n.table.SetDown(true) // the router cannot renew and does not notice
+	c.eventually("fenced", func() bool { return c.holder(id).State == member.HolderFenced })
+	rec := c.sidecar.end(id, teamName, 100, 60)
+	c.eventually("closed", func() bool { return c.holder(id).State == member.HolderClosed })
+	assert.Assert(t, !c.sidecar.begin(id))
+	n.Fenced()
+	r.Settle(rec)
+	assert.Assert(t, n.Incarnation() != id)
+	assert.Assert(t, !n.Ready())
+	n.table.SetDown(false)
+	c.eventually("registered again", n.Ready)
+	assert.NilError(t, c.run(n, 10, 10, time.Second))
+	c.eventually("stored", func() bool { return c.account().Settled() == 70 })
+	c.audit()
+}
+
+// Guards against any mix of lost answers, late writes, refusals, top-ups, a
+// crash and a fence that overspends, loses a record or stores one twice.
+func TestStorm(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3)
+	c.topUp(2000)
+	for _, n := range c.nodes {
+		n.table.Set(platformtest.Faults{Refuse: 0.05, Lose: 0.1, Late: 0.1, Delay: 2 * time.Millisecond})
+	}
+	var wg sync.WaitGroup
+	for i, n := range c.nodes {
+		for worker := range 4 {
+			wg.Go(func() {
+				random := rand.New(rand.NewPCG(uint64(i), uint64(worker)))
+				for range 30 {
+					reserved := 1 + random.Int64N(40)
+					_ = c.run(n, reserved, random.Int64N(reserved+1), 200*time.Millisecond)
+				}
+			})
+		}
+	}
+	time.Sleep(150 * time.Millisecond)
+	c.nodes[2].kill()
+	c.nodes[1].Fenced()
+	_, _ = c.nodes[0].TopUp(t.Context(), teamName, "later", 3000, "op")
+	wg.Wait()
+	for _, n := range c.nodes {
+		n.table.Set(platformtest.Faults{})
+	}
+	c.eventually("all runs stored", func() bool {
+		a := c.account()
+		return a.Settled() == c.sidecar.consumed && len(a.Grants) <= 2
+	})
+	for _, n := range c.nodes[:2] {
+		assert.NilError(t, n.Drain(t.Context()))
+		assert.NilError(t, n.table.ApplyLate(t.Context()))
+	}
+	c.eventually("all grants closed", func() bool { return c.account().Held() == 0 })
+	c.audit()
+	assert.Assert(t, c.sidecar.runs > 50, "the storm must let requests through: %d", c.sidecar.runs)
+}
--- /dev/null
+++ b/internal/escrow/helpers_test.go
@@ -0,0 +1,221 @@
+package escrow
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"tarragonridge.example/tarragonridge/internal/core/budget"
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/platform/platformtest"
+)
+
+const (
+	testFlush = 10 * time.Millisecond
+	testLease = 300 * time.Millisecond
+	teamName  = "assay"
+)
+
+// fakeSidecar keeps records until they are durable and promises to refuse
+// fenced holders.
+type fakeSidecar struct {
+	mu          sync.Mutex
+	fenced      map[string]bool
+	active      map[string]int
+	kept        map[string]ledger.Record // by run id
+	unreachable bool
+	consumed    int64
+	runs        int
+}
+
+func newSidecar() *fakeSidecar {
+	return &fakeSidecar{fenced: map[string]bool{}, active: map[string]int{}, kept: map[string]ledger.Record{}}
+}
+
+// begin reports whether the sidecar accepts a run of the holder.
+func (s *fakeSidecar) begin(holder string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fenced[holder] {
+		return false
+	}
+	s.active[holder]++
+	return true
+}
+
+// end ends a run and returns its record.
+func (s *fakeSidecar) end(holder, name string, reserved, charged int64) ledger.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs++
+	s.active[holder]--
+	s.consumed += charged
+	r := ledger.Record{
+		Identity: ledger.Identity{Team: name, Key: fmt.Sprintf("key%d", s.runs)},
+		RunID:    fmt.Sprintf("run%d", s.runs), Holder: holder,
+		Reserved: reserved, Charged: charged, Outcome: ledger.Whole,
+	}
+	s.kept[r.RunID] = r
+	return r
+}
+
+func (s *fakeSidecar) durable(records []ledger.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		delete(s.kept, r.RunID)
+	}
+}
+
+func (s *fakeSidecar) FenceEverywhere(_ context.Context, holder string) ([]ledger.Record, int, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unreachable {
+		return nil, 0, false, nil
+	}
+	s.fenced[holder] = true
+	var records []ledger.Record
+	for _, r := range s.kept {
+		if r.Holder == holder {
+			records = append(records, r)
+		}
+	}
+	return records, s.active[holder], true, nil
+}
+
+// cluster is a set of routers over one table and one sidecar.
+type cluster struct {
+	t       *testing.T
+	memory  *platform.Memory
+	sidecar *fakeSidecar
+	mu      sync.Mutex
+	nodes   []*node
+}
+
+// node is a router with its own path to the table.
+type node struct {
+	*Manager
+	table *platformtest.Faulty
+	kill  func() // ends Run without a drain, as a crash does
+}
+
+func newCluster(t *testing.T, routers int) *cluster {
+	c := &cluster{t: t, memory: platform.NewMemory(), sidecar: newSidecar()}
+	for i := range routers {
+		c.add(uint64(i + 1))
+	}
+	return c
+}
+
+func (c *cluster) add(seed uint64) *node {
+	n := &node{table: platformtest.New(c.memory, seed)}
+	n.Manager = New(Options{
+		Table: n.table, Registration: Registration{Host: fmt.Sprint("host", seed)},
+		Logger:     slog.New(slog.NewTextHandler(io.Discard, nil)),
+		FlushEvery: testFlush, LeaseTimeout: testLease,
+		Peers: c, Durable: c.sidecar.durable, Fencer: c.sidecar,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.Run(ctx)
+	}()
+	n.kill = func() { cancel(); <-done }
+	c.t.Cleanup(n.kill)
+	c.mu.Lock()
+	c.nodes = append(c.nodes, n)
+	c.mu.Unlock()
+	c.eventually("router ready", n.Ready)
+	return n
+}
+
+// ReleaseAll implements Peers.
+func (c *cluster) ReleaseAll(ctx context.Context, team string, holders []string) {
+	c.mu.Lock()
+	nodes := append([]*node(nil), c.nodes...)
+	c.mu.Unlock()
+	for _, n := range nodes {
+		for _, h := range holders {
+			if n.Incarnation() == h {
+				n.Release(ctx, team)
+			}
+		}
+	}
+}
+
+func (c *cluster) eventually(what string, ok func() bool) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(2*time.Millisecond), poll.WithTimeout(8*time.Second))
+}
+
+func (c *cluster) topUp(tokens int64) {
+	c.t.Helper()
+	_, err := c.nodes[0].TopUp(c.t.Context(), teamName, fmt.Sprint("topup", tokens), tokens, "op")
+	assert.NilError(c.t, err)
+}
+
+// account reads the account past the routers and checks its equation.
+func (c *cluster) account() budget.Account {
+	c.t.Helper()
+	row, err := c.memory.Get(context.Background(), accountKey(teamName))
+	assert.NilError(c.t, err)
+	s, err := decodeAccount(row)
+	assert.NilError(c.t, err)
+	assert.NilError(c.t, s.account.Check())
+	return s.account
+}
+
+// audit checks that the ledger, the account and the sidecar agree.
+func (c *cluster) audit() {
+	c.t.Helper()
+	rows, err := platform.ScanAll(context.Background(), c.memory, ledger.Prefix)
+	assert.NilError(c.t, err)
+	var records []ledger.Record
+	for _, row := range rows {
+		var s ledger.Segment
+		assert.NilError(c.t, decode(row, &s))
+		records = append(records, s.Records...)
+	}
+	account := c.account()
+	book := ledger.Fold(records)
+	assert.Equal(c.t, len(ledger.CheckRecords(records)), 0)
+	assert.DeepEqual(c.t, book.Check(map[string]int64{teamName: account.Settled()}), []error(nil))
+	assert.Equal(c.t, len(book.Bills), c.sidecar.runs)
+	assert.Equal(c.t, account.Settled(), c.sidecar.consumed)
+}
+
+func (c *cluster) reserve(n *node, tokens int64, wait time.Duration) (*Reservation, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	return n.Reserve(ctx, teamName, tokens)
+}
+
+// run makes a whole request and reports its error.
+func (c *cluster) run(n *node, reserved, charged int64, wait time.Duration) error {
+	r, err := c.reserve(n, reserved, wait)
+	if err != nil {
+		return err
+	}
+	if !c.sidecar.begin(r.Holder()) {
+		n.GiveUp(r.Holder())
+		r.Cancel()
+		return errkind.New(errkind.Fenced, "refused")
+	}
+	r.Settle(c.sidecar.end(r.Holder(), teamName, reserved, charged))
+	return nil
+}
--- /dev/null
+++ b/internal/modelcheck/key.go
@@ -0,0 +1,99 @@
+package modelcheck
+
+import (
+	"bytes"
+	"slices"
+
+	"tarragonridge.example/tarragonridge/internal/core/budget"
+	"tarragonridge.example/tarragonridge/internal/core/claim"
+)
+
+// encoder builds the key of a state. Every number in the model fits a byte.
+type encoder []byte
+
+func (e *encoder) ints(values ...int) {
+	for _, v := range values {
+		*e = append(*e, byte(v))
+	}
+}
+
+func (e *encoder) bools(values ...bool) {
+	for _, v := range values {
+		if v {
+			*e = append(*e, 1)
+		} else {
+			*e = append(*e, 0)
+		}
+	}
+}
+
+// text appends a string and a terminator.
+func (e *encoder) text(s string) { *e = append(append(*e, s...), 0) }
+
+func (e *encoder) grant(g budget.Grant) { e.ints(int(g.Seq), int(g.Granted), int(g.Settled)) }
+
+func (e *encoder) account(a budget.Account) {
+	e.ints(int(a.ClosedSettled))
+	for i := range routers {
+		e.grant(a.Grants[name(i)])
+	}
+}
+
+func (e *encoder) claim(c claim.Claim) {
+	e.text(string(c.State))
+	e.text(c.Attempt.ID)
+	e.ints(c.Attempts)
+}
+
+func (e *encoder) router(r router) {
+	e.text(string(r.Stage))
+	e.bools(r.Waiting, r.Uncertain)
+	e.ints(r.Tried, int(r.Holder.Consumed()), int(r.Holder.Reserved()))
+	e.grant(r.Holder.Stored())
+	pending, _ := r.Holder.Pending()
+	e.grant(pending)
+}
+
+func (e *encoder) message(m message) {
+	e.text(string(m.Kind))
+	e.bools(m.Orphan)
+	e.ints(m.From, m.AccountV, m.HolderV, m.ClaimV)
+	switch m.Kind {
+	case startRun:
+	case claimWrite:
+		e.claim(m.Claim)
+	default:
+		e.account(m.Account)
+		e.text(m.Records)
+	}
+}
+
+// key returns a text that is equal for equal states. The order of messages in
+// flight does not matter.
+func (s state) key() string {
+	var e encoder
+	e.account(s.Account)
+	e.ints(s.AccountV, s.ClaimV, s.Crashes, s.Lost, s.Fences)
+	e.ints(s.HolderV[:]...)
+	e.ints(s.Sidecar.Started[:]...)
+	e.bools(s.Fenced[:]...)
+	e.bools(s.Closed[:]...)
+	e.bools(s.Segment[:]...)
+	e.bools(s.Sidecar.Fenced[:]...)
+	e.bools(s.Sidecar.Tombstone[:]...)
+	e.bools(s.Sidecar.Ended[:]...)
+	e.claim(s.Claim)
+	e.text(s.Ledger)
+	for _, r := range s.Routers {
+		e.router(r)
+	}
+	net := make([]encoder, len(s.Net))
+	for i, m := range s.Net {
+		net[i].message(m)
+	}
+	slices.SortFunc(net, func(a, b encoder) int { return bytes.Compare(a, b) })
+	for _, m := range net {
+		e = append(e, m...)
+	}
+	return string(e)
+}
