Never adopt the version of a fenced holder row

When a condition on the own row failed, its new version was taken over before the incarnation was given up. A draw planned in between would have been conditional on the fenced row and could have been stored after the grants were closed. The cached account of an idle team is dropped, because it grows with the number of routers that hold a grant.

--- a/internal/core/budget/holder.go
+++ b/internal/core/budget/holder.go
@@ -131,6 +131,10 @@
 	return demandFactor * sum
 }
 
+// Idle reports whether there was no demand for IdlePeriod and no request is in
+// progress.
+func (h *Holder) Idle(now time.Time) bool { return h.reserved == 0 && h.target(now) == 0 }
+
 // WantDraw returns the size of the next draw, given the tokens that the
 // waiting request lacks and the account's Left. It is 0 if left cannot cover
 // the need.
--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/budget"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
@@ -179,13 +180,26 @@
 	}
 }
 
+// forgetIfIdle drops the cached account of a team without demand: most of the
+// teams are idle at a router at any time. m.mu is held.
+func (t *team) forgetIfIdle(now time.Time) {
+	if t.cached != nil && t.holder.Idle(now) && t.tryLock() {
+		t.cached = nil
+		t.unlock()
+	}
+}
+
 // returnIdle returns what has been idle long enough.
 func (m *Manager) returnIdle(inc *incarnation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.opt.Clock()
 	for _, t := range inc.teams {
-		if inc.dead || len(t.waiters) > 0 || t.holder.WantReturn(now) == 0 || !t.tryLock() {
+		if inc.dead || len(t.waiters) > 0 {
+			continue
+		}
+		t.forgetIfIdle(now)
+		if t.holder.WantReturn(now) == 0 || !t.tryLock() {
 			continue
 		}
 		started := m.spawn(func() {
--- a/internal/escrow/manager.go
+++ b/internal/escrow/manager.go
@@ -268,8 +268,14 @@
 func (m *Manager) GiveUp(holder string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	old := m.inc
-	if old.id != holder || old.version == 0 || old.dead {
+	if m.inc.id == holder && m.inc.version > 0 {
+		m.giveUp(m.inc)
+	}
+}
+
+// giveUp replaces an incarnation. m.mu is held.
+func (m *Manager) giveUp(old *incarnation) {
+	if old.dead {
 		return
 	}
 	m.bury(old)
--- a/internal/escrow/rows.go
+++ b/internal/escrow/rows.go
@@ -165,8 +165,7 @@
 func (m *Manager) checkHolder(ctx context.Context, inc *incarnation) error {
 	row, err := m.get(ctx, holderKey(inc.id))
 	if errkind.Is(err, errkind.NotFound) {
-		m.GiveUp(inc.id)
-		return errkind.New(errkind.Fenced, "holder row is gone")
+		return m.fenced(inc, "gone")
 	}
 	if err != nil {
 		return unavailable(err)
@@ -183,9 +182,16 @@
 		m.adopt(inc, row.Version)
 		return nil
 	}
-	m.adopt(inc, row.Version) // so that an incarnation fenced before it was ready is given up too
-	m.GiveUp(inc.id)
-	return errkind.New(errkind.Fenced, "holder is %s", holder.State)
+	return m.fenced(inc, holder.State)
+}
+
+// fenced gives up an incarnation whose row is not live. The version of such a
+// row is never adopted, because account writes are conditional on it.
+func (m *Manager) fenced(inc *incarnation, state string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.giveUp(inc)
+	return errkind.New(errkind.Fenced, "holder row is %s", state)
 }
 
 // checkConflict looks for the own row among the rows of failed conditions. A
