--- a/internal/core/budget/holder.go
+++ b/internal/core/budget/holder.go
@@ -131,6 +131,10 @@
 	return demandFactor * sum
 }
 
+// Idle reports whether there was no demand for IdlePeriod and no request is in
+// progress.
+func (h *Holder) Idle(now time.Time) bool { return h.reserved == 0 && h.target(now) == 0 }
+
 // WantDraw returns the size of the next draw, given the tokens that the
 // waiting request lacks and the account's Left. It is 0 if left cannot cover
 // the need.
@@ -142,10 +146,15 @@
 	return max(need, ahead, 0)
 }
 
-// WantReturn returns the idle share to give back: what has exceeded the target
-// for IdlePeriod.
+// WantReturn returns the idle share to give back: all of it if there was no
+// demand for IdlePeriod, otherwise what has exceeded the target for that long,
+// so that small changes in demand cause no writes.
 func (h *Holder) WantReturn(now time.Time) int64 {
-	excess := h.Available() - h.target(now)
+	target := h.target(now)
+	excess := h.Available() - target
+	if excess > 0 && target == 0 {
+		return excess
+	}
 	if excess <= 0 {
 		h.excessSince = time.Time{}
 		return 0
