--- /dev/null
+++ b/internal/sidecar/harness_test.go
@@ -0,0 +1,239 @@
+package sidecar_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/core/run"
+	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/rpc"
+	"tarragonridge.example/tarragonridge/internal/sidecar"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+const waitLimit = 15 * time.Second // bounds a failure; decoding 5 MB with the race detector takes some seconds
+
+// process is a running sidecar.
+type process struct {
+	addr string
+	stop context.CancelFunc
+	done chan error
+}
+
+func options(targetURL string) sidecar.Options {
+	return sidecar.Options{
+		Kind:          sidecar.Engine,
+		Target:        "t1",
+		TargetURL:     targetURL,
+		Model:         "m1",
+		Host:          "host1",
+		Domain:        "d1",
+		Listen:        "127.0.0.1:0",
+		Table:         platform.NewMemory(),
+		HandoverLimit: time.Millisecond,
+		Limits:        run.Limits{OrphanFor: 400 * time.Millisecond},
+		RPC:           rpc.Options{SilenceAfter: 10 * time.Second},
+		Logger:        slog.New(slog.DiscardHandler),
+	}
+}
+
+func startSidecar(t *testing.T, opts sidecar.Options) *process {
+	t.Helper()
+	ready := make(chan string, 1)
+	opts.Ready = func(addr string) { ready <- addr }
+	server, err := sidecar.New(opts)
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	p := &process{stop: stop, done: make(chan error, 1)}
+	go func() { p.done <- server.Run(ctx) }()
+	t.Cleanup(stop)
+	p.addr = receive(t, ready)
+	return p
+}
+
+func receive[T any](t *testing.T, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(waitLimit):
+		t.Fatal("nothing received in time")
+		panic("unreachable")
+	}
+}
+
+// router is the other side of a sidecar's connection.
+type router struct {
+	conn    *rpc.Conn
+	mu      sync.Mutex
+	chunks  map[string][]wire.Chunk
+	ends    chan wire.End
+	reports chan wire.LoadReport
+	hold    chan struct{} // if set, notifications wait until it is closed
+}
+
+func dial(t *testing.T, addr, name string, hold chan struct{}) *router {
+	t.Helper()
+	r := &router{
+		chunks:  map[string][]wire.Chunk{},
+		ends:    make(chan wire.End, 16),
+		reports: make(chan wire.LoadReport, 1000),
+		hold:    hold,
+	}
+	hello := func() wire.Hello { return wire.Hello{Role: "router", Incarnation: name} }
+	opts := rpc.Options{Hello: hello, SilenceAfter: 10 * time.Second, Logger: slog.New(slog.DiscardHandler)}
+	conn, err := rpc.Dial(context.Background(), addr, opts, r)
+	assert.NilError(t, err)
+	r.conn = conn
+	t.Cleanup(func() { _ = conn.Close() })
+	return r
+}
+
+func (r *router) Opened(*rpc.Conn)        {}
+func (r *router) Closed(*rpc.Conn, error) {}
+
+func (r *router) Call(context.Context, *rpc.Conn, string, json.RawMessage) (any, error) {
+	return nil, nil
+}
+
+func (r *router) Notify(_ *rpc.Conn, method string, params json.RawMessage) {
+	if r.hold != nil {
+		<-r.hold
+	}
+	switch method {
+	case wire.MethodRunChunk:
+		var c wire.Chunk
+		_ = json.Unmarshal(params, &c)
+		r.mu.Lock()
+		r.chunks[c.RunID] = append(r.chunks[c.RunID], c)
+		r.mu.Unlock()
+	case wire.MethodRunEnd:
+		var e wire.End
+		_ = json.Unmarshal(params, &e)
+		r.ends <- e
+	case wire.MethodLoadReport:
+		var l wire.LoadReport
+		_ = json.Unmarshal(params, &l)
+		r.reports <- l
+	}
+}
+
+// call fails the test on an error of the connection.
+func call[R any](t *testing.T, r *router, method string, params any) R {
+	t.Helper()
+	var out R
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	assert.NilError(t, r.conn.Call(ctx, method, params, &out))
+	return out
+}
+
+func (r *router) start(t *testing.T, s wire.StartRun) wire.StartResult {
+	t.Helper()
+	return call[wire.StartResult](t, r, wire.MethodRunStart, s)
+}
+
+// answer returns the events of a run and checks that they are contiguous.
+func (r *router) answer(t *testing.T, end wire.End) []string {
+	t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for i, c := range r.chunks[end.RunID] {
+		assert.Equal(t, c.Seq, int64(i))
+		for _, ev := range c.Events {
+			out = append(out, canonical(t, string(ev)))
+		}
+	}
+	assert.Equal(t, int64(len(r.chunks[end.RunID])), end.Chunks)
+	return out
+}
+
+// canonical orders the keys of a JSON object, because jsonrpc2 does not keep
+// their order.
+func canonical(t *testing.T, raw string) string {
+	t.Helper()
+	var fields map[string]any
+	decoder := json.NewDecoder(strings.NewReader(raw))
+	decoder.UseNumber()
+	assert.NilError(t, decoder.Decode(&fields))
+	out, err := json.Marshal(fields)
+	assert.NilError(t, err)
+	return string(out)
+}
+
+func completion(id string) wire.StartRun {
+	return wire.StartRun{
+		Identity:    ledger.Identity{Team: "team", Key: "key-" + id},
+		RunID:       id,
+		RequestID:   "request-" + id,
+		Holder:      "h1",
+		Kind:        wire.Completion,
+		Model:       "m1",
+		Method:      http.MethodPost,
+		Path:        "/v1/chat/completions",
+		ContentType: "application/json",
+		Body:        []byte(`{"model":"m1","messages":[],"max_tokens":500}`),
+		ContentHash: "hash",
+		Reserved:    100,
+		OutputCap:   10,
+	}
+}
+
+func token(text string) string {
+	return fmt.Sprintf(`{"choices":[{"index":0,"delta":{"content":%q},"finish_reason":null}]}`, text)
+}
+
+const (
+	finish = `{"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`
+	usage  = `{"choices":[],"usage":{"prompt_tokens":7,"completion_tokens":2}}`
+)
+
+// event writes and flushes one server-sent event.
+func event(w http.ResponseWriter, payload string) {
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", payload)
+	w.(http.Flusher).Flush()
+}
+
+// engine serves completions with a handler; other paths are not found.
+func engine(t *testing.T, serve http.HandlerFunc) *httptest.Server {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
+		// net/http notices a client that leaves only once the body is read.
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		serve(w, r)
+	})
+	server := httptest.NewUnstartedServer(mux)
+	server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
+func serveWhole(w http.ResponseWriter, _ *http.Request) {
+	for _, payload := range []string{token("a"), token("b"), finish, usage, "[DONE]"} {
+		event(w, payload)
+	}
+}
+
+func readBody(r *http.Request) map[string]any {
+	var out map[string]any
+	raw, _ := io.ReadAll(r.Body)
+	_ = json.Unmarshal(raw, &out)
+	return out
+}
