Shrink the entries of ended runs

At one call a second that is 86400 entries; with the whole request, meter and end they would not fit beside the answers in 64 MB. An ended run whose record is durable and whose answer is dropped keeps only what rejects a repetition.

--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -35,7 +35,7 @@
 	HonourFence   bool          `name:"honour-fence" help:"The target checks fencing numbers itself."`
 	OrderSecret   string        `name:"order-secret" env:"TARRAGONRIDGE_ORDER_SECRET" help:"Bearer token that the target wants with orders."`
 	MaxRuns       int           `name:"max-runs" help:"Runs in progress at once; 0 means 256."`
-	MaxBytes      int64         `name:"max-bytes" help:"Bytes of buffered answers; 0 means 24 MiB."`
+	MaxBytes      int64         `name:"max-bytes" help:"Bytes of buffered answers; 0 means 16 MiB."`
 	StallAfter    time.Duration `name:"stall-after" help:"A target that sends nothing this long has failed; 0 means 2m."`
 	HandoverLimit time.Duration `name:"handover-limit" help:"Longest wait for durable records at shutdown; 0 means 30s."`
 }
--- a/internal/core/run/buffer.go
+++ b/internal/core/run/buffer.go
@@ -76,7 +76,7 @@
 	if e.bytes+size > t.limits.MaxRunBytes {
 		return errkind.New(errkind.TargetFailed, "answer exceeds %d bytes", t.limits.MaxRunBytes)
 	}
-	c.RunID = e.start.RunID
+	c.RunID = e.runID
 	c.Seq = int64(len(e.chunks))
 	e.chunks = append(e.chunks, c)
 	e.bytes += size
--- a/internal/core/run/finish.go
+++ b/internal/core/run/finish.go
@@ -33,7 +33,10 @@
 		t.closeChoices(e)
 	}
 	e.end = t.buildEnd(now, e, how)
+	e.ended = true
 	e.endedAt = now
+	e.outcome = how.Outcome
+	e.kind = how.Kind
 	delete(t.active, runID)
 	t.unacked = append(t.unacked, e)
 	return *e.end, nil
@@ -100,7 +103,7 @@
 // outcome unknown.
 func (t *Table) Cancel(runID string) bool {
 	e, ok := t.active[runID]
-	return ok && e.repeatable()
+	return ok && e.repeatable
 }
 
 // Crash ends all runs in progress, because the target went away. If runs that
@@ -117,7 +120,7 @@
 	ends := make([]wire.End, 0, len(ids))
 	for _, id := range ids {
 		kind := errkind.TargetCrashed
-		if !t.active[id].repeatable() {
+		if !t.active[id].repeatable {
 			kind = errkind.OutcomeUnknown
 		}
 		suspect := earlier == 0 || t.active[id].start.Suspect
@@ -140,7 +143,7 @@
 func (t *Table) Ack(runIDs []string) {
 	hit := false
 	for _, id := range runIDs {
-		if e, ok := t.runs[id]; ok && e.end != nil && !e.acked {
+		if e, ok := t.runs[id]; ok && e.ended && !e.acked {
 			e.acked = true
 			hit = true
 			if !e.dropped {
@@ -163,47 +166,61 @@
 		if limit > 0 && len(out) == limit {
 			break
 		}
-		if want == nil || want(e.start.Holder, e.endedAt) {
+		if want == nil || want(e.holder, e.endedAt) {
 			out = append(out, e.end.Record)
 		}
 	}
 	return out
 }
 
+// sweepEvery is the period in which Expire examines ended runs. There are many
+// more of them than runs in progress, and their times are not critical.
+const sweepEvery = 5 * time.Second
+
 // Expire drops answers and run ids whose time is over. It returns the runs
 // that are to be canceled, because they lost their reader and cannot be
 // resumed. Records that are not acknowledged stay.
 func (t *Table) Expire(now time.Time) (cancel []string) {
-	for id, e := range t.runs {
-		switch {
-		case e.end == nil:
-			if t.orphaned(now, e) {
-				cancel = append(cancel, id)
-			}
-		case e.readers > 0:
-		default:
-			t.expireEnded(now, e)
+	for id, e := range t.active {
+		if t.orphaned(now, e) {
+			cancel = append(cancel, id)
 		}
 	}
-	t.acked = slices.DeleteFunc(t.acked, func(e *entry) bool { return e.dropped })
 	slices.Sort(cancel)
+	if now.Sub(t.sweptAt) >= sweepEvery {
+		t.sweptAt = now
+		t.sweep(now)
+	}
 	return cancel
 }
 
+func (t *Table) sweep(now time.Time) {
+	for _, e := range t.runs {
+		if e.ended && e.readers == 0 {
+			t.expireEnded(now, e)
+		}
+	}
+	t.acked = slices.DeleteFunc(t.acked, func(e *entry) bool { return e.dropped })
+}
+
 func (t *Table) orphaned(now time.Time, e *entry) bool {
 	lost := e.readers == 0 && now.Sub(e.detachedAt) >= t.limits.OrphanFor
-	return lost && !e.start.Resumable && e.repeatable()
+	return lost && !e.start.Resumable && e.repeatable
 }
 
 func (t *Table) expireEnded(now time.Time, e *entry) {
 	if !e.dropped && t.answerExpired(now, e) {
 		t.drop(e)
 	}
+	if !e.acked || !e.dropped {
+		return
+	}
+	e.start, e.meter, e.end = nil, nil, nil
 	keep := t.limits.ResumeFor
-	if !e.repeatable() {
+	if !e.repeatable {
 		keep = max(keep, t.limits.ServiceKeepFor)
 	}
-	if e.acked && e.dropped && now.Sub(e.endedAt) >= keep {
+	if now.Sub(e.endedAt) >= keep {
 		t.forget(e)
 	}
 }
@@ -222,11 +239,11 @@
 // forget removes a run id. A late repetition of its start is recognised by
 // the stamp, which the holder issued before that of any newer run.
 func (t *Table) forget(e *entry) {
-	delete(t.runs, e.start.RunID)
-	if t.byIdentity[e.start.Identity] == e {
-		delete(t.byIdentity, e.start.Identity)
+	delete(t.runs, e.runID)
+	if t.byIdentity[e.identity] == e {
+		delete(t.byIdentity, e.identity)
 	}
-	if late, ok := t.forgotten[e.start.Holder]; !ok || late.Before(e.start.Stamp) {
-		t.forgotten[e.start.Holder] = e.start.Stamp
+	if late, ok := t.forgotten[e.holder]; !ok || late.Before(e.stamp) {
+		t.forgotten[e.holder] = e.stamp
 	}
 }
--- a/internal/core/run/table.go
+++ b/internal/core/run/table.go
@@ -28,7 +28,7 @@
 	return Limits{
 		MaxRuns:        256,
 		MaxRunBytes:    4 << 20,
-		MaxBytes:       24 << 20,
+		MaxBytes:       16 << 20,
 		ResumeFor:      15 * time.Minute,
 		ServiceKeepFor: 24 * time.Hour,
 		OrphanFor:      5 * time.Second,
@@ -52,18 +52,30 @@
 	fenced     map[string]bool      // holders
 	forgotten  map[string]hlc.Stamp // by holder: latest start whose run id is no longer kept
 	bytes      int64
+	sweptAt    time.Time // ended runs were last examined by Expire
 }
 
-// entry is a run. An entry without chunks that has ended only rejects
-// repetitions of its run id.
+// entry is a run. Once its answer is dropped and its record acknowledged, it
+// only rejects repetitions, and the pointers are nil: ids of service calls are
+// kept for a day, so their entries must be small.
 type entry struct {
-	start      wire.StartRun // without body
+	identity   ledger.Identity
+	runID      string
+	holder     string
+	hash       string // of the content
+	stamp      hlc.Stamp
+	repeatable bool // a failed run may be repeated under its identity
+
+	start      *wire.StartRun // without body
+	meter      *Meter
+	end        *wire.End
 	startedAt  time.Time
 	chunks     []wire.Chunk
 	bytes      int64
-	meter      Meter
-	end        *wire.End
+	ended      bool
 	endedAt    time.Time
+	outcome    ledger.Outcome
+	kind       errkind.Kind
 	acked      bool
 	dropped    bool // the answer is no longer kept
 	readers    int
@@ -119,29 +131,44 @@
 	if e, ok := t.runs[s.RunID]; ok {
 		return t.repeated(e, s)
 	}
-	if e, ok := t.byIdentity[s.Identity]; ok && (e.holdsIdentity() || e.start.ContentHash != s.ContentHash) {
+	if e, ok := t.byIdentity[s.Identity]; ok && (e.holdsIdentity() || e.hash != s.ContentHash) {
 		return t.repeated(e, s)
 	}
 	if err := t.refuse(s); err != nil {
 		return Accepted{}, err
 	}
-	s.Body = nil
-	e := &entry{start: s, startedAt: now, detachedAt: now}
-	e.meter = NewMeter(s)
+	e := newEntry(now, s)
 	t.runs[s.RunID] = e
 	t.active[s.RunID] = e
 	t.byIdentity[s.Identity] = e
 	return Accepted{RunID: s.RunID}, nil
 }
 
+func newEntry(now time.Time, s wire.StartRun) *entry {
+	s.Body = nil
+	meter := NewMeter(s)
+	return &entry{
+		identity:   s.Identity,
+		runID:      s.RunID,
+		holder:     s.Holder,
+		hash:       s.ContentHash,
+		stamp:      s.Stamp,
+		repeatable: s.Kind != wire.ServiceRun || s.Idempotent,
+		start:      &s,
+		meter:      &meter,
+		startedAt:  now,
+		detachedAt: now,
+	}
+}
+
 func (t *Table) repeated(e *entry, s wire.StartRun) (Accepted, error) {
-	if e.start.Identity != s.Identity || e.start.ContentHash != s.ContentHash {
-		return Accepted{}, errkind.New(errkind.IdempotencyConflict, "key is used by run %s", e.start.RunID)
+	if e.identity != s.Identity || e.hash != s.ContentHash {
+		return Accepted{}, errkind.New(errkind.IdempotencyConflict, "key is used by run %s", e.runID)
 	}
 	if e.dropped {
-		return Accepted{}, errkind.New(errkind.Tombstoned, "run %s has ended and its answer is no longer kept", e.start.RunID)
+		return Accepted{}, errkind.New(errkind.Tombstoned, "run %s has ended and its answer is no longer kept", e.runID)
 	}
-	return Accepted{RunID: e.start.RunID, Existing: true}, nil
+	return Accepted{RunID: e.runID, Existing: true}, nil
 }
 
 func (t *Table) refuse(s wire.StartRun) error {
@@ -167,18 +194,14 @@
 // did not deliver an answer makes room for another attempt, except for a
 // service call that may have run and must not be repeated.
 func (e *entry) holdsIdentity() bool {
-	if e.end == nil {
+	if !e.ended {
 		return true
 	}
-	switch e.end.Record.Outcome {
+	switch e.outcome {
 	case ledger.Whole, ledger.Capped:
-		return !e.dropped || !e.repeatable()
+		return !e.dropped || !e.repeatable
 	}
-	return !e.repeatable() && e.end.Kind != errkind.NoTarget
-}
-
-func (e *entry) repeatable() bool {
-	return e.start.Kind != wire.ServiceRun || e.start.Idempotent
+	return !e.repeatable && e.kind != errkind.NoTarget
 }
 
 // Attach answers a question for a run. It leaves a tombstone if asked to and
@@ -193,17 +216,17 @@
 	}
 	return wire.AttachResult{
 		Known:       true,
-		Active:      e.end == nil,
+		Active:      !e.ended,
 		Expired:     e.dropped,
-		RunID:       e.start.RunID,
-		Holder:      e.start.Holder,
-		ContentHash: e.start.ContentHash,
+		RunID:       e.runID,
+		Holder:      e.holder,
+		ContentHash: e.hash,
 		Sidecar:     t.sidecar,
 	}
 }
 
 func (t *Table) find(a wire.Attach) *entry {
-	if e, ok := t.runs[a.RunID]; ok && e.start.Identity == a.Identity {
+	if e, ok := t.runs[a.RunID]; ok && e.identity == a.Identity {
 		return e
 	}
 	e, ok := t.byIdentity[a.Identity]
@@ -219,12 +242,12 @@
 	t.fenced[holder] = true
 	out := wire.FenceResult{Sidecar: t.sidecar, Records: []ledger.Record{}, Active: []string{}}
 	for _, e := range t.unacked {
-		if e.start.Holder == holder {
+		if e.holder == holder {
 			out.Records = append(out.Records, e.end.Record)
 		}
 	}
 	for id, e := range t.active {
-		if e.start.Holder == holder {
+		if e.holder == holder {
 			out.Active = append(out.Active, id)
 		}
 	}
