--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -2,10 +2,13 @@
 package cli
 
 import (
+	"errors"
 	"fmt"
 	"io"
 
 	"github.com/alecthomas/kong"
+
+	"tarragonridge.example/tarragonridge/internal/settings"
 )
 
 // Exit codes.
@@ -23,8 +26,13 @@
 
 // commands is the root of the command line.
 type commands struct {
+	Router  routerCmd  `cmd:"" help:"Run a router."`
 	Sidecar sidecarCmd `cmd:"" help:"Run the sidecar of a target."`
+	Standin standinCmd `cmd:"" help:"Run a stand-in of an outside system."`
+	Load    loadCmd    `cmd:"" help:"Generate load and compare results."`
 	Version versionCmd `cmd:"" help:"Print the version."`
+	Config  configCmd  `cmd:"" help:"Work with settings files."`
+	Admin   adminCmd   `cmd:"" help:"Operate a running fleet through a router."`
 }
 
 // Version is the release of this binary.
@@ -41,24 +49,41 @@
 // Main parses args, runs the command and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var root commands
+	exited := -1 // code with which kong wanted to exit after printing help
 	parser, err := kong.New(&root,
 		kong.Name("tarragonridge"),
 		kong.Description("Router fleet for prepaid token budgets."),
 		kong.Writers(out, errOut),
-		kong.Exit(func(int) {}),
+		kong.Exit(func(code int) { exited = code }),
 	)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
 		return ExitUsage
 	}
 	kctx, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
 	if err != nil {
 		fmt.Fprintf(errOut, "tarragonridge: %v\n", err)
 		return ExitUsage
 	}
-	if err := kctx.Run(&Streams{Out: out, Err: errOut}); err != nil {
-		fmt.Fprintf(errOut, "tarragonridge: %v\n", err)
-		return ExitError
+	return exitCode(kctx.Run(&Streams{Out: out, Err: errOut}), errOut)
+}
+
+// exitCode prints err and maps it to an exit code.
+func exitCode(err error, errOut io.Writer) int {
+	if err == nil {
+		return ExitOK
+	}
+	var usage *UsageError
+	if errors.As(err, &usage) && usage.Err == nil {
+		return ExitUsage
+	}
+	fmt.Fprintf(errOut, "tarragonridge: %v\n", err)
+	var faults *settings.FaultsError
+	if usage != nil || errors.As(err, &faults) {
+		return ExitUsage
 	}
-	return ExitOK
+	return ExitError
 }
--- /dev/null
+++ b/internal/router/fencer.go
@@ -0,0 +1,78 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/member"
+	"tarragonridge.example/tarragonridge/internal/escrow"
+	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+// fencer implements escrow.Fencer over the links to the sidecars.
+type fencer struct{ r *Router }
+
+// FenceEverywhere asks every registered sidecar to promise that it accepts no
+// more work of the holder. It reads the registrations itself, so that a
+// sidecar that this router has not met yet makes the result incomplete.
+func (f fencer) FenceEverywhere(ctx context.Context, holder member.HolderRow) (escrow.Promise, error) {
+	promise := escrow.Promise{Complete: true}
+	rows, err := platform.ScanAll(ctx, f.r.table, member.SidecarPrefix)
+	if err != nil {
+		return escrow.Promise{}, err
+	}
+	var live []member.SidecarRow
+	for _, row := range rows {
+		var reg member.SidecarRow
+		if err := json.Unmarshal(row.Value, &reg); err != nil {
+			return escrow.Promise{}, errkind.Wrap(err, errkind.Internal, "registration %s", row.Key)
+		}
+		if reg.Unaccounted(holder.Renewed) {
+			promise.Unaccounted = true
+		}
+		if reg.State == member.SidecarLive {
+			live = append(live, reg)
+		}
+	}
+	for _, answer := range f.askAll(ctx, live, holder.Incarnation) {
+		if answer == nil {
+			promise.Complete = false
+			continue
+		}
+		promise.Records = append(promise.Records, answer.Records...)
+		promise.Active += len(answer.Active)
+	}
+	return promise, nil
+}
+
+// askAll returns the promise of each registration's incarnation, or nil.
+func (f fencer) askAll(ctx context.Context, live []member.SidecarRow, holder string) []*wire.FenceResult {
+	answers := make([]*wire.FenceResult, len(live))
+	var wg sync.WaitGroup
+	for i, reg := range live {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			answers[i] = f.ask(ctx, reg, holder)
+		}()
+	}
+	wg.Wait()
+	return answers
+}
+
+func (f fencer) ask(ctx context.Context, reg member.SidecarRow, holder string) *wire.FenceResult {
+	t := f.r.sched.target(reg.Target)
+	if t == nil {
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	res, err := f.r.fenceAt(callCtx, t, holder)
+	if err != nil || res.Sidecar != reg.Incarnation {
+		return nil
+	}
+	return &res
+}
