--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -160,7 +160,7 @@
 // its own write for another sidecar's, or that serves a fenced holder.
 func TestRegistrationOutlivesTableFaults(t *testing.T) {
 	table := &faultyTable{Memory: platform.NewMemory()}
-	put(t, table.Memory, member.HolderKey("h1"), member.HolderRow{State: member.Fenced, Incarnation: "h1"})
+	put(t, table.Memory, member.HolderKey("h1"), member.HolderRow{State: member.HolderFenced, Incarnation: "h1"})
 	put(t, table.Memory, member.SidecarKey("t1"), member.SidecarRow{Target: "t1", Incarnation: "old", Fence: 4})
 	opts := options(engine(t, serveWhole).URL)
 	opts.Table = table
