--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -159,6 +159,26 @@
 	c.audit()
 }
 
+// Guards against tokens returning to a budget although a run that died with
+// its sidecar may have consumed them.
+func TestRecoveryChargesWhatNobodyAccountsFor(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2)
+	c.topUp(1000)
+	dead := c.nodes[0]
+	id := dead.Incarnation()
+	_, err := c.reserve(dead, 100, time.Second)
+	assert.NilError(t, err)
+	c.sidecar.mu.Lock()
+	c.sidecar.replaced = true
+	c.sidecar.mu.Unlock()
+	dead.kill()
+	c.eventually("closed", func() bool { return c.holder(id).State == member.HolderClosed })
+	account := c.account()
+	assert.Assert(t, account.Settled() >= 100, "settled %d", account.Settled())
+	assert.Equal(t, account.ToppedUp, account.Settled()+account.Held()+account.Left())
+}
+
 // Guards against a paused router that resumes and spends a grant that was
 // already settled and freed.
 func TestPausedHolderIsFenced(t *testing.T) {
--- a/internal/escrow/helpers_test.go
+++ b/internal/escrow/helpers_test.go
@@ -15,6 +15,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/budget"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/core/member"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/platform/platformtest"
 )
@@ -33,6 +34,7 @@
 	active      map[string]int
 	kept        map[string]ledger.Record // by run id
 	unreachable bool
+	replaced    bool // an earlier incarnation ended without handing over its records
 	consumed    int64
 	runs        int
 }
@@ -76,20 +78,21 @@
 	}
 }
 
-func (s *fakeSidecar) FenceEverywhere(_ context.Context, holder string) ([]ledger.Record, int, bool, error) {
+func (s *fakeSidecar) FenceEverywhere(_ context.Context, row member.HolderRow) (Promise, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unreachable {
-		return nil, 0, false, nil
+		return Promise{}, nil
 	}
+	holder := row.Incarnation
 	s.fenced[holder] = true
-	var records []ledger.Record
+	p := Promise{Active: s.active[holder], Complete: true, Unaccounted: s.replaced}
 	for _, r := range s.kept {
 		if r.Holder == holder {
-			records = append(records, r)
+			p.Records = append(p.Records, r)
 		}
 	}
-	return records, s.active[holder], true, nil
+	return p, nil
 }
 
 // cluster is a set of routers over one table and one sidecar.
--- a/internal/escrow/rows.go
+++ b/internal/escrow/rows.go
@@ -187,7 +187,7 @@
 
 // fenced gives up an incarnation whose row is not live. The version of such a
 // row is never adopted, because account writes are conditional on it.
-func (m *Manager) fenced(inc *incarnation, state string) error {
+func (m *Manager) fenced(inc *incarnation, state member.State) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.giveUp(inc)
