--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -98,6 +98,7 @@
 		return
 	}
 	h.r.observe(end.Header)
+	h.r.sched.update(h.t, func(t *target) { t.noteActive(end.Active) })
 	run := h.r.runByID(end.RunID)
 	if run == nil {
 		h.r.settleRecord(end.Record)
@@ -121,7 +122,7 @@
 	h.r.sched.update(h.t, func(t *target) {
 		t.report = report
 		t.reported = true
-		t.ownThen = t.inFlight
+		t.noteActive(report.Active)
 		t.draining = report.Draining
 	})
 	for _, rec := range records {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -95,7 +95,9 @@
 func (r *Router) connectTarget(ctx context.Context, t *target) {
 	linkCtx, stop := context.WithCancel(ctx)
 	t.stop = stop
-	t.link = rpc.NewLink(t.addr, r.rpcOptions(), sidecarHandler{r: r, t: t})
+	opts := r.rpcOptions()
+	opts.Busy = func() bool { return t.open.Load() > 0 }
+	t.link = rpc.NewLink(t.addr, opts, sidecarHandler{r: r, t: t})
 	go t.link.Run(linkCtx)
 }
 
--- a/internal/router/process.go
+++ b/internal/router/process.go
@@ -143,7 +143,7 @@
 	defer cancel()
 	err := srv.Shutdown(ctx)
 	r.waitRuns(ctx)
-	if drainErr := r.escrow.Drain(ctx); drainErr != nil {
+	if drainErr := r.drainBudgets(); drainErr != nil {
 		r.opts.Logger.Error("drain failed", "err", drainErr)
 		err = errors.Join(err, drainErr)
 	}
@@ -151,6 +151,16 @@
 	return err
 }
 
+// drainTimeout bounds the attempts to store the last records and to return the
+// grants. Grants that stay behind are recovered by another router.
+const drainTimeout = 30 * time.Second
+
+func (r *Router) drainBudgets() error {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	return r.escrow.Drain(ctx)
+}
+
 // runsGrace is how long a stopping router waits for the records of runs that
 // nobody reads any more. Runs that are open after it are left to recovery.
 const runsGrace = 10 * time.Second
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -190,6 +190,7 @@
 	joined.sidecar = sidecar
 	joined.keepAll = true
 	r.runs[runID] = joined
+	t.open.Add(1)
 	r.byIdentity[req.Identity] = joined
 	return joined, true
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -136,6 +136,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[run.id] = run
+	run.target.open.Add(1)
 	if !run.keepAll {
 		return
 	}
@@ -149,7 +150,10 @@
 func (r *Router) removeRun(run *run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.runs, run.id)
+	if r.runs[run.id] == run {
+		delete(r.runs, run.id)
+		run.target.open.Add(-1)
+	}
 	if r.byIdentity[run.identity] == run {
 		delete(r.byIdentity, run.identity)
 	}
--- a/internal/router/schedule.go
+++ b/internal/router/schedule.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/admit"
@@ -25,6 +26,7 @@
 	domain string
 	host   string
 	link   *rpc.Link
+	open   atomic.Int32 // runs of this router that have not ended
 	stop   context.CancelFunc
 
 	incarnation string // of the connected sidecar
@@ -33,7 +35,8 @@
 	suspects    int
 	report      wire.LoadReport
 	reported    bool
-	ownThen     int
+	active      int  // runs of all routers at the target, as last told by its sidecar
+	ownThen     int  // runs of this router at that moment
 	draining    bool // said by the sidecar
 	leaving     bool // said by the host list
 	coolUntil   time.Time
@@ -242,11 +245,17 @@
 	return targets[i]
 }
 
+// noteActive takes the number of runs that a message of the sidecar states.
+func (t *target) noteActive(active int) {
+	t.active = active
+	t.ownThen = t.inFlight
+}
+
 func (t *target) candidate() route.Candidate {
 	return route.Candidate{
 		Target:   t.id,
 		InFlight: t.inFlight,
-		Reported: t.report.Running + t.report.Waiting,
+		Reported: t.active,
 		OwnThen:  t.ownThen,
 		Suspects: t.suspects,
 	}
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -177,6 +177,7 @@
 			break
 		}
 		r.observe(result.Header)
+		r.sched.update(sl.target, func(t *target) { t.noteActive(result.Active) })
 		if result.Refusal == nil {
 			return r.accepted(ctx, req, run, sl, result)
 		}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -1,7 +1,10 @@
 // Package rpc carries typed messages between the system's processes over
-// jsonrpc2. A connection has a heartbeat in each direction and is closed when
-// nothing has arrived for a while, because a connection can stop delivering
-// data without an error while new connections work.
+// jsonrpc2. A connection is closed when nothing has arrived for a while,
+// because a connection can stop delivering data without an error while new
+// connections work. The side that dialled sends pings and the other answers.
+// While work depends on the connection, silence is noticed within seconds; an
+// idle connection is checked rarely, because heartbeats on every idle
+// connection are the largest part of the control traffic.
 package rpc
 
 import (
@@ -22,11 +25,16 @@
 
 // Defaults of Options.
 const (
-	DefaultPingEvery    = 500 * time.Millisecond
-	DefaultSilenceAfter = 2 * time.Second
-	DefaultDialTimeout  = 1 * time.Second
+	DefaultPingEvery     = 500 * time.Millisecond
+	DefaultSilenceAfter  = 2 * time.Second
+	DefaultIdlePingEvery = 4 * time.Second
+	DefaultDialTimeout   = 1 * time.Second
 )
 
+// idleSilencePings is the number of idle ping periods without data after which
+// an idle connection is closed.
+const idleSilencePings = 3
+
 // codeKind is the JSON-RPC error code of errors that carry an error kind.
 const codeKind = 1
 
@@ -41,12 +49,14 @@
 
 // Options configures connections.
 type Options struct {
-	Hello        func() wire.Hello // describes this process; also the source of heartbeat headers
-	PingEvery    time.Duration     // default 500 ms
-	SilenceAfter time.Duration     // default 2 s
-	DialTimeout  time.Duration     // default 1 s
-	Logger       *slog.Logger      // default slog.Default()
-	Traffic      *Traffic          // counts bytes; may be nil
+	Hello         func() wire.Hello // describes this process; also the source of heartbeat headers
+	Busy          func() bool       // work depends on the connection; nil: only while a call is open
+	PingEvery     time.Duration     // of a busy connection without data; default 500 ms
+	SilenceAfter  time.Duration     // a busy connection without data is closed; default 2 s
+	IdlePingEvery time.Duration     // of an idle connection; default 4 s
+	DialTimeout   time.Duration     // default 1 s
+	Logger        *slog.Logger      // default slog.Default()
+	Traffic       *Traffic          // counts bytes; may be nil
 }
 
 // Traffic counts the bytes of all connections that share it, without the
@@ -63,6 +73,12 @@
 	if o.SilenceAfter <= 0 {
 		o.SilenceAfter = DefaultSilenceAfter
 	}
+	if o.IdlePingEvery <= 0 {
+		o.IdlePingEvery = DefaultIdlePingEvery
+	}
+	if o.Busy == nil {
+		o.Busy = func() bool { return false }
+	}
 	if o.DialTimeout <= 0 {
 		o.DialTimeout = DefaultDialTimeout
 	}
@@ -83,6 +99,8 @@
 	rpc     *jsonrpc2.Conn
 	ready   chan struct{} // closed once rpc is set
 	opened  atomic.Bool
+	dialled bool         // this side sends the pings
+	calls   atomic.Int32 // open calls of this side
 	peer    atomic.Pointer[wire.Hello]
 	once    sync.Once
 	done    chan struct{}
@@ -96,7 +114,7 @@
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.Unreachable, "dial %s", addr)
 	}
-	c := newConn(sock, opts, h)
+	c := newConn(sock, opts, h, true)
 	callCtx, cancel := context.WithTimeout(ctx, opts.SilenceAfter)
 	defer cancel()
 	var reply wire.Hello
@@ -130,7 +148,7 @@
 			}
 			return errkind.Wrap(err, errkind.Internal, "accept on %s", ln.Addr())
 		}
-		c := newConn(sock, opts, h)
+		c := newConn(sock, opts, h, false)
 		conns.Store(c, struct{}{})
 		go func() {
 			<-c.done
@@ -139,8 +157,9 @@
 	}
 }
 
-func newConn(sock net.Conn, opts Options, h Handler) *Conn {
+func newConn(sock net.Conn, opts Options, h Handler, dialled bool) *Conn {
 	c := &Conn{
+		dialled: dialled,
 		opts:    opts,
 		handler: h,
 		sock:    newTrackedConn(sock, opts.SilenceAfter, opts.Traffic),
@@ -179,6 +198,8 @@
 // Call calls a method and decodes its result. A broken connection gives
 // errkind.Unreachable: the call may or may not have been served.
 func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
+	c.calls.Add(1)
+	defer c.calls.Add(-1)
 	err := c.rpc.Call(ctx, method, params, result)
 	return decodeError(err, method)
 }
@@ -191,30 +212,73 @@
 	return nil
 }
 
-// watch sends heartbeats and closes the connection after silence.
+// watch sends pings and closes the connection after silence.
 func (c *Conn) watch() {
 	ticker := time.NewTicker(c.opts.PingEvery)
 	defer ticker.Stop()
+	var busySince time.Time // zero while the connection is idle
 	for {
 		select {
 		case <-c.rpc.DisconnectNotify():
 			c.finish(errkind.New(errkind.Unreachable, "connection closed"))
 			return
-		case <-ticker.C:
-		}
-		if c.sock.silentFor(time.Now()) > c.opts.SilenceAfter {
-			_ = c.rpc.Close()
-			c.finish(errkind.New(errkind.Unreachable, "nothing received for %s", c.opts.SilenceAfter))
-			return
+		case now := <-ticker.C:
+			busySince = c.busySince(now, busySince)
+			if limit := c.silenceLimit(now, busySince); limit > 0 {
+				_ = c.rpc.Close()
+				c.finish(errkind.New(errkind.Unreachable, "nothing received for %s", limit))
+				return
+			}
+			if c.pingDue(now, busySince) {
+				go c.ping(true)
+			}
 		}
-		go c.ping()
 	}
 }
 
+func (c *Conn) busySince(now, since time.Time) time.Time {
+	switch {
+	case c.calls.Load() == 0 && !c.opts.Busy():
+		return time.Time{}
+	case since.IsZero():
+		return now
+	}
+	return since
+}
+
+// silenceLimit returns the limit that the silence has exceeded, or 0. A
+// connection that has just become busy is given the whole limit.
+func (c *Conn) silenceLimit(now, busySince time.Time) time.Duration {
+	silent := c.sock.silentFor(now)
+	if !busySince.IsZero() && min(silent, now.Sub(busySince)) > c.opts.SilenceAfter {
+		return c.opts.SilenceAfter
+	}
+	if idle := idleSilencePings * c.opts.IdlePingEvery; silent > idle {
+		return idle
+	}
+	return 0
+}
+
+func (c *Conn) pingDue(now, busySince time.Time) bool {
+	silent := c.sock.silentFor(now)
+	if !busySince.IsZero() && silent >= c.opts.PingEvery {
+		return true
+	}
+	return c.dialled && max(silent, c.sock.unsentFor(now)) >= c.opts.IdlePingEvery
+}
+
 // ping runs in its own goroutine, because a write to a stalled connection
 // blocks until the write deadline and must not delay the check for silence.
-func (c *Conn) ping() {
-	_ = c.rpc.Notify(context.Background(), wire.MethodPing, wire.Ping{Header: c.opts.Hello().Header})
+func (c *Conn) ping(want bool) {
+	_ = c.rpc.Notify(context.Background(), wire.MethodPing, wire.Ping{Header: c.opts.Hello().Header, Want: want})
+}
+
+// answerPing answers a ping that asks for it.
+func (c *Conn) answerPing(params json.RawMessage) {
+	var ping wire.Ping
+	if json.Unmarshal(params, &ping) == nil && ping.Want {
+		go c.ping(false)
+	}
 }
 
 func (c *Conn) finish(err error) {
@@ -242,7 +306,10 @@
 		c.acceptHello(ctx, req, params)
 		return
 	}
-	if !c.opened.Load() && req.Method != wire.MethodPing {
+	if req.Method == wire.MethodPing {
+		c.answerPing(params)
+	}
+	if !c.opened.Load() {
 		return
 	}
 	if req.Notif {
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -44,9 +44,10 @@
 
 func options(name string) rpc.Options {
 	return rpc.Options{
-		Hello:        func() wire.Hello { return wire.Hello{Role: name, Incarnation: name} },
-		PingEvery:    20 * time.Millisecond,
-		SilenceAfter: 200 * time.Millisecond,
+		Hello:         func() wire.Hello { return wire.Hello{Role: name, Incarnation: name} },
+		PingEvery:     20 * time.Millisecond,
+		SilenceAfter:  200 * time.Millisecond,
+		IdlePingEvery: 100 * time.Millisecond,
 	}
 }
 
@@ -96,12 +97,34 @@
 // Guards against a connection that stays open although the peer has stopped
 // sending: it must be reported as closed within the silence limit.
 func TestSilentConnectionIsClosed(t *testing.T) {
+	busy := options("client")
+	busy.IdlePingEvery = time.Hour
+	busy.Busy = func() bool { return true }
+	for name, opts := range map[string]rpc.Options{"idle": options("client"), "busy": busy} {
+		t.Run(name, func(t *testing.T) { checkSilence(t, opts) })
+	}
+}
+
+// Guards against heartbeats that close a healthy idle connection.
+func TestIdleConnectionStaysOpen(t *testing.T) {
+	client := newRecorder()
+	c, err := rpc.Dial(context.Background(), serve(t, newRecorder()), options("client"), client)
+	assert.NilError(t, err)
+	defer c.Close()
+	select {
+	case err := <-client.closed:
+		t.Fatalf("closed: %v", err)
+	case <-time.After(time.Second):
+	}
+}
+
+func checkSilence(t *testing.T, opts rpc.Options) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer ln.Close()
 	relay, silence := relayTo(t, serve(t, newRecorder()), ln)
 	client := newRecorder()
-	c, err := rpc.Dial(context.Background(), relay, options("client"), client)
+	c, err := rpc.Dial(context.Background(), relay, opts, client)
 	assert.NilError(t, err)
 	defer c.Close()
 	silence()
--- a/internal/rpc/tracked.go
+++ b/internal/rpc/tracked.go
@@ -10,13 +10,16 @@
 type trackedConn struct {
 	net.Conn
 	lastRead     atomic.Int64 // unix time in nanoseconds
+	lastWrite    atomic.Int64 // unix time in nanoseconds
 	writeTimeout time.Duration
 	traffic      *Traffic
 }
 
 func newTrackedConn(sock net.Conn, writeTimeout time.Duration, traffic *Traffic) *trackedConn {
 	t := &trackedConn{Conn: sock, writeTimeout: writeTimeout, traffic: traffic}
-	t.lastRead.Store(time.Now().UnixNano())
+	now := time.Now().UnixNano()
+	t.lastRead.Store(now)
+	t.lastWrite.Store(now)
 	return t
 }
 
@@ -33,7 +36,9 @@
 // Write implements net.Conn. A write that the peer does not accept in time
 // fails, so that a stalled peer cannot block its senders for ever.
 func (t *trackedConn) Write(p []byte) (int, error) {
-	if err := t.Conn.SetWriteDeadline(time.Now().Add(t.writeTimeout)); err != nil {
+	now := time.Now()
+	t.lastWrite.Store(now.UnixNano())
+	if err := t.Conn.SetWriteDeadline(now.Add(t.writeTimeout)); err != nil {
 		return 0, err
 	}
 	n, err := t.Conn.Write(p)
@@ -41,6 +46,10 @@
 	return n, err
 }
 
+func (t *trackedConn) unsentFor(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, t.lastWrite.Load()))
+}
+
 func (t *trackedConn) silentFor(now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, t.lastRead.Load()))
 }
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -85,6 +85,7 @@
 	if err == nil && got.RunID == m.RunID {
 		s.addReader(c, got.RunID, 0)
 	}
+	out.Active = s.table.ActiveCount()
 	s.mu.Unlock()
 	if err != nil {
 		out.Refusal = s.refusal(err, m)
--- a/internal/sidecar/load.go
+++ b/internal/sidecar/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"time"
 
@@ -10,9 +9,8 @@
 )
 
 const (
-	pollEvery     = 250 * time.Millisecond
-	reportAtLeast = 1 * time.Second
-	maxPrefixes   = 100_000 // hashes known at once; the engine's cache is of this order
+	pollEvery   = 250 * time.Millisecond
+	reportEvery = 2 * time.Second // of a load that has changed
 )
 
 // loadState is what the target last told about itself.
@@ -24,12 +22,6 @@
 	models   []string
 	adapters []string
 	role     string
-	prefixes map[uint64]bool
-	after    int64 // sequence number of the last cache event
-}
-
-func newLoadState() loadState {
-	return loadState{prefixes: map[uint64]bool{}}
 }
 
 // engineLoad is the answer of GET /control/load.
@@ -46,17 +38,6 @@
 	Role     string   `json:"role"`
 }
 
-// cacheEvents is the answer of GET /control/cache_events.
-type cacheEvents struct {
-	Events []cacheEvent `json:"events"`
-}
-
-type cacheEvent struct {
-	Seq  int64  `json:"seq"`
-	Kind string `json:"kind"` // stored, removed, cleared
-	Hash uint64 `json:"hash"`
-}
-
 // reportLoad polls the target and wakes the peers if something has changed.
 func (s *Server) reportLoad(ctx context.Context) {
 	ticker := time.NewTicker(pollEvery)
@@ -95,119 +76,39 @@
 	if len(next.models) == 0 {
 		next.models = []string{s.opts.Model}
 	}
-	var events cacheEvents
-	if err == nil {
-		// Cache events are a hint for the choice of a target; lost ones leave
-		// entries that only cost a cache miss.
-		_ = s.target.get(ctx, s.eventsPath(), &events)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.note(next)
-	s.noteCache(events.Events)
-}
-
-func (s *Server) eventsPath() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return fmt.Sprintf("/control/cache_events?after=%d", s.load.after)
 }
 
-// note replaces the load and wakes the peers if it differs. The caller holds
-// s.mu.
+// note replaces the load and wakes the peers if something has changed that a
+// router has to know at once. Changes of the load itself wait for the next
+// regular report. The caller holds s.mu.
 func (s *Server) note(next loadState) {
 	old := s.load
-	next.prefixes = old.prefixes
-	next.after = old.after
 	s.load = next
-	same := old.running == next.running && old.waiting == next.waiting && old.kvUsed == next.kvUsed &&
-		old.healthy == next.healthy && old.role == next.role &&
+	same := old.healthy == next.healthy && old.role == next.role &&
 		slices.Equal(old.models, next.models) && slices.Equal(old.adapters, next.adapters)
 	if !same {
 		s.wakePeers()
 	}
-	if old.healthy && !next.healthy {
-		s.clearCache()
-	}
-}
-
-// noteCache applies cache events. The caller holds s.mu.
-func (s *Server) noteCache(events []cacheEvent) {
-	for _, ev := range events {
-		s.load.after = max(s.load.after, ev.Seq)
-		switch ev.Kind {
-		case "stored":
-			s.addPrefix(ev.Hash)
-		case "removed":
-			s.removePrefix(ev.Hash)
-		case "cleared":
-			s.clearCache()
-		}
-	}
-}
-
-func (s *Server) addPrefix(hash uint64) {
-	if len(s.load.prefixes) >= maxPrefixes || s.load.prefixes[hash] {
-		return
-	}
-	s.load.prefixes[hash] = true
-	for _, p := range s.peers {
-		p.adds[hash] = true
-		delete(p.dels, hash)
-		p.wakeUp()
-	}
-}
-
-func (s *Server) removePrefix(hash uint64) {
-	if !s.load.prefixes[hash] {
-		return
-	}
-	delete(s.load.prefixes, hash)
-	for _, p := range s.peers {
-		p.dels[hash] = true
-		delete(p.adds, hash)
-		p.wakeUp()
-	}
-}
-
-func (s *Server) clearCache() {
-	for hash := range s.load.prefixes {
-		s.removePrefix(hash)
-	}
 }
 
 // report returns the load report for a peer. The caller holds s.mu.
 func (s *Server) report(now time.Time, p *peer) wire.LoadReport {
 	out := wire.LoadReport{
-		Target:     s.opts.Target,
-		Running:    s.load.running,
-		Waiting:    s.load.waiting,
-		KVUsed:     s.load.kvUsed,
-		Draining:   s.table.Draining(),
-		Healthy:    s.load.healthy,
-		Models:     s.load.models,
-		Adapters:   s.load.adapters,
-		Role:       s.load.role,
-		Service:    s.opts.Service,
-		PrefixAdds: takeHashes(p.adds),
-		PrefixDels: takeHashes(p.dels),
-		Records:    s.recordsFor(now, p),
-	}
-	return out
-}
-
-// maxHashesPerReport keeps a report below 64 KiB.
-const maxHashesPerReport = 2000
-
-// takeHashes removes and returns a bounded number of hashes.
-func takeHashes(set map[uint64]bool) []uint64 {
-	var out []uint64
-	for hash := range set {
-		if len(out) == maxHashesPerReport {
-			break
-		}
-		out = append(out, hash)
-		delete(set, hash)
+		Target:   s.opts.Target,
+		Active:   s.table.ActiveCount(),
+		Running:  s.load.running,
+		Waiting:  s.load.waiting,
+		KVUsed:   s.load.kvUsed,
+		Draining: s.table.Draining(),
+		Healthy:  s.load.healthy,
+		Models:   s.load.models,
+		Adapters: s.load.adapters,
+		Role:     s.load.role,
+		Service:  s.opts.Service,
+		Records:  s.recordsFor(now, p),
 	}
 	return out
 }
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -29,9 +29,7 @@
 	incarnation string
 	router      bool          // only routers make records durable
 	wake        chan struct{} // holds a token if a report is due
-	adds        map[uint64]bool
-	dels        map[uint64]bool
-	recordsAt   time.Time // of the last records
+	recordsAt   time.Time     // of the last records
 }
 
 func (p *peer) wakeUp() {
@@ -48,16 +46,13 @@
 	}
 }
 
-// addPeer starts the reports to a router. The first one carries the whole
-// cache state. The caller holds s.mu.
+// addPeer starts the reports to a router. The caller holds s.mu.
 func (s *Server) addPeer(c *rpc.Conn) {
 	p := &peer{
 		conn:        c,
 		incarnation: c.Peer().Incarnation,
 		router:      c.Peer().Role == roleRouter,
 		wake:        make(chan struct{}, 1),
-		adds:        maps.Clone(s.load.prefixes),
-		dels:        map[uint64]bool{},
 	}
 	s.peers[c] = p
 	p.wakeUp()
@@ -68,33 +63,41 @@
 	}()
 }
 
-// reportTo sends reports until the connection ends, at most one per
-// pollEvery unless the target begins to drain.
+// reportTo sends reports until the connection ends: at once if woken, else
+// every reportEvery if there is something new. Routers learn the number of
+// active runs from the answers to their own runs as well, so an idle router
+// needs no more than that.
 func (s *Server) reportTo(p *peer) {
-	timer := time.NewTimer(reportAtLeast)
-	defer timer.Stop()
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	var sent wire.LoadReport
 	for {
+		woken := false
 		select {
 		case <-p.conn.Done():
 			return
 		case <-p.wake:
-		case <-timer.C:
+			woken = true
+		case <-ticker.C:
 		}
-		timer.Reset(reportAtLeast)
 		s.mu.Lock()
 		report := s.report(time.Now(), p)
-		more := len(p.adds) > 0 || len(p.dels) > 0
 		s.mu.Unlock()
+		if !woken && len(report.Records) == 0 && sameLoad(sent, report) {
+			continue
+		}
+		sent = report
 		report.Header = s.header()
 		if p.conn.Notify(context.Background(), wire.MethodLoadReport, report) != nil {
 			return
 		}
-		if more {
-			p.wakeUp()
-		}
 	}
 }
 
+func sameLoad(a, b wire.LoadReport) bool {
+	return a.Active == b.Active && a.Running == b.Running && a.Waiting == b.Waiting && a.KVUsed == b.KVUsed
+}
+
 // recordsFor returns records that a router is to make durable: its own if
 // they were not acknowledged in time, and, if it is its turn, those of routers
 // that are not connected. The caller holds s.mu.
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -92,6 +92,7 @@
 	}
 	if end != nil {
 		copied := *end
+		copied.Active = s.table.ActiveCount()
 		return chunks, &copied, nil
 	}
 	live := s.runs[r.key.runID]
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -65,7 +65,7 @@
 		runs:        map[string]*liveRun{},
 		readers:     map[readerKey]*reader{},
 		peers:       map[*rpc.Conn]*peer{},
-		load:        newLoadState(),
+		load:        loadState{},
 	}, nil
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -61,8 +61,11 @@
 	Draining    bool   `json:"draining,omitempty"`
 }
 
-// Ping carries the header only.
-type Ping struct{ Header }
+// Ping shows that a connection works.
+type Ping struct {
+	Header
+	Want bool `json:"want,omitempty"` // the receiver answers with a ping
+}
 
 // RunKind says what a run calls.
 type RunKind string
@@ -106,6 +109,7 @@
 	Existing bool     `json:"existing,omitempty"` // the run or its identity was known already; RunID names it
 	RunID    string   `json:"run_id,omitempty"`
 	Sidecar  string   `json:"sidecar"` // sidecar incarnation
+	Active   int      `json:"active"`  // runs in progress at the target
 	Refusal  *Refusal `json:"refusal,omitempty"`
 }
 
@@ -132,6 +136,7 @@
 	Detail      string        `json:"detail,omitempty"`
 	Record      ledger.Record `json:"record"`
 	Suspect     bool          `json:"suspect,omitempty"` // in flight when the target crashed, and no run that was a suspect before can explain it
+	Active      int           `json:"active"`            // runs still in progress at the target
 	Alone       bool          `json:"alone,omitempty"`   // nothing else in flight can explain the crash
 }
 
@@ -217,18 +222,17 @@
 // LoadReport tells routers about a target.
 type LoadReport struct {
 	Header
-	Target     string   `json:"target"`
-	Running    int      `json:"running"`
-	Waiting    int      `json:"waiting"`
-	KVUsed     float64  `json:"kv_used"` // share, 0 to 1
-	Draining   bool     `json:"draining"`
-	Healthy    bool     `json:"healthy"` // the target answers
-	Models     []string `json:"models,omitempty"`
-	Adapters   []string `json:"adapters,omitempty"`
-	Role       string   `json:"role,omitempty"`
-	Service    string   `json:"service,omitempty"`
-	PrefixAdds []uint64 `json:"prefix_adds,omitempty"` // hashes of prefixes that entered the cache
-	PrefixDels []uint64 `json:"prefix_dels,omitempty"`
+	Target   string   `json:"target"`
+	Active   int      `json:"active"`  // runs in progress, as the sidecar counts them
+	Running  int      `json:"running"` // as the target reports, with a lag
+	Waiting  int      `json:"waiting"`
+	KVUsed   float64  `json:"kv_used"` // share, 0 to 1
+	Draining bool     `json:"draining"`
+	Healthy  bool     `json:"healthy"` // the target answers
+	Models   []string `json:"models,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+	Role     string   `json:"role,omitempty"`
+	Service  string   `json:"service,omitempty"`
 	// Records are finished runs whose router is not connected.
 	Records []ledger.Record `json:"records,omitempty"`
 }
