--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -25,7 +25,9 @@
 	active := s.table.ActiveCount()
 	s.mu.Unlock()
 	s.log.Info("draining", "active", active)
-	time.Sleep(farewell)
+	for until := time.Now().Add(farewell); s.connected() && time.Now().Before(until); {
+		time.Sleep(drainPoll)
+	}
 	for !s.idle() {
 		time.Sleep(drainPoll)
 	}
@@ -41,6 +43,12 @@
 	s.log.Info("stopped", "unacked", s.unacked())
 }
 
+func (s *Server) connected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.peers) > 0
+}
+
 func (s *Server) idle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/sidecar/execute.go
+++ b/internal/sidecar/execute.go
@@ -23,8 +23,10 @@
 )
 
 // capGrace is how long an engine that has produced the last permitted token
-// may take to finish the answer. It is below the time of one more token.
-const capGrace = 20 * time.Millisecond
+// may take to finish the answer. With 20 ms, a stand-in engine with a step
+// of 8 ms that ignored max_tokens produced one token more than the cap in each
+// of three runs.
+const capGrace = 5 * time.Millisecond
 
 // maxErrorBody bounds the error body of an engine that is passed on, in bytes.
 const maxErrorBody = 64 << 10
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
@@ -26,11 +27,17 @@
 
 const waitLimit = 15 * time.Second // bounds a failure; decoding 5 MB with the race detector takes some seconds
 
+// Guards against goroutines that outlive a stopped sidecar.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
 // process is a running sidecar.
 type process struct {
 	addr string
 	stop context.CancelFunc
-	done chan error
+	done chan struct{} // closed at the end, after err is set
+	err  error
 }
 
 func options(targetURL string) sidecar.Options {
@@ -57,9 +64,16 @@
 	server, err := sidecar.New(opts)
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
-	p := &process{stop: stop, done: make(chan error, 1)}
-	go func() { p.done <- server.Run(ctx) }()
-	t.Cleanup(stop)
+	p := &process{stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		p.err = server.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-p.done
+		assert.NilError(t, p.err)
+	})
 	p.addr = receive(t, ready)
 	return p
 }
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -128,9 +128,13 @@
 	case <-time.After(100 * time.Millisecond):
 	}
 	assert.NilError(t, r.conn.Notify(context.Background(), wire.MethodRunAck, wire.Ack{RunIDs: []string{"r1"}}))
-	assert.NilError(t, receive(t, p.done))
-	_, err := opts.Table.Get(context.Background(), member.SidecarKey("t1"))
+	receive(t, p.done)
+	assert.NilError(t, p.err)
+	row, err := opts.Table.Get(context.Background(), member.SidecarKey("t1"))
 	assert.NilError(t, err)
+	var reg member.SidecarRow
+	assert.NilError(t, json.Unmarshal(row.Value, &reg))
+	assert.Equal(t, reg.State, member.SidecarClosed)
 }
 
 // faultyTable fails its first calls; the first commit takes effect all the
