--- a/internal/core/run/table_test.go
+++ b/internal/core/run/table_test.go
@@ -296,3 +296,31 @@
 		assert.Equal(t, end.Alone, end.RunID == "r1")
 	}
 }
+
+// Guards against an eviction that drops an answer while it is read, one whose
+// record is not durable, or a newer one before an older one.
+func TestEvictionOrder(t *testing.T) {
+	limits := run.DefaultLimits()
+	limits.MaxBytes = 5000
+	table := run.New(limits, "t1", "s1")
+	now := time.Unix(1, 0)
+	fill := func(id string) {
+		_, err := table.Start(now, wire.StartRun{RunID: id, Identity: ledger.Identity{Key: id}, Kind: wire.ServiceRun, Resumable: true})
+		assert.NilError(t, err)
+		assert.NilError(t, table.Data(id, make([]byte, 1000)))
+		_, err = table.End(now, id, run.Ending{Outcome: ledger.Whole})
+		assert.NilError(t, err)
+	}
+	for _, id := range []string{"unacked", "read", "second", "first"} {
+		fill(id)
+	}
+	table.ReaderAttached("read")
+	table.Ack([]string{"read"})
+	table.Ack([]string{"first"})
+	table.Ack([]string{"second"})
+	fill("trigger")
+	for id, kept := range map[string]bool{"unacked": true, "read": true, "second": true, "first": false, "trigger": true} {
+		_, _, err := table.Read(id, 0)
+		assert.Equal(t, err == nil, kept, "run %s", id)
+	}
+}
