Serve router metrics apart, start from peers, show sidecar events

The router ignored listen.metrics, a router that started while the table was down had no way to learn the teams, and the timeline lacked sidecar events.

The metrics address gets its own server that lives until a graceful stop has ended. config.teams carries document and teams to a router without a configuration. Sidecar and timeline share one clock, so that stamps follow the messages received. A router that listens on port 0 no longer links to itself, and the failure of one part ends the callers' server as well.

--- a/internal/cli/router.go
+++ b/internal/cli/router.go
@@ -33,15 +33,10 @@
 }
 
 func runRouter(ctx context.Context, cfg settings.Router, log *slog.Logger, s *Streams) error {
-	callers, err := net.Listen("tcp", cfg.Listen.Callers)
+	listeners, err := listenRouter(cfg.Listen)
 	if err != nil {
 		return err
 	}
-	peers, err := net.Listen("tcp", cfg.Listen.Peers)
-	if err != nil {
-		_ = callers.Close()
-		return err
-	}
 	client := newPlatformClient(cfg.Platform, cfg.Host)
 	defer client.Close()
 	clock := &hlc.Clock{}
@@ -52,9 +47,43 @@
 		Logger:   log,
 		Clock:    clock,
 		Timeline: timeline.New(timeline.Options{Process: "router/" + cfg.Host, Clock: clock, Logger: log}),
-	}, router.Listeners{Callers: callers, Peers: peers})
-	if _, err := fmt.Fprintf(s.Out, "listening addr=%s peers=%s\n", callers.Addr(), peers.Addr()); err != nil {
+	}, listeners)
+	if _, err := fmt.Fprintln(s.Out, readyLine(listeners)); err != nil {
 		return err
 	}
 	return r.Run(ctx)
 }
+
+// listenRouter opens all listeners or none.
+func listenRouter(l settings.RouterListen) (out router.Listeners, err error) {
+	sockets := []struct {
+		addr string
+		ln   *net.Listener
+	}{{l.Callers, &out.Callers}, {l.Peers, &out.Peers}, {l.Metrics, &out.Metrics}}
+	for _, socket := range sockets {
+		if socket.addr == "" {
+			continue
+		}
+		if *socket.ln, err = net.Listen("tcp", socket.addr); err != nil {
+			closeListeners(out)
+			return router.Listeners{}, err
+		}
+	}
+	return out, nil
+}
+
+func closeListeners(l router.Listeners) {
+	for _, ln := range []net.Listener{l.Callers, l.Peers, l.Metrics} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+func readyLine(l router.Listeners) string {
+	line := fmt.Sprintf("listening addr=%s peers=%s", l.Callers.Addr(), l.Peers.Addr())
+	if l.Metrics != nil {
+		line += fmt.Sprintf(" metrics=%s", l.Metrics.Addr())
+	}
+	return line
+}
--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/hlc"
 	"tarragonridge.example/tarragonridge/internal/core/run"
 	"tarragonridge.example/tarragonridge/internal/settings"
 	"tarragonridge.example/tarragonridge/internal/sidecar"
+	"tarragonridge.example/tarragonridge/internal/timeline"
 )
 
 // sidecarCmd runs a sidecar until SIGTERM or SIGINT.
@@ -46,6 +48,10 @@
 	defer client.Close()
 	opts.Table = client
 	opts.Logger = log
+	opts.Clock = &hlc.Clock{}
+	ring := timeline.New(timeline.Options{Process: "sidecar/" + cfg.Target.ID, Clock: opts.Clock})
+	opts.Timeline = ring.Query
+	opts.Event = ring.Append
 	opts.Ready = func(addr string) { fmt.Fprintln(s.Out, "listening addr="+addr) }
 	server, err := sidecar.New(opts)
 	if err != nil {
--- a/internal/configstore/teams.go
+++ b/internal/configstore/teams.go
@@ -10,19 +10,14 @@
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/policy"
 	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/wire"
 )
 
 // TeamRow is a team with the version of its row in the table.
-type TeamRow struct {
-	Row  int64       `json:"row"`
-	Team policy.Team `json:"team"`
-}
+type TeamRow = wire.TeamRow
 
 // TeamsSnapshot is the exchange form of the teams between routers.
-type TeamsSnapshot struct {
-	Version int64     `json:"version"` // configuration version up to which the teams are complete
-	Teams   []TeamRow `json:"teams"`
-}
+type TeamsSnapshot = wire.TeamsSnapshot
 
 // teamIndex is immutable once published.
 type teamIndex struct {
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sort"
@@ -22,11 +23,39 @@
 	for _, method := range serviceMethods {
 		e.Add(method, "/services/:name/*", r.service)
 	}
+	r.registerHealth(e)
+	if r.listeners.Metrics == nil {
+		r.registerMetrics(e)
+	}
+	r.registerAdmin(e)
+	return e
+}
+
+// registerHealth mounts the checks of a load balancer or supervisor.
+func (r *Router) registerHealth(e *echo.Echo) {
 	e.GET("/healthz", func(c *echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", r.readyz)
+}
+
+func (r *Router) registerMetrics(e *echo.Echo) {
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{})))
-	r.registerAdmin(e)
-	return e
+}
+
+// serveMetrics serves metrics and health on their own address until ctx is
+// done, which is after a graceful stop has ended.
+func (r *Router) serveMetrics(ctx context.Context) error {
+	e := echo.NewWithConfig(echo.Config{HTTPErrorHandler: httpapi.ErrorHandler})
+	r.registerHealth(e)
+	r.registerMetrics(e)
+	limits := r.opts.Settings.Limits
+	srv := &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: time.Duration(limits.ReadHeaderTimeoutMS) * time.Millisecond,
+		ReadTimeout:       time.Duration(limits.ReadTimeoutMS) * time.Millisecond,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	return serveHTTP(srv, r.listeners.Metrics)
 }
 
 // run serves a request that may have an earlier run of the same identity.
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -129,7 +129,7 @@
 		if err := json.Unmarshal(row.Value, &reg); err != nil {
 			continue
 		}
-		if reg.State == member.HolderLive && reg.RPCAddr != r.opts.Settings.Listen.Peers {
+		if reg.State == member.HolderLive && reg.RPCAddr != r.listeners.Peers.Addr().String() {
 			live[reg.RPCAddr] = reg.Incarnation
 		}
 	}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -163,6 +163,8 @@
 		return h.release(ctx, params)
 	case wire.MethodConfigPush:
 		return h.config(params)
+	case wire.MethodConfigTeams:
+		return h.configAndTeams(params)
 	case wire.MethodTimeline:
 		return h.timeline(params)
 	}
--- a/internal/router/process.go
+++ b/internal/router/process.go
@@ -23,6 +23,7 @@
 type Listeners struct {
 	Callers net.Listener // HTTP for callers and operators
 	Peers   net.Listener // rpc for other routers
+	Metrics net.Listener // HTTP for metrics and health; nil serves them to callers
 }
 
 // New returns a router. Run starts it.
@@ -85,12 +86,16 @@
 	group.Go(func() error { r.refreshOnHint(groupCtx); return nil })
 	group.Go(func() error { r.keepVerdicts(groupCtx); return nil })
 	group.Go(func() error { return serveHTTP(srv, r.limited(r.listeners.Callers)) })
+	group.Go(func() error { r.adoptFromPeers(groupCtx); return nil })
+	if r.listeners.Metrics != nil {
+		group.Go(func() error { return r.serveMetrics(groupCtx) })
+	}
 	group.Go(func() error {
 		defer stopLoops()
 		select {
 		case <-ctx.Done():
 		case <-groupCtx.Done():
-			return nil
+			return srv.Close() // another part has failed; its error is the result
 		}
 		return r.shutdown(srv)
 	})
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -40,7 +40,7 @@
 	}
 	var settings any
 	if found == RoleRouter {
-		s := defaultRouter()
+		s := DefaultRouter()
 		r.object(root, reflect.ValueOf(&s).Elem(), "")
 		r.checkRouter(&s)
 		settings = &s
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,7 +43,7 @@
 type RouterListen struct {
 	Callers string `json:"callers" check:"required"` // HTTP for callers and operators
 	Peers   string `json:"peers" check:"required"`   // rpc; published to other processes
-	Metrics string `json:"metrics"`                  // HTTP; empty disables it
+	Metrics string `json:"metrics"`                  // HTTP for metrics and health; empty serves metrics to callers
 }
 
 // Platform locates the platform's services.
@@ -108,7 +108,8 @@
 	RetainS     int64 `json:"retain_s"`     // an answer is kept this long after its end; default 900
 }
 
-func defaultRouter() Router {
+// DefaultRouter returns the values of keys that a router's file leaves out.
+func DefaultRouter() Router {
 	return Router{
 		Platform: Platform{TimeoutMS: 2000},
 		Limits: RouterLimits{
--- a/internal/sidecar/options.go
+++ b/internal/sidecar/options.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/hlc"
 	"tarragonridge.example/tarragonridge/internal/core/run"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/rpc"
@@ -52,9 +53,10 @@
 	HandoverLimit time.Duration // at shutdown, wait this long for records to become durable; default 30 s
 	RPC           rpc.Options   // Hello is set by the sidecar
 	Logger        *slog.Logger  // default slog.Default()
+	Clock         *hlc.Clock    // share it with the timeline; default is a new clock
 
 	Timeline func(wire.TimelineQuery) wire.TimelineResult // answers timeline queries; nil refuses them
-	Event    func(wire.Event)                             // receives events for the timeline; nil drops them
+	Event    func(wire.Event)                             // receives events for the timeline, which adds process and stamp; nil drops them
 	Ready    func(rpcAddr string)                         // called once work is accepted
 }
 
@@ -111,6 +113,9 @@
 	if o.Logger == nil {
 		o.Logger = slog.Default()
 	}
+	if o.Clock == nil {
+		o.Clock = &hlc.Clock{}
+	}
 	return o
 }
 
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -23,7 +23,7 @@
 	opts        Options
 	log         *slog.Logger
 	incarnation string
-	clock       hlc.Clock
+	clock       *hlc.Clock
 	target      *target
 	metrics     *metrics
 	work        sync.WaitGroup // runs and readers
@@ -59,6 +59,7 @@
 		opts:        opts,
 		log:         opts.Logger.With("role", "sidecar", "target", opts.Target, "incarnation", incarnation),
 		incarnation: incarnation,
+		clock:       opts.Clock,
 		target:      newTarget(opts),
 		metrics:     newMetrics(),
 		table:       run.New(opts.Limits, opts.Target, incarnation),
@@ -166,8 +167,6 @@
 		return
 	}
 	s.opts.Event(wire.Event{
-		Stamp:     s.clock.Now(time.Now()),
-		Process:   "sidecar " + s.incarnation,
 		Name:      name,
 		RequestID: start.RequestID,
 		RunID:     start.RunID,
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -77,11 +77,22 @@
 	r.log.LogAttrs(context.Background(), level, name, line...)
 }
 
+// Append adds an event that is complete but for its process and stamp. It does
+// not log.
+func (r *Ring) Append(e wire.Event) {
+	e.Process = r.process
+	r.push(e)
+}
+
 func (r *Ring) add(name string, attrs []slog.Attr) wire.Event {
 	e := wire.Event{Process: r.process, Name: name}
 	for _, a := range attrs {
 		setAttr(&e, a)
 	}
+	return r.push(e)
+}
+
+func (r *Ring) push(e wire.Event) wire.Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// The stamp is taken under the lock, so that ring order is stamp order.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -34,6 +34,7 @@
 	MethodTableScan        = "table.scan"
 	MethodTableCommit      = "table.commit"
 	MethodBudgetRelease    = "budget.release"
+	MethodConfigTeams      = "config.teams"
 	MethodQuarantineReport = "quarantine.report" // notification
 )
 
@@ -214,6 +215,29 @@
 	Document policy.Document `json:"document"`
 }
 
+// TeamRow is a team with the version of its row in the table.
+type TeamRow struct {
+	Row  int64       `json:"row"`
+	Team policy.Team `json:"team"`
+}
+
+// TeamsSnapshot is the exchange form of the teams between routers.
+type TeamsSnapshot struct {
+	Version int64     `json:"version"` // configuration version up to which the teams are complete
+	Teams   []TeamRow `json:"teams"`
+}
+
+// ConfigQuery asks a router for all that it needs to serve callers when the
+// table cannot be read.
+type ConfigQuery struct{ Header }
+
+// ConfigResult answers ConfigQuery.
+type ConfigResult struct {
+	Header
+	Document policy.Document `json:"document"`
+	Teams    TeamsSnapshot   `json:"teams"`
+}
+
 // LoadReport tells routers about a target.
 type LoadReport struct {
 	Header
