Add dev, the whole path in one process on loopback

There was no way to try the system without ten processes and settings files.

dev starts the platform, two engines, a service, their sidecars and a router on free loopback ports, creates the team and its budget and prints commands that work as pasted. Addresses other than loopback are refused, because the keys are published. The counter tarragonridge_tokens_charged_total was declared and never raised; it now counts the records that a router has stored.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,7 @@
 type commands struct {
 	Router  routerCmd  `cmd:"" help:"Run a router."`
 	Sidecar sidecarCmd `cmd:"" help:"Run the sidecar of a target."`
+	Dev     devCmd     `cmd:"" help:"Run everything in one process on loopback, with stand-ins."`
 	Standin standinCmd `cmd:"" help:"Run a stand-in of an outside system."`
 	Load    loadCmd    `cmd:"" help:"Generate load and compare results."`
 	Version versionCmd `cmd:"" help:"Print the version."`
--- /dev/null
+++ b/internal/dev/dev_test.go
@@ -0,0 +1,185 @@
+package dev_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go"
+	"github.com/openai/openai-go/option"
+	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/admin"
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/dev"
+	"tarragonridge.example/tarragonridge/internal/standin/engine"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+const settleLimit = 5 * time.Second
+
+func start(t *testing.T) *dev.Fleet {
+	t.Helper()
+	fleet, err := dev.Start(t.Context(), dev.Options{Listen: "127.0.0.1:0", Logger: slog.New(slog.DiscardHandler)})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, fleet.Stop()) })
+	return fleet
+}
+
+func clientOf(fleet *dev.Fleet, key string) openai.Client {
+	return openai.NewClient(option.WithBaseURL(fleet.URL()+"/v1"), option.WithAPIKey(key), option.WithMaxRetries(0))
+}
+
+// chat asks for the text word-0 to word-(tokens-1).
+func chat(word string, tokens int64) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:     dev.Model,
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage("echo:" + word)},
+		MaxTokens: openai.Int(tokens),
+	}
+}
+
+// Guards against answers that the published client does not accept, and
+// against a settled sum that differs from what the engines produced.
+func TestPublishedClient(t *testing.T) {
+	t.Parallel()
+	fleet := start(t)
+	ctx := t.Context()
+	client := clientOf(fleet, dev.CallerKey)
+
+	whole, err := client.Chat.Completions.New(ctx, chat("whole", 8))
+	assert.NilError(t, err)
+	checkText(t, whole.Choices[0].Message.Content, "whole", whole.Usage.CompletionTokens)
+	assert.Equal(t, whole.Usage.TotalTokens, whole.Usage.PromptTokens+whole.Usage.CompletionTokens)
+
+	streamed, usage := stream(t, client)
+	checkText(t, streamed, "streamed", usage.CompletionTokens)
+
+	legacy, err := client.Completions.New(ctx, openai.CompletionNewParams{
+		Model:     dev.Model,
+		Prompt:    openai.CompletionNewParamsPromptUnion{OfString: openai.String("echo:legacy")},
+		MaxTokens: openai.Int(8),
+	})
+	assert.NilError(t, err)
+	checkText(t, legacy.Choices[0].Text, "legacy", legacy.Usage.CompletionTokens)
+
+	models, err := client.Models.List(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(models.Data), 1)
+	assert.Equal(t, models.Data[0].ID, dev.Model)
+
+	counted := engineTokens(t, fleet, 3)
+	assert.Equal(t, counted, whole.Usage.TotalTokens+usage.TotalTokens+legacy.Usage.TotalTokens)
+	checkBudget(t, fleet, counted)
+}
+
+// Guards against a refusal that the published client does not report as an
+// error of the API.
+func TestPublishedClientWithBadKey(t *testing.T) {
+	t.Parallel()
+	fleet := start(t)
+	client := clientOf(fleet, "not-a-key")
+	_, err := client.Chat.Completions.New(t.Context(), chat("refused", 8))
+	var apiErr *openai.Error
+	assert.Assert(t, errors.As(err, &apiErr), "error is %T: %v", err, err)
+	assert.Equal(t, apiErr.StatusCode, http.StatusUnauthorized)
+	assert.Equal(t, engineTokens(t, fleet, 0), int64(0))
+}
+
+// Guards against a timeline without the sidecars' part of a request.
+func TestTimelineShowsSidecarEvents(t *testing.T) {
+	t.Parallel()
+	fleet := start(t)
+	client := clientOf(fleet, dev.CallerKey)
+	_, err := client.Chat.Completions.New(t.Context(), chat("traced", 2))
+	assert.NilError(t, err)
+	merged, err := operator(fleet).Timeline(t.Context(), wire.TimelineQuery{})
+	assert.NilError(t, err)
+	assert.Equal(t, len(merged.Unreachable), 0)
+	var names []string
+	for _, e := range merged.Events {
+		if e.RequestID != "" {
+			names = append(names, strings.Split(e.Process, "/")[0]+" "+e.Name)
+		}
+	}
+	assert.DeepEqual(t, names, []string{"router attempt", "sidecar run.started", "sidecar run.ended", "router answered"})
+}
+
+// Guards against published keys on an address that other hosts reach.
+func TestOnlyLoopback(t *testing.T) {
+	for _, addr := range []string{"0.0.0.0:0", "10.1.2.3:8080", "localhost:8080", "[::]:0"} {
+		_, err := dev.Start(t.Context(), dev.Options{Listen: addr})
+		assert.Equal(t, errkind.Of(err), errkind.InvalidRequest, addr)
+	}
+}
+
+func checkText(t *testing.T, text, word string, tokens int64) {
+	t.Helper()
+	fields := strings.Fields(text)
+	assert.Equal(t, int64(len(fields)), tokens)
+	assert.Assert(t, tokens > 0)
+	for _, f := range fields {
+		assert.Assert(t, strings.HasPrefix(f, word+"-"), "token %q of another answer", f)
+	}
+}
+
+func stream(t *testing.T, client openai.Client) (string, openai.CompletionUsage) {
+	t.Helper()
+	params := chat("streamed", 12)
+	params.StreamOptions.IncludeUsage = openai.Bool(true)
+	events := client.Chat.Completions.NewStreaming(t.Context(), params)
+	var acc openai.ChatCompletionAccumulator
+	for events.Next() {
+		assert.Assert(t, acc.AddChunk(events.Current()))
+	}
+	assert.NilError(t, events.Err())
+	return acc.Choices[0].Message.Content, acc.Usage
+}
+
+func operator(fleet *dev.Fleet) *admin.Client {
+	return admin.New(admin.Options{Server: fleet.URL(), Key: dev.OperatorKey})
+}
+
+// engineTokens sums the engines' own counts, which must show so many runs.
+func engineTokens(t *testing.T, fleet *dev.Fleet, runs int) int64 {
+	t.Helper()
+	sum, found := int64(0), 0
+	for _, url := range fleet.EngineURLs() {
+		resp, err := http.Get(url + "/control/runs")
+		assert.NilError(t, err)
+		var list engine.RunList
+		err = json.NewDecoder(resp.Body).Decode(&list)
+		_ = resp.Body.Close()
+		assert.NilError(t, err)
+		assert.Equal(t, list.Dropped, int64(0))
+		for _, run := range list.Runs {
+			assert.Equal(t, run.Team, dev.Team)
+			sum += run.PromptTokens + run.OutputTokens
+		}
+		found += len(list.Runs)
+	}
+	assert.Equal(t, found, runs)
+	return sum
+}
+
+// checkBudget waits until idle shares have been returned, so that a charge
+// that comes late is seen as well.
+func checkBudget(t *testing.T, fleet *dev.Fleet, settled int64) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), settleLimit)
+	defer cancel()
+	for {
+		b, err := operator(fleet).Budget(ctx, dev.Team)
+		assert.NilError(t, err)
+		if b.Held == 0 {
+			assert.DeepEqual(t, b, admin.Budget{ToppedUp: dev.Budget, Settled: settled, Left: dev.Budget - settled})
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -247,6 +247,14 @@
 	}
 }
 
+// durable takes in records that this router has stored.
+func (r *Router) durable(records []ledger.Record) {
+	for _, rec := range records {
+		r.metrics.tokens.WithLabelValues(string(rec.Outcome)).Add(float64(rec.Charged))
+	}
+	r.ack(records)
+}
+
 // ack tells the sidecars that records are durable.
 func (r *Router) ack(records []ledger.Record) {
 	bySidecar := map[string][]string{}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -24,7 +24,7 @@
 		}, []string{"kind", "result"}),
 		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tarragonridge_tokens_charged_total",
-			Help: "Tokens charged by outcome of the run.",
+			Help: "Tokens in the records that this router has stored, by outcome of the run.",
 		}, []string{"outcome"}),
 	}
 	m.registry.MustRegister(m.requests, m.tokens, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/router/process.go
+++ b/internal/router/process.go
@@ -127,7 +127,7 @@
 		},
 		Logger:  r.opts.Logger,
 		Peers:   r.peers,
-		Durable: r.ack,
+		Durable: r.durable,
 		Fencer:  fencer{r},
 	}
 }
--- a/internal/sidecar/execute.go
+++ b/internal/sidecar/execute.go
@@ -299,5 +299,9 @@
 	s.metrics.ended(r)
 	s.log.Info("run ended", "request", r.RequestID, "run", r.RunID, "outcome", r.Outcome, "kind", end.Kind,
 		"prompt", r.PromptTokens, "output", r.OutputTokens, "charged", r.Charged, "suspect", end.Suspect)
-	s.event("run.ended", m, map[string]string{"outcome": string(r.Outcome), "kind": string(end.Kind)})
+	attrs := map[string]string{"outcome": string(r.Outcome)}
+	if end.Kind != "" {
+		attrs["kind"] = string(end.Kind)
+	}
+	s.event("run.ended", m, attrs)
 }
