List single effects in the service stand-in; settings for a relayed sidecar

The counts by key cannot tell two teams with the same key apart and do not name the run, so an audit could not match an effect with its record. The stand-in now lists each effect with team, key, run and request.

listen.advertise lets a relay stand between routers and a sidecar, which scenarios need to cut that path. The sidecar had the option already; only the setting was missing.

--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -71,6 +71,7 @@
 		Host:        cfg.Host,
 		Domain:      cfg.FailureDomain,
 		Listen:      cfg.Listen.RPC,
+		Advertise:   cfg.Listen.Advertise,
 		HTTPListen:  cfg.Listen.Metrics,
 		HonourFence: cfg.Target.HonoursFence,
 		OrderSecret: secret,
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -126,6 +126,9 @@
 	r.checkIdentity(s.Host, s.FailureDomain, s.LogLevel)
 	r.checkPlatform(s.Platform)
 	r.listen("listen.rpc", s.Listen.RPC, true)
+	if s.Listen.Advertise != "" {
+		r.peer("listen.advertise", s.Listen.Advertise)
+	}
 	r.optionalListen("listen.metrics", s.Listen.Metrics)
 	r.distinct([]string{"listen.rpc", "listen.metrics"}, []string{s.Listen.RPC, s.Listen.Metrics})
 	r.checkTarget(s.Target)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,8 +85,9 @@
 
 // SidecarListen holds the addresses of a sidecar. Port 0 picks a free port.
 type SidecarListen struct {
-	RPC     string `json:"rpc" check:"required"` // published to routers
-	Metrics string `json:"metrics"`              // HTTP; empty disables it
+	RPC       string `json:"rpc" check:"required"` // published to routers
+	Advertise string `json:"advertise"`            // published instead of rpc if a relay stands in front; default empty
+	Metrics   string `json:"metrics"`              // HTTP; empty disables it
 }
 
 // Target describes the target next to the sidecar.
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -22,6 +22,17 @@
 // HeaderIdempotencyKey names the request identity that effects are counted by.
 const HeaderIdempotencyKey = "Idempotency-Key"
 
+// Headers that name a call in the audit.
+const (
+	HeaderTeam      = "X-Team"
+	HeaderRunID     = "X-Run-Id"
+	HeaderRequestID = "X-Request-Id"
+)
+
+// maxEffects bounds the list of effects. An audit is complete only if Total
+// does not exceed it.
+const maxEffects = 100_000
+
 // Mode is a kind of fault.
 type Mode string
 
@@ -72,9 +83,18 @@
 	Certificates []string `json:"certificates"` // of the ref, oldest first
 }
 
+// Effect is one side effect.
+type Effect struct {
+	Team      string `json:"team"`
+	Key       string `json:"key"` // Idempotency-Key
+	RunID     string `json:"run_id"`
+	RequestID string `json:"request_id"`
+}
+
 // Effects counts side effects. It answers GET /control/effects.
 type Effects struct {
 	Total int            `json:"total"`
+	List  []Effect       `json:"list"`   // the first 100000, in order
 	ByKey map[string]int `json:"by_key"` // by Idempotency-Key
 	ByRef map[string]int `json:"by_ref"` // by the body's field ref
 }
@@ -91,6 +111,7 @@
 	byKey  map[string]int
 	byRef  map[string][]string // certificates
 	total  int
+	list   []Effect
 }
 
 // New returns a server without faults. log is slog.Default() if nil.
@@ -138,7 +159,7 @@
 func (s *Server) Effects() Effects {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := Effects{Total: s.total, ByKey: map[string]int{}, ByRef: map[string]int{}}
+	out := Effects{Total: s.total, List: append([]Effect{}, s.list...), ByKey: map[string]int{}, ByRef: map[string]int{}}
 	for key, count := range s.byKey {
 		out.ByKey[key] = count
 	}
@@ -199,7 +220,7 @@
 	if err := hinder(c, fault, lifted); err != nil {
 		return err
 	}
-	certificate := s.record(c.Request().Header.Get(HeaderIdempotencyKey), ref)
+	certificate := s.record(effectOf(c.Request().Header), ref)
 	if fault.Mode == CrashAfterEffect {
 		abort()
 	}
@@ -224,14 +245,24 @@
 	return fields.Ref, nil
 }
 
+func effectOf(h http.Header) Effect {
+	return Effect{
+		Team: h.Get(HeaderTeam), Key: h.Get(HeaderIdempotencyKey),
+		RunID: h.Get(HeaderRunID), RequestID: h.Get(HeaderRequestID),
+	}
+}
+
 // record counts one effect and returns its certificate number.
-func (s *Server) record(key, ref string) string {
+func (s *Server) record(effect Effect, ref string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.total++
+	if len(s.list) < maxEffects {
+		s.list = append(s.list, effect)
+	}
 	certificate := fmt.Sprintf("C-%08d", s.total)
-	if key != "" {
-		s.byKey[key]++
+	if effect.Key != "" {
+		s.byKey[effect.Key]++
 	}
 	if ref != "" {
 		s.byRef[ref] = append(s.byRef[ref], certificate)
--- a/internal/standin/service/server_test.go
+++ b/internal/standin/service/server_test.go
@@ -70,7 +70,8 @@
 	var effects service.Effects
 	f.get("/control/effects", &effects)
 	assert.DeepEqual(t, effects, service.Effects{
-		Total: 2, ByKey: map[string]int{"k1": 2}, ByRef: map[string]int{"lot-1": 2},
+		Total: 2, List: []service.Effect{{Key: "k1"}, {Key: "k1"}},
+		ByKey: map[string]int{"k1": 2}, ByRef: map[string]int{"lot-1": 2},
 	})
 	var lookup service.Lookup
 	f.get("/fees/pay?ref=lot-1", &lookup)
