Add the audit of the books

Compares accounts, top-ups and run records with the engines' and services' own counts and with the answers callers received. Violations that records on their way can explain are read again until the settle timeout; all others are final. Each kind of violation has a test with planted data.

--- /dev/null
+++ b/internal/books/books_test.go
@@ -0,0 +1,173 @@
+package books
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/core/budget"
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/standin/engine"
+	"tarragonridge.example/tarragonridge/internal/standin/service"
+)
+
+// sound returns data without a violation: one completion of 30 tokens and one
+// service call of 10, both answered, and one refusal.
+func sound() *Data {
+	completion := ledger.Record{
+		Identity: ledger.Identity{Team: "alpha", Key: "k1"}, RunID: "run1", RequestID: "req1", Holder: "h1",
+		Model: "m1", PromptTokens: 10, OutputTokens: 20, Reserved: 50, Charged: 30, Outcome: ledger.Whole, EndedUS: 1,
+	}
+	fee := ledger.Record{
+		Identity: ledger.Identity{Team: "alpha", Key: "fee1"}, RunID: "run2", RequestID: "req2", Holder: "h1",
+		Service: "desk", Reserved: 10, Charged: 10, Outcome: ledger.Whole, EndedUS: 2,
+	}
+	return &Data{
+		Accounts: map[string]budget.Account{"alpha": {ToppedUp: 100, Grants: map[string]budget.Grant{"h1": {Seq: 1, Granted: 60, Settled: 40}}}},
+		TopUps:   map[string]int64{"alpha": 100},
+		Records:  []ledger.Record{completion, fee},
+		Runs:     []engine.Run{{Seq: 1, Team: "alpha", RunID: "run1", RequestID: "req1", PromptTokens: 10, OutputTokens: 20, Status: engine.RunFinished}},
+		Effects:  []service.Effect{{Team: "alpha", Key: "fee1", RunID: "run2", RequestID: "req2"}},
+		Answers: []Answer{
+			{Team: "alpha", Key: "k1", RequestID: "req1", Whole: true},
+			{Team: "alpha", Key: "fee1", RequestID: "req2", Whole: true},
+			{Team: "alpha", Key: "k3", RequestID: "req3", Ran: "no"},
+		},
+	}
+}
+
+// account replaces the account of the team alpha.
+func (d *Data) account(edit func(a *budget.Account)) {
+	a := d.Accounts["alpha"]
+	edit(&a)
+	d.Accounts["alpha"] = a
+}
+
+// Guards against an audit that cannot fail: each planted fault is found as its
+// own kind, and sound books have none.
+func TestPlantedFaults(t *testing.T) {
+	cases := map[string]struct {
+		plant func(d *Data)
+		want  []Kind
+	}{
+		"none": {func(*Data) {}, nil},
+		"overspend": {func(d *Data) {
+			d.account(func(a *budget.Account) { a.ToppedUp = 60 })
+			d.TopUps["alpha"] = 60
+			d.Runs[0].OutputTokens = 55
+			d.Records[0].Reserved, d.Records[0].Charged = 65, 65
+		}, []Kind{Overspend, SettledDiff}},
+		"negative left": {func(d *Data) {
+			d.account(func(a *budget.Account) { a.ToppedUp = 59 })
+			d.TopUps["alpha"] = 59
+		}, []Kind{BadAccount}},
+		"top-up counted twice": {func(d *Data) {
+			d.account(func(a *budget.Account) { a.ToppedUp = 200 })
+		}, []Kind{BadTopUp}},
+		"settled differs": {func(d *Data) {
+			d.account(func(a *budget.Account) { a.ClosedSettled = 1 })
+		}, []Kind{SettledDiff}},
+		"run recorded twice": {func(d *Data) {
+			d.Records = append(d.Records, d.Records[0])
+			d.account(func(a *budget.Account) { a.ClosedSettled = 30 })
+		}, []Kind{DoubleBill}},
+		"service call billed twice": {func(d *Data) {
+			again := d.Records[1]
+			again.RunID = "run9"
+			d.Records = append(d.Records, again)
+			d.account(func(a *budget.Account) { a.ClosedSettled = 10 })
+		}, []Kind{DoubleBill}},
+		"lost bill": {func(d *Data) {
+			d.Runs = append(d.Runs, engine.Run{Team: "alpha", RunID: "run9", RequestID: "req9", Status: engine.RunFinished})
+		}, []Kind{LostBill}},
+		"too small a bill": {func(d *Data) { d.Runs[0].OutputTokens++ }, []Kind{Underbilled}},
+		"record of another team": {func(d *Data) {
+			d.Runs[0].Team = "beta"
+			d.Accounts["beta"] = budget.Account{ToppedUp: 100}
+			d.TopUps["beta"] = 100
+		}, []Kind{BadRecord}},
+		"bill without a run": {func(d *Data) { d.Runs = nil }, []Kind{BillNoRun}},
+		"false not run": {func(d *Data) { d.Answers[2].RequestID = "req1" }, []Kind{FalseNotRun}},
+		"false not run of a service": {func(d *Data) {
+			d.Answers = append(d.Answers, Answer{Team: "alpha", Key: "fee1", RequestID: "req2", Ran: "no"})
+		}, []Kind{FalseNotRun}},
+		"answer without a bill": {func(d *Data) {
+			d.Answers = append(d.Answers, Answer{Team: "alpha", RequestID: "req9", Whole: true})
+		}, []Kind{AnswerNoBill}},
+		"side effect twice": {func(d *Data) { d.Effects = append(d.Effects, d.Effects[0]) }, []Kind{DoubleEffect}},
+		"effect without a record": {func(d *Data) {
+			d.Effects = append(d.Effects, service.Effect{Team: "alpha", Key: "fee9", RunID: "run9"})
+		}, []Kind{LostBill}},
+		"active run": {func(d *Data) { d.Runs[0].Status = engine.RunActive }, []Kind{StillActive}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := sound()
+			c.plant(d)
+			var got []Kind
+			for _, v := range Check(d) {
+				got = append(got, v.Kind)
+			}
+			assert.DeepEqual(t, got, c.want)
+		})
+	}
+}
+
+// Guards against an audit that reports a bill as lost while it is on its way,
+// and against one that misses rows or counts when it reads.
+func TestSettledWaitsForRecords(t *testing.T) {
+	want := sound()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /control/runs", func(w http.ResponseWriter, r *http.Request) {
+		list := engine.RunList{}
+		if r.URL.Query().Get("after") == "0" {
+			list.Runs = want.Runs
+		}
+		_ = json.NewEncoder(w).Encode(list)
+	})
+	mux.HandleFunc("GET /control/effects", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(service.Effects{Total: len(want.Effects), List: want.Effects})
+	})
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	table := platform.NewMemory()
+	put(t, table, "account/alpha", want.Accounts["alpha"])
+	put(t, table, "topup/alpha/t1", map[string]any{"team": "alpha", "tokens": 100})
+	put(t, table, "ledger/h1/000000000001", ledger.Segment{Holder: "h1", Seq: 1, Records: want.Records[:1]})
+	answers := filepath.Join(t.TempDir(), "answers.jsonl")
+	assert.NilError(t, os.WriteFile(answers, []byte(`{"team":"alpha","key":"fee1","request_id":"req2","whole":true}`+"\n"), 0o600))
+	sources := Sources{Table: table, Engines: []string{server.URL}, Services: []string{server.URL}, Answers: answers}
+
+	_, found, err := Settled(context.Background(), sources, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(found), 3, "%v", found)
+
+	stored := make(chan struct{})
+	go func() {
+		defer close(stored)
+		time.Sleep(pollInterval / 2)
+		put(t, table, "ledger/h1/000000000002", ledger.Segment{Holder: "h1", Seq: 2, Records: want.Records[1:]})
+	}()
+	data, found, err := Settled(context.Background(), sources, 20*pollInterval)
+	<-stored
+	assert.NilError(t, err)
+	assert.Equal(t, len(found), 0, "%v", found)
+	assert.Equal(t, len(data.Records), 2)
+}
+
+func put(t *testing.T, table platform.Table, key string, value any) {
+	t.Helper()
+	data, err := json.Marshal(value)
+	assert.Check(t, err)
+	result, err := table.Commit(context.Background(), platform.Txn{Puts: []platform.Put{{Key: key, Value: data}}})
+	assert.Check(t, err)
+	assert.Check(t, result.Committed)
+}
--- /dev/null
+++ b/internal/books/read.go
@@ -0,0 +1,201 @@
+package books
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tarragonridge.example/tarragonridge/internal/core/budget"
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/standin/engine"
+	"tarragonridge.example/tarragonridge/internal/standin/service"
+)
+
+// Prefixes of the rows that the audit reads.
+const (
+	accountPrefix = "account/"
+	topUpPrefix   = "topup/"
+)
+
+const (
+	pollInterval = 200 * time.Millisecond
+	readTimeout  = 5 * time.Second // per call
+	maxAnswer    = 64 << 20        // bytes of one answer of a stand-in
+	maxLine      = 1 << 20         // bytes of a line of the answers file
+)
+
+// Sources locate what the audit compares.
+type Sources struct {
+	Table    platform.Table
+	Engines  []string // base URLs
+	Services []string // base URLs
+	Answers  string   // file with one Answer per line; empty means none
+}
+
+// Settled reads and checks until only violations are left that waiting cannot
+// resolve, or until the timeout. It returns the data and the violations of the
+// last round.
+func Settled(ctx context.Context, s Sources, timeout time.Duration) (*Data, []Violation, error) {
+	deadline := time.Now().Add(timeout)
+	for {
+		data, err := Read(ctx, s)
+		if err != nil {
+			return nil, nil, err
+		}
+		found := Check(data)
+		if !anySettles(found) || !time.Now().Before(deadline) {
+			return data, found, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, nil, ctx.Err()
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func anySettles(found []Violation) bool {
+	for _, v := range found {
+		if v.Settles() {
+			return true
+		}
+	}
+	return false
+}
+
+// Read takes one snapshot. Counts of the stand-ins come first, because a run
+// that ends in between has its record stored later than its count.
+func Read(ctx context.Context, s Sources) (*Data, error) {
+	d := &Data{Accounts: map[string]budget.Account{}, TopUps: map[string]int64{}}
+	for _, url := range s.Engines {
+		if err := d.readRuns(ctx, url); err != nil {
+			return nil, err
+		}
+	}
+	for _, url := range s.Services {
+		if err := d.readEffects(ctx, url); err != nil {
+			return nil, err
+		}
+	}
+	if err := d.readTable(ctx, s.Table); err != nil {
+		return nil, err
+	}
+	return d, d.readAnswers(s.Answers)
+}
+
+func (d *Data) readRuns(ctx context.Context, url string) error {
+	after := int64(0)
+	for {
+		var page engine.RunList
+		if err := get(ctx, url+"/control/runs?after="+strconv.FormatInt(after, 10), &page); err != nil {
+			return err
+		}
+		if page.Dropped > 0 {
+			d.Faults = append(d.Faults, Violation{Kind: Incomplete, Detail: "engine " + url + " has dropped " + strconv.FormatInt(page.Dropped, 10) + " runs"})
+		}
+		if len(page.Runs) == 0 {
+			return nil
+		}
+		d.Runs = append(d.Runs, page.Runs...)
+		after = page.Runs[len(page.Runs)-1].Seq
+	}
+}
+
+func (d *Data) readEffects(ctx context.Context, url string) error {
+	var effects service.Effects
+	if err := get(ctx, url+"/control/effects", &effects); err != nil {
+		return err
+	}
+	if len(effects.List) != effects.Total {
+		d.Faults = append(d.Faults, Violation{Kind: Incomplete, Detail: "service " + url + " lists " + strconv.Itoa(len(effects.List)) + " of " + strconv.Itoa(effects.Total) + " effects"})
+	}
+	d.Effects = append(d.Effects, effects.List...)
+	return nil
+}
+
+func get(ctx context.Context, url string, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return eris.Wrap(err, "request")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "stand-in")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("%s answers %s", url, resp.Status)
+	}
+	return eris.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(out), url)
+}
+
+// readTable reads accounts before records: each transaction writes both, so an
+// account never shows more settled tokens than the records read after it.
+func (d *Data) readTable(ctx context.Context, table platform.Table) error {
+	err := scan(ctx, table, accountPrefix, d, func(key string, account budget.Account) {
+		d.Accounts[key] = account
+	})
+	if err != nil {
+		return err
+	}
+	type topUp struct {
+		Team   string `json:"team"`
+		Tokens int64  `json:"tokens"`
+	}
+	if err := scan(ctx, table, topUpPrefix, d, func(_ string, t topUp) { d.TopUps[t.Team] += t.Tokens }); err != nil {
+		return err
+	}
+	return scan(ctx, table, ledger.Prefix, d, func(_ string, s ledger.Segment) {
+		d.Records = append(d.Records, s.Records...)
+	})
+}
+
+// scan decodes all rows with the prefix and passes each with the rest of its
+// key.
+func scan[T any](ctx context.Context, table platform.Table, prefix string, d *Data, use func(key string, value T)) error {
+	rows, err := platform.ScanAll(ctx, table, prefix)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		var value T
+		if err := json.Unmarshal(row.Value, &value); err != nil {
+			d.Faults = append(d.Faults, Violation{Kind: UnreadableRow, Detail: row.Key + ": " + err.Error()})
+			continue
+		}
+		use(strings.TrimPrefix(row.Key, prefix), value)
+	}
+	return nil
+}
+
+func (d *Data) readAnswers(path string) error {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return eris.Wrap(err, "answers")
+	}
+	defer file.Close()
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, maxLine)
+	for n := 1; scanner.Scan(); n++ {
+		var answer Answer
+		if err := json.Unmarshal(scanner.Bytes(), &answer); err != nil {
+			return eris.Wrapf(err, "%s:%d", path, n)
+		}
+		d.Answers = append(d.Answers, answer)
+	}
+	return eris.Wrap(scanner.Err(), path)
+}
--- /dev/null
+++ b/internal/cli/books.go
@@ -0,0 +1,47 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/books"
+	"tarragonridge.example/tarragonridge/internal/platform"
+)
+
+// booksCmd compares the ledger with the stand-ins' own counts.
+type booksCmd struct {
+	Platform      string        `required:"" help:"Base URL of the platform."`
+	Engine        []string      `help:"Base URL of an engine; may be repeated."`
+	Service       []string      `help:"Base URL of a service; may be repeated."`
+	Answers       string        `type:"existingfile" help:"File with one answer per line: team, key, request_id, ran, whole."`
+	SettleTimeout time.Duration `default:"10s" help:"Longest wait until the records of ended runs are stored."`
+}
+
+// booksCallTimeout limits one call to the platform.
+const booksCallTimeout = 5 * time.Second
+
+var errViolations = errors.New("the books do not agree")
+
+// Run prints every violation and fails if there is any.
+func (c *booksCmd) Run(s *Streams) error {
+	ctx, stop := signalContext()
+	defer stop()
+	client := platform.NewClient(platform.Options{BaseURL: c.Platform, Timeout: booksCallTimeout})
+	defer client.Close()
+	data, found, err := books.Settled(ctx, books.Sources{
+		Table: client, Engines: c.Engine, Services: c.Service, Answers: c.Answers,
+	}, c.SettleTimeout)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.Out, "books: teams=%d records=%d runs=%d effects=%d answers=%d violations=%d\n",
+		len(data.Accounts), len(data.Records), len(data.Runs), len(data.Effects), len(data.Answers), len(found))
+	for _, v := range found {
+		fmt.Fprintln(s.Out, v)
+	}
+	if len(found) > 0 {
+		return errViolations
+	}
+	return nil
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,6 +33,7 @@
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Config  configCmd  `cmd:"" help:"Work with settings files."`
 	Admin   adminCmd   `cmd:"" help:"Operate a running fleet through a router."`
+	Books   booksCmd   `cmd:"" help:"Audit the ledger against the stand-ins' own counts."`
 }
 
 // Version is the release of this binary.
