--- a/internal/books/books_test.go
+++ b/internal/books/books_test.go
@@ -95,7 +95,7 @@
 			d.TopUps["beta"] = 100
 		}, []Kind{BadRecord}},
 		"bill without a run": {func(d *Data) { d.Runs = nil }, []Kind{BillNoRun}},
-		"false not run": {func(d *Data) { d.Answers[2].RequestID = "req1" }, []Kind{FalseNotRun}},
+		"false not run":      {func(d *Data) { d.Answers[2].RequestID = "req1" }, []Kind{FalseNotRun}},
 		"false not run of a service": {func(d *Data) {
 			d.Answers = append(d.Answers, Answer{Team: "alpha", Key: "fee1", RequestID: "req2", Ran: "no"})
 		}, []Kind{FalseNotRun}},
