Name what a request waited for when its wait ends

A refusal with a kind of its own was replaced by deadline_exceeded whenever it wrapped a deadline: a request that waited for a budget held by others got 504 instead of 429 budget_busy, and one whose table call timed out got 504 instead of 503 platform_unavailable with its longer time to retry.

--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -126,7 +126,10 @@
 	if ctx.Err() != nil {
 		return &errkind.Error{Kind: errkind.Canceled, Detail: "the caller left before a run started", Ran: errkind.RanNo}
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
+	// An error with a kind may wrap the deadline of one call or of the wait; it
+	// says more than the deadline.
+	var kinded *errkind.Error
+	if !errors.As(err, &kinded) && errors.Is(err, context.DeadlineExceeded) {
 		return errkind.Wrap(err, errkind.DeadlineExceeded, "no run started in time")
 	}
 	return err
