Leave a relayed table call time after the direct path times out

escrow bounded a call by 2 s, which is also the default timeout of the direct path, so on a connection that silently discards bytes the time was used up before the relay through a peer began. A router cut off that way refused requests with platform_unavailable, although its peers reached the table.

--- a/internal/escrow/manager.go
+++ b/internal/escrow/manager.go
@@ -24,8 +24,9 @@
 	defaultLeaseTimeout = 10 * time.Second
 
 	// callTimeout bounds one call to the table. A Commit that exceeds it counts
-	// as uncertain.
-	callTimeout = 2 * time.Second
+	// as uncertain. It leaves time for a relay through a peer after the direct
+	// path has timed out, which takes 2 s with the default settings.
+	callTimeout = 5 * time.Second
 	// maxAccountsPerTxn bounds the size of a transaction.
 	maxAccountsPerTxn = 100
 	// maxWaiters bounds the queue of requests that wait for one team's budget.
