Add the overhead comparison of the load tool

Cause: the added time to first token, the added gap and the cost per token of router and sidecar could not be measured. The sidecar also exposed no process_cpu_seconds_total and no process_resident_memory_bytes.

load overhead alternates requests between the engine and the router, open loop, and reads CPU time and memory from the metrics of both processes.

Ruled out: microsecond histograms, because the goal for a gap is 100 us; JSON decoding of each event in the client, because it delays the next time stamp.

Conclusion: the sidecar registers the process and Go collectors, and a comparison in which answers fail or are short is reported as such.

--- /dev/null
+++ b/internal/load/overhead.go
@@ -0,0 +1,183 @@
+package load
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Limits of an overhead comparison.
+const (
+	maxOverheadRepeats = 100
+	maxOverheadTokens  = 100_000 // per answer
+	overheadWarmUp     = 1 * time.Second
+	overheadSample     = 100 * time.Millisecond // period of the memory samples
+)
+
+// OverheadConfig sets up a comparison of a direct connection to an engine with
+// the path through router and sidecar to the same engine.
+type OverheadConfig struct {
+	Direct         string        // base URL of the engine
+	Routed         string        // base URL of the router
+	RouterMetrics  string        // URL of the router's metrics
+	SidecarMetrics string        // URL of the sidecar's metrics
+	Key            string        // caller key for the router
+	Model          string        // default standin-model
+	Rate           float64       // mean arrivals per second over both paths; default 20
+	Tokens         int           // tokens of each answer; default 400
+	PromptBytes    int           // default 400
+	Duration       time.Duration // sending time of a repetition; default 10 s
+	Timeout        time.Duration // of one request; default 30 s
+	Repeats        int           // default 3, at least 3
+	Keyed          bool          // routed requests carry an Idempotency-Key
+	Seed           uint64        // default 1
+	Progress       io.Writer     // receives a line per repetition; nil for none
+}
+
+// DefaultOverheadConfig returns the defaults. URLs and Key have none.
+func DefaultOverheadConfig() OverheadConfig {
+	return OverheadConfig{
+		Model:       "standin-model",
+		Rate:        20,
+		Tokens:      400,
+		PromptBytes: 400,
+		Duration:    10 * time.Second,
+		Timeout:     30 * time.Second,
+		Repeats:     3,
+		Seed:        1,
+	}
+}
+
+// Validate returns the first fault of the configuration.
+func (c OverheadConfig) Validate() error {
+	checks := []struct {
+		ok   bool
+		text string
+	}{
+		{isHTTP(c.Direct), "direct must be an http URL"},
+		{isHTTP(c.Routed), "routed must be an http URL"},
+		{isHTTP(c.RouterMetrics), "router metrics must be an http URL"},
+		{isHTTP(c.SidecarMetrics), "sidecar metrics must be an http URL"},
+		{c.Model != "", "model is missing"},
+		{c.Rate > 0 && c.Rate <= maxRate, "rate must be above 0 and at most 20000"},
+		{c.Tokens > 1 && c.Tokens <= maxOverheadTokens, "tokens must be between 2 and 100000"},
+		{c.PromptBytes > 0 && c.PromptBytes <= maxLineBytes, "prompt bytes must be between 1 and 1048576"},
+		{c.Duration > 0 && c.Duration <= maxDuration, "duration must be above 0 and at most 6h"},
+		{c.Timeout > 0, "timeout must be positive"},
+		{c.Repeats >= 3 && c.Repeats <= maxOverheadRepeats, "repeats must be between 3 and 100"},
+	}
+	for _, check := range checks {
+		if !check.ok {
+			return eris.New("load: " + check.text)
+		}
+	}
+	return nil
+}
+
+// overheadRun is a comparison in progress.
+type overheadRun struct {
+	config OverheadConfig
+	http   *http.Client
+	id     string // makes idempotency keys unique
+	random *rand.Rand
+	number int // of the next request
+}
+
+// Overhead measures what router and sidecar add. Requests alternate between
+// the paths, so both see the same state of the engine and the machine.
+func Overhead(ctx context.Context, config OverheadConfig) (*OverheadResult, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	r := newOverheadRun(config)
+	defer r.http.CloseIdleConnections()
+	result := newOverheadResult(config)
+	r.send(ctx, min(overheadWarmUp, config.Duration), new(openStreams))
+	for range config.Repeats {
+		repetition, err := r.repetition(ctx)
+		if err != nil {
+			return nil, err
+		}
+		result.Repetitions = append(result.Repetitions, repetition)
+		repetition.progress(config.Progress, len(result.Repetitions))
+	}
+	result.summarise()
+	return result, nil
+}
+
+func newOverheadRun(config OverheadConfig) *overheadRun {
+	transport := &http.Transport{
+		MaxIdleConns:        maxInFlight,
+		MaxIdleConnsPerHost: maxInFlight,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	return &overheadRun{
+		config: config,
+		http:   &http.Client{Transport: transport},
+		id:     ulid.Make().String(),
+		random: rand.New(rand.NewPCG(config.Seed, 0)),
+	}
+}
+
+// openStreams counts the streams that have begun and not ended on the routed
+// path.
+type openStreams struct{ atomic.Int64 }
+
+func (r *overheadRun) repetition(ctx context.Context) (*Repetition, error) {
+	before, err := r.processes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	open := new(openStreams)
+	sampler := startSampler(ctx, r, before, open)
+	began := time.Now()
+	direct, routed := r.send(ctx, r.config.Duration, open)
+	elapsed := time.Since(began)
+	peaks := sampler.stop()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	after, err := r.processes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if direct.complete == 0 || routed.complete == 0 {
+		return nil, eris.Errorf("load: no complete answers to compare; failures direct %v, routed %v", direct.failures, routed.failures)
+	}
+	return newRepetition(direct, routed, elapsed, usageOf(before, after, peaks)), nil
+}
+
+// send starts requests at their planned times and waits for their ends.
+func (r *overheadRun) send(ctx context.Context, duration time.Duration, open *openStreams) (direct, routed *pathStats) {
+	direct, routed = newPathStats(), newPathStats()
+	var calls sync.WaitGroup
+	start := time.Now()
+	for at := r.gap(); at < duration; at += r.gap() {
+		planned := start.Add(at)
+		if !sleep(ctx, time.Until(planned)) {
+			break
+		}
+		number := r.number
+		r.number++
+		if number%2 == 0 {
+			calls.Go(func() { r.call(ctx, number, planned, direct, nil) })
+			continue
+		}
+		calls.Go(func() { r.call(ctx, number, planned, routed, open) })
+	}
+	calls.Wait()
+	return direct, routed
+}
+
+// gap returns the time to the next arrival of a Poisson process.
+func (r *overheadRun) gap() time.Duration {
+	return time.Duration(r.random.ExpFloat64() / r.config.Rate * float64(time.Second))
+}
--- /dev/null
+++ b/internal/load/overhead_test.go
@@ -0,0 +1,83 @@
+package load
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// tokenServer streams tokens at once.
+func tokenServer(t *testing.T, tokens int) string {
+	return serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "data: {\"choices\":[{\"delta\":{\"content\":\"\"}}]}\n\n")
+		for range tokens {
+			fmt.Fprint(w, "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\n")
+		}
+		fmt.Fprint(w, "data: [DONE]\n\n")
+	})
+}
+
+// cpuMetrics serves a process that spends 0.5 s between two readings.
+func cpuMetrics(t *testing.T) string {
+	var readings atomic.Int64
+	return serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, "# TYPE %s counter\n%s %g\n%s 1e+06\n", metricCPU, metricCPU, 0.5*float64(readings.Add(1)), metricResident)
+	})
+}
+
+func overheadConfig(direct, routed, metrics string) OverheadConfig {
+	c := DefaultOverheadConfig()
+	c.Direct, c.Routed = direct, routed
+	c.RouterMetrics, c.SidecarMetrics = metrics, metrics
+	c.Tokens = 10
+	c.Rate = 100
+	c.Duration = overheadSample / 2 // no memory sample in between
+	return c
+}
+
+// Guards against figures of the two paths being mixed up, and against CPU time
+// that is not related to the tokens of the routed path.
+func TestOverheadIsRoutedLessDirect(t *testing.T) {
+	const delay = 40 * time.Millisecond
+	direct := tokenServer(t, 10)
+	u, err := url.Parse(direct)
+	assert.NilError(t, err)
+	proxy := httputil.NewSingleHostReverseProxy(u)
+	routed := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(delay)
+		proxy.ServeHTTP(w, r)
+	})
+	c := overheadConfig(direct, routed, cpuMetrics(t))
+	c.Duration = 90 * time.Millisecond
+	result, err := Overhead(t.Context(), c)
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Repetitions), 3)
+	assert.Assert(t, result.Spread["added_first_token_p50_us"].Min > 0.5*float64(delay.Microseconds()), "%v", result.Spread)
+	for _, r := range result.Repetitions {
+		assert.Equal(t, r.Direct.Complete+r.Routed.Complete, r.Direct.Requests+r.Routed.Requests)
+		assert.Equal(t, r.Routed.Tokens, 10*r.Routed.Requests)
+		assert.Assert(t, r.Router.CPUSeconds >= 0.5)
+		assert.Equal(t, r.Router.CPUPer1000Tokens, 1000*r.Router.CPUSeconds/float64(r.Routed.Tokens))
+	}
+}
+
+// Guards against a comparison of answers that are short, which would make the
+// path that loses tokens look fast.
+func TestOverheadCountsShortAnswersAsFailures(t *testing.T) {
+	c := overheadConfig(tokenServer(t, 10), tokenServer(t, 9), cpuMetrics(t))
+	_, err := Overhead(t.Context(), c)
+	assert.ErrorContains(t, err, "token_count")
+}
+
+// Guards against a process without process metrics being reported as free.
+func TestProcessMetricsAreRequired(t *testing.T) {
+	_, err := parseProcess(strings.NewReader(metricCPU + " 1.5\n"))
+	assert.ErrorContains(t, err, metricResident)
+}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
@@ -49,7 +50,8 @@
 		buffered: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "tarragonridge_sidecar_buffered_bytes", Help: "Bytes of buffered answers."}),
 	}
-	m.registry.MustRegister(m.runs, m.refusals, m.tokens, m.seconds, m.active, m.buffered)
+	m.registry.MustRegister(m.runs, m.refusals, m.tokens, m.seconds, m.active, m.buffered,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
