Keep notifications that arrive before the hello is handled

A sidecar sends its first load report right after its hello. On the side that dialled, the report could arrive before Dial had handled the hello, and it was dropped; the target then stayed unhealthy until its load changed. It showed as a topology that never became ready. Earlier the next periodic report hid it.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -38,8 +38,9 @@
 // codeKind is the JSON-RPC error code of errors that carry an error kind.
 const codeKind = 1
 
-// Handler serves a connection. Notifications of one connection arrive in
-// order and Notify must not block; calls run concurrently.
+// Handler serves a connection. Opened comes before anything else of the
+// connection. Notifications of one connection arrive in order; calls run
+// concurrently. Opened and Notify must not wait for a call.
 type Handler interface {
 	Call(ctx context.Context, c *Conn, method string, params json.RawMessage) (any, error)
 	Notify(c *Conn, method string, params json.RawMessage)
@@ -103,6 +104,7 @@
 	calls   atomic.Int32 // open calls of this side
 	peer    atomic.Pointer[wire.Hello]
 	once    sync.Once
+	usable  chan struct{} // closed after Opened
 	done    chan struct{}
 }
 
@@ -164,6 +166,7 @@
 		handler: h,
 		sock:    newTrackedConn(sock, opts.SilenceAfter, opts.Traffic),
 		ready:   make(chan struct{}),
+		usable:  make(chan struct{}),
 		done:    make(chan struct{}),
 	}
 	stream := jsonrpc2.NewBufferedStream(c.sock, jsonrpc2.VarintObjectCodec{})
@@ -178,6 +181,7 @@
 	c.peer.Store(&peer)
 	if c.opened.CompareAndSwap(false, true) {
 		c.handler.Opened(c)
+		close(c.usable)
 	}
 }
 
@@ -309,7 +313,7 @@
 	if req.Method == wire.MethodPing {
 		c.answerPing(params)
 	}
-	if !c.opened.Load() {
+	if !c.awaitUsable() {
 		return
 	}
 	if req.Notif {
@@ -319,6 +323,21 @@
 	go c.serveCall(ctx, req, params)
 }
 
+// awaitUsable reports whether the hellos have been exchanged. On the side that
+// dialled, messages of the peer can arrive before Dial has handled the peer's
+// hello; they must not be lost.
+func (c *Conn) awaitUsable() bool {
+	if !c.dialled {
+		return c.opened.Load()
+	}
+	select {
+	case <-c.usable:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
 func (c *Conn) acceptHello(ctx context.Context, req *jsonrpc2.Request, params json.RawMessage) {
 	var hello wire.Hello
 	if err := json.Unmarshal(params, &hello); err != nil {
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -105,6 +105,27 @@
 	}
 }
 
+// greeter notifies a peer as soon as it has connected.
+type greeter struct{ *recorder }
+
+func (greeter) Opened(c *rpc.Conn) { _ = c.Notify(context.Background(), "first", 1) }
+
+// Guards against the loss of a notification that the accepting side sends
+// before the dialling side has handled its hello.
+func TestFirstNotificationArrives(t *testing.T) {
+	addr := serve(t, greeter{newRecorder()})
+	for range 50 {
+		client := newRecorder()
+		c, err := rpc.Dial(context.Background(), addr, options("client"), client)
+		assert.NilError(t, err)
+		assert.NilError(t, c.Call(context.Background(), "echo", 1, nil))
+		client.mu.Lock()
+		assert.Equal(t, len(client.notes), 1)
+		client.mu.Unlock()
+		_ = c.Close()
+	}
+}
+
 // Guards against heartbeats that close a healthy idle connection.
 func TestIdleConnectionStaysOpen(t *testing.T) {
 	client := newRecorder()
