Shorten the sidecar's tests

The slow reader and the stand-in engine tests now run in parallel, and the slow reader gets 4.6 MB in place of 5 MB, still above the 3.9 MB that a loopback socket holds.

--- a/internal/sidecar/completion_test.go
+++ b/internal/sidecar/completion_test.go
@@ -132,7 +132,8 @@
 // Guards against a router that does not read delaying the engine's stream or
 // the runs of another router.
 func TestSlowReaderDelaysNobody(t *testing.T) {
-	const size, count = 16 << 10, 320 // 5 MB; loopback sockets hold about 4 MB
+	t.Parallel()
+	const size, count = 16 << 10, 280 // 4.6 MB; a loopback socket holds 3.9 MB
 	produced := make(chan struct{})
 	target := engine(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("X-Run-Id") != "big" {
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -18,14 +18,13 @@
 	"gotest.tools/v3/assert"
 
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
-	"tarragonridge.example/tarragonridge/internal/core/run"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/rpc"
 	"tarragonridge.example/tarragonridge/internal/sidecar"
 	"tarragonridge.example/tarragonridge/internal/wire"
 )
 
-const waitLimit = 15 * time.Second // bounds a failure; decoding 5 MB with the race detector takes some seconds
+const waitLimit = 15 * time.Second // bounds a failure; decoding some MB with the race detector takes some seconds
 
 // Guards against goroutines that outlive a stopped sidecar.
 func TestMain(m *testing.M) {
@@ -51,7 +50,6 @@
 		Listen:        "127.0.0.1:0",
 		Table:         platform.NewMemory(),
 		HandoverLimit: time.Millisecond,
-		Limits:        run.Limits{OrphanFor: 400 * time.Millisecond},
 		RPC:           rpc.Options{SilenceAfter: 10 * time.Second},
 		Logger:        slog.New(slog.DiscardHandler),
 	}
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -68,7 +68,9 @@
 func TestOrphanIsCanceledUnlessResumable(t *testing.T) {
 	gate := make(chan struct{})
 	defer close(gate)
-	p := startSidecar(t, options(gated(t, gate).URL))
+	opts := options(gated(t, gate).URL)
+	opts.Limits.OrphanFor = 400 * time.Millisecond
+	p := startSidecar(t, opts)
 	first := dial(t, p.addr, "h1", nil)
 	kept := completion("kept")
 	kept.Resumable = true
--- a/internal/sidecar/standin_test.go
+++ b/internal/sidecar/standin_test.go
@@ -17,6 +17,7 @@
 // Guards against bills that differ from what the engine counts: exact for a
 // whole answer, and never below what it consumed when an answer breaks off.
 func TestBillsMatchStandinEngine(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name    string
 		fault   standin.Fault
@@ -32,6 +33,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			config := standin.DefaultConfig()
 			config.Model = "m1"
 			config.RestartDelay = 300 * time.Millisecond
