Stop a sidecar that was replaced while it was paused

Fences reach the registered incarnation of a target only. A sidecar that was paused, replaced and continued went on accepting work, also from a fenced router that was still connected to it. It now reads its registration every 30 s and drains if another incarnation has taken its place. A shorter period was ruled out for the read rate at 2,800 sidecars (93/s now).

--- a/internal/sidecar/options.go
+++ b/internal/sidecar/options.go
@@ -50,6 +50,7 @@
 	Table         platform.Table
 	Limits        run.Limits    // zero fields take the value of run.DefaultLimits
 	StallAfter    time.Duration // a target that sends nothing this long has failed; default 2 min
+	VerifyEvery   time.Duration // the registration is read this often; default 30 s
 	HandoverLimit time.Duration // at shutdown, wait this long for records to become durable; default 30 s
 	RPC           rpc.Options   // Hello is set by the sidecar
 	Logger        *slog.Logger  // default slog.Default()
@@ -109,6 +110,7 @@
 	setDefault(&o.Limits.ServiceKeepFor, d.ServiceKeepFor)
 	setDefault(&o.Limits.OrphanFor, d.OrphanFor)
 	setDefault(&o.StallAfter, DefaultStallAfter)
+	setDefault(&o.VerifyEvery, verifyEvery)
 	setDefault(&o.HandoverLimit, DefaultHandoverLimit)
 	if o.Logger == nil {
 		o.Logger = slog.Default()
--- a/internal/sidecar/register.go
+++ b/internal/sidecar/register.go
@@ -17,6 +17,9 @@
 	registerFirst   = 100 * time.Millisecond
 	registerLast    = 5 * time.Second
 	registerTimeout = 5 * time.Second // of one attempt
+	// verifyEvery bounds the time for which a sidecar that was paused and
+	// replaced meanwhile accepts work. 2,800 sidecars read 93 rows/s.
+	verifyEvery = 30 * time.Second
 )
 
 // register writes the sidecar's row and reads the fenced holders, in this
@@ -153,6 +156,30 @@
 	return nil
 }
 
+// errReplaced ends a sidecar whose target has another one. Fences reach only
+// the registered incarnation, so this one must not accept work any more.
+var errReplaced = errkind.New(errkind.Conflict, "another sidecar has registered for the target")
+
+// verifyRegistration drains the sidecar and returns errReplaced once the
+// registration names another incarnation or is declared gone. An unreachable
+// table says nothing.
+func (s *Server) verifyRegistration(ctx context.Context) error {
+	for sleep(ctx, s.opts.VerifyEvery) {
+		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
+		row, reg, err := s.readRow(callCtx, member.SidecarKey(s.opts.Target))
+		cancel()
+		if err != nil || row.Version == 0 {
+			continue
+		}
+		if reg.Incarnation != s.incarnation || reg.State == member.SidecarGone {
+			s.log.Error("replaced", "by", reg.Incarnation, "state", reg.State)
+			s.drain()
+			return errReplaced
+		}
+	}
+	return nil
+}
+
 // sleep returns false if ctx ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -123,6 +123,7 @@
 	group.Go(func() error { return rpc.Serve(ctx, ln, rpcOpts, s) })
 	group.Go(func() error { s.reportLoad(ctx); return nil })
 	group.Go(func() error { s.expire(ctx); return nil })
+	group.Go(func() error { return s.verifyRegistration(ctx) })
 	s.log.Info("accepting work", "addr", ln.Addr().String(), "honour_fence", s.opts.HonourFence)
 	if s.opts.Ready != nil {
 		s.opts.Ready(ln.Addr().String())
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -16,6 +16,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/member"
 	"tarragonridge.example/tarragonridge/internal/core/policy"
 	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/sidecar"
 	"tarragonridge.example/tarragonridge/internal/wire"
 )
 
@@ -190,6 +191,26 @@
 	assert.NilError(t, err)
 }
 
+// Guards against a paused and replaced sidecar that goes on accepting work,
+// although fences reach only its successor.
+func TestReplacedSidecarStops(t *testing.T) {
+	opts := options("http://127.0.0.1:1")
+	opts.VerifyEvery = 20 * time.Millisecond
+	ready := make(chan string, 1)
+	opts.Ready = func(addr string) { ready <- addr }
+	server, err := sidecar.New(opts)
+	assert.NilError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- server.Run(context.Background()) }()
+	receive(t, ready)
+	startSidecar(t, sidecar.Options{
+		Kind: opts.Kind, Target: opts.Target, TargetURL: opts.TargetURL, Model: opts.Model,
+		Host: "host2", Domain: "d2", Listen: opts.Listen, Table: opts.Table,
+		HandoverLimit: opts.HandoverLimit, Logger: opts.Logger,
+	})
+	assert.Equal(t, errkind.Of(receive(t, done)), errkind.Conflict)
+}
+
 // Guards against an old order that reaches a target which does not check
 // fencing numbers.
 func TestOldOrderIsRejected(t *testing.T) {
