--- a/internal/core/policy/access.go
+++ b/internal/core/policy/access.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"net/http"
 	"slices"
 	"strings"
 )
@@ -77,5 +76,5 @@
 			return c.Idempotent
 		}
 	}
-	return method == http.MethodGet || method == http.MethodHead
+	return method == "GET" || method == "HEAD"
 }
