--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -21,7 +21,7 @@
 	c := newCluster(t, 3)
 	c.topUp(100)
 	for i := range 10 {
-		assert.NilError(t, c.run(c.nodes[i%3], 10, 10, 5*time.Second), "request %d", i)
+		assert.NilError(t, c.run(c.nodes[i%3], 10, 10, time.Second), "request %d", i)
 	}
 	started := time.Now()
 	err := c.run(c.nodes[0], 10, 10, 5*time.Second)
--- /dev/null
+++ b/internal/escrow/faults_test.go
@@ -0,0 +1,119 @@
+package escrow
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/core/member"
+	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/platform/platformtest"
+)
+
+// keptRecords returns how many records the sidecar still keeps.
+func (c *cluster) keptRecords() int {
+	c.sidecar.mu.Lock()
+	defer c.sidecar.mu.Unlock()
+	return len(c.sidecar.kept)
+}
+
+// Guards against a flush that is undone or repeated with other content because
+// its answer was lost and the table then failed.
+func TestFlushAnswerLostBeforeOutage(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	c.topUp(1000)
+	n := c.nodes[0]
+	n.table.LoseAndFailOn(ledger.Prefix)
+	assert.NilError(t, c.run(n, 50, 20, time.Second))
+	c.eventually("outage", n.table.Down)
+	assert.NilError(t, c.run(n, 50, 30, time.Second), "the local share covers it")
+	time.Sleep(5 * testFlush)
+	assert.Equal(t, c.keptRecords(), 2, "not known to be durable")
+	n.table.SetDown(false)
+	c.eventually("durable", func() bool { return c.keptRecords() == 0 })
+	c.audit()
+}
+
+// Guards against a draw that is given up although it was applied, and against
+// one that counts before it is read back.
+func TestDrawAnswerLostBeforeOutage(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	c.topUp(1000)
+	n := c.nodes[0]
+	n.table.LoseAndFailOn(accountPrefix)
+	started := time.Now()
+	_, err := c.reserve(n, 50, 5*time.Second)
+	assert.Equal(t, errkind.Of(err), errkind.PlatformUnavailable)
+	_, err = c.reserve(n, 50, 5*time.Second)
+	assert.Equal(t, errkind.Of(err), errkind.PlatformUnavailable, "unconfirmed draw")
+	assert.Assert(t, time.Since(started) < time.Second)
+	n.table.SetDown(false)
+	c.eventually("read back", func() bool { return c.run(n, 50, 50, time.Second) == nil })
+	c.eventually("stored", func() bool { return c.account().Settled() == 50 })
+	n.Release(t.Context(), teamName)
+	assert.Equal(t, c.account().Held(), int64(0))
+}
+
+// Guards against a recovery that stores a record again because the dead router
+// never learned that its flush was applied.
+func TestRecoveryAfterUnconfirmedFlush(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2)
+	c.topUp(1000)
+	dead := c.nodes[0]
+	id := dead.Incarnation()
+	dead.table.LoseAndFailOn(ledger.Prefix)
+	assert.NilError(t, c.run(dead, 50, 20, time.Second))
+	c.eventually("outage", dead.table.Down)
+	assert.Equal(t, c.keptRecords(), 1)
+	dead.kill()
+	c.eventually("closed", func() bool { return c.holder(id).State == member.HolderClosed })
+	c.eventually("durable", func() bool { return c.keptRecords() == 0 })
+	c.audit()
+}
+
+// Guards against a draw of a fenced holder, whose grant nobody would recover.
+func TestFencedHolderCannotDraw(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	c.topUp(1000)
+	n := c.nodes[0]
+	id := n.Incarnation()
+	row := c.holder(id)
+	row.State = member.HolderClosed
+	_, err := c.memory.Commit(context.Background(), platform.Txn{
+		Puts: []platform.Put{{Key: holderKey(id), Value: encode(row)}},
+	})
+	assert.NilError(t, err)
+	_, err = c.reserve(n, 50, time.Second)
+	assert.Equal(t, errkind.Of(err), errkind.PlatformUnavailable)
+	_, held := c.account().Grants[id]
+	assert.Assert(t, !held)
+	c.eventually("registered again", func() bool { return n.Ready() && n.Incarnation() != id })
+}
+
+// Guards against a top-up that two routers apply at the same time.
+func TestConcurrentTopUps(t *testing.T) {
+	t.Parallel()
+	const keys = 40
+	c := newCluster(t, 3)
+	for _, n := range c.nodes {
+		n.table.Set(platformtest.Faults{Lose: 0.1, Late: 0.1, Delay: time.Millisecond})
+	}
+	for k := range keys {
+		var wg sync.WaitGroup
+		for _, n := range c.nodes {
+			wg.Go(func() { _, _ = n.TopUp(t.Context(), teamName, fmt.Sprint("k", k), 10, "op") })
+		}
+		wg.Wait()
+	}
+	assert.Equal(t, c.account().ToppedUp, int64(10*keys))
+}
--- a/internal/platform/platformtest/faulty.go
+++ b/internal/platform/platformtest/faulty.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +32,7 @@
 	down   bool
 	late   []platform.Txn
 	next   []error // scripted results of the next commits
+	loseOn string  // prefix of a key; the commit that writes one loses its answer
 }
 
 // New returns a table without faults over inner. The seed determines which
@@ -61,6 +64,21 @@
 	}
 }
 
+// LoseAndFailOn makes the next commit that writes a key with the prefix lose
+// its answer after applying; from then on the table is down.
+func (f *Faulty) LoseAndFailOn(prefix string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loseOn = prefix
+}
+
+// Down reports whether the table is down.
+func (f *Faulty) Down() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down
+}
+
 // ApplyLate applies all writes that are still on their way, as far as their
 // conditions hold.
 func (f *Faulty) ApplyLate(ctx context.Context) error {
@@ -134,6 +152,10 @@
 	return res, err
 }
 
+func writes(txn platform.Txn, prefix string) bool {
+	return slices.ContainsFunc(txn.Puts, func(p platform.Put) bool { return strings.HasPrefix(p.Key, prefix) })
+}
+
 // draw decides the fate of a commit.
 func (f *Faulty) draw(txn platform.Txn) (lose error, postpone bool) {
 	f.mu.Lock()
@@ -142,6 +164,11 @@
 		lose, f.next = f.next[0], f.next[1:]
 		return lose, false
 	}
+	if f.loseOn != "" && writes(txn, f.loseOn) {
+		f.loseOn = ""
+		f.down = true
+		return errkind.New(errkind.PlatformUncertain, "answer lost"), false
+	}
 	p := f.random.Float64()
 	switch {
 	case p < f.faults.Late:
