--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -227,3 +227,15 @@
 	c.audit()
 	assert.Assert(t, c.sidecar.runs > 50, "the storm must let requests through: %d", c.sidecar.runs)
 }
+
+// Guards against a refusal while another router holds the tokens idle.
+func TestPeersReturnIdleShare(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2)
+	c.topUp(100)
+	r, err := c.reserve(c.nodes[1], 90, time.Second)
+	assert.NilError(t, err)
+	r.Cancel()
+	_, err = c.reserve(c.nodes[0], 95, time.Second) // before the idle period ends
+	assert.NilError(t, err)
+}
