--- a/internal/modelcheck/key.go
+++ b/internal/modelcheck/key.go
@@ -8,13 +8,21 @@
 	"tarragonridge.example/tarragonridge/internal/core/claim"
 )
 
+// Initial capacities in bytes; most keys fit.
+const (
+	keySize     = 256
+	messageSize = 64
+)
+
 // encoder builds the key of a state. Every number in the model fits a byte.
 type encoder []byte
 
 func (e *encoder) ints(values ...int) {
+	out := *e
 	for _, v := range values {
-		*e = append(*e, byte(v))
+		out = append(out, byte(v))
 	}
+	*e = out
 }
 
 func (e *encoder) bools(values ...bool) {
@@ -71,7 +79,7 @@
 // key returns a text that is equal for equal states. The order of messages in
 // flight does not matter.
 func (s state) key() string {
-	var e encoder
+	e := make(encoder, 0, keySize)
 	e.account(s.Account)
 	e.ints(s.AccountV, s.ClaimV, s.Crashes, s.Lost, s.Fences)
 	e.ints(s.HolderV[:]...)
@@ -89,6 +97,7 @@
 	}
 	net := make([]encoder, len(s.Net))
 	for i, m := range s.Net {
+		net[i] = make(encoder, 0, messageSize)
 		net[i].message(m)
 	}
 	slices.SortFunc(net, func(a, b encoder) int { return bytes.Compare(a, b) })
--- a/internal/modelcheck/model.go
+++ b/internal/modelcheck/model.go
@@ -68,7 +68,7 @@
 	Stage     stage
 	Holder    budget.Holder
 	Waiting   bool // for the answer to its message
-	Uncertain bool // the answer of the current stage was lost
+	Uncertain bool // the answer to its claim was lost
 	Tried     int  // account version in the latest draw; -1 if none
 }
 
--- a/internal/modelcheck/steps.go
+++ b/internal/modelcheck/steps.go
@@ -96,7 +96,7 @@
 func (c Config) answerLost(s *state, i int) {
 	r := &s.Routers[i]
 	r.Waiting = false
-	r.Uncertain = true
+	r.Uncertain = r.Stage == claiming
 	if c.Bug == CountUnconfirmed && r.Stage == drawing {
 		c.drawn(s, i)
 	}
@@ -138,7 +138,7 @@
 	r := &s.Routers[i]
 	r.Holder.Confirm()
 	r.Holder.Reserve(1)
-	r.Uncertain = false
+	r.Tried = -1
 	r.Stage = starting
 	if c.Claims {
 		r.Stage = claiming
