Do not answer not run after an attempt that ran

A request whose first attempt failed or crashed was tried on another target; if none was free, the caller got 503 no_target or overloaded with ran: no, although a run had happened and its tokens were charged as lost. The answer now covers all attempts. A retry whose only targets have been tried no longer waits for the admission timeout.

--- a/internal/router/schedule.go
+++ b/internal/router/schedule.go
@@ -130,7 +130,7 @@
 func (s *scheduler) enqueue(w *waiter) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.poolKnown(w.Pool) {
+	if !s.poolKnown(w) {
 		return errkind.New(errkind.NoTarget, "no target serves %s", w.Pool)
 	}
 	evicted, err := s.queue.Push(&w.Ticket, s.preset().QueueLimit)
@@ -145,9 +145,9 @@
 	return nil
 }
 
-func (s *scheduler) poolKnown(pool string) bool {
-	for _, t := range s.pools[pool] {
-		if !t.leaving && !t.draining {
+func (s *scheduler) poolKnown(w *waiter) bool {
+	for _, t := range s.pools[w.Pool] {
+		if !t.leaving && !t.draining && !w.avoid[t.id] {
 			return true
 		}
 	}
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -65,10 +65,13 @@
 	var last error
 	for range maxAttempts {
 		res := r.attempt(ctx, startCtx, req, avoid)
-		if res.err == nil || !res.retry {
-			return res.err
+		if res.err == nil {
+			return nil
+		}
+		last = overAttempts(last, res.err)
+		if !res.retry {
+			return last
 		}
-		last = res.err
 		if r.quarantined(req) {
 			return &errkind.Error{Kind: errkind.RequestQuarantined, Detail: "the request crashed the targets that ran it", Ran: errkind.RanYes}
 		}
@@ -76,9 +79,22 @@
 			break
 		}
 	}
-	return finalError(last)
+	return last
+}
+
+// overAttempts returns the answer for a request whose attempts so far ended
+// with last, if any, and whose next attempt ended with err. An attempt that did
+// not run must not hide an earlier one that may have.
+func overAttempts(last, err error) error {
+	err = finalError(err)
+	if last != nil && ranOf(err) == errkind.RanNo && ranOf(last) != errkind.RanNo {
+		return last
+	}
+	return err
 }
 
+func ranOf(err error) errkind.Ran { return errkind.From(err).Answer().Ran }
+
 // finalError turns the last attempt's error into the answer to the caller.
 func finalError(err error) error {
 	switch errkind.Of(err) {
--- a/internal/router/submit_test.go
+++ b/internal/router/submit_test.go
@@ -25,3 +25,30 @@
 	cancel()
 	assert.Equal(t, errkind.Of(startError(gone, expired)), errkind.Canceled)
 }
+
+// Guards against an answer that says "not run" because the last attempt did not
+// run, although an earlier one did.
+func TestAnswerCoversAllAttempts(t *testing.T) {
+	crashed := errkind.New(errkind.TargetCrashed, "crashed")
+	unreachable := errkind.New(errkind.Unreachable, "lost")
+	none := errkind.New(errkind.NoTarget, "none")
+	tombstoned := errkind.New(errkind.Tombstoned, "not received")
+	cases := []struct {
+		attempts []error
+		want     errkind.Kind
+	}{
+		{[]error{none}, errkind.NoTarget},
+		{[]error{tombstoned}, errkind.NoTarget},
+		{[]error{crashed, none}, errkind.TargetCrashed},
+		{[]error{crashed, tombstoned}, errkind.TargetCrashed},
+		{[]error{unreachable, none}, errkind.OutcomeUnknown},
+		{[]error{none, crashed}, errkind.TargetCrashed},
+	}
+	for _, c := range cases {
+		var last error
+		for _, err := range c.attempts {
+			last = overAttempts(last, err)
+		}
+		assert.Equal(t, errkind.Of(last), c.want, "%v", c.attempts)
+	}
+}
--- a/scenarios/check_test.go
+++ b/scenarios/check_test.go
@@ -60,7 +60,7 @@
 }
 
 // value returns @status, @text, @took_ms, @header.NAME, or the value at a path
-// of a JSON body such as targets.0.id; .# is a length. Absent values are "".
+// of a JSON body such as targets.0.id or pending.length. Absent values are "".
 func (a *answer) value(path string) (string, error) {
 	switch {
 	case path == "@status":
@@ -90,12 +90,9 @@
 func child(doc any, part string) any {
 	switch v := doc.(type) {
 	case map[string]any:
-		if part == "#" {
-			return len(v)
-		}
 		return v[part]
 	case []any:
-		if part == "#" {
+		if part == "length" {
 			return len(v)
 		}
 		if i, err := strconv.Atoi(part); err == nil && i >= 0 && i < len(v) {
@@ -249,7 +246,7 @@
 
 // cmdCalls implements "calls N CONCURRENCY FILE STATUS[,STATUS...]": N calls
 // whose lines come from the file in turn, {i} being the number of the call. It
-// sets CALLS_<status> for each status seen and named.
+// prints the number of answers of each status named, such as "200=3 402=1".
 func cmdCalls(ts *testscript.TestScript, w *world, args []string) error {
 	if len(args) != 4 {
 		return fmt.Errorf("usage: calls N CONCURRENCY FILE STATUSES")
@@ -263,9 +260,6 @@
 		return err
 	}
 	counts := map[string]int{}
-	for _, status := range strings.Split(args[3], ",") {
-		counts[status] = 0
-	}
 	var mu sync.Mutex
 	var group errgroup.Group
 	group.SetLimit(limit)
@@ -279,10 +273,14 @@
 			return err
 		})
 	}
-	err = group.Wait()
-	for status, n := range counts {
-		ts.Setenv("CALLS_"+strings.ToUpper(status), strconv.Itoa(n))
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	var line []string
+	for _, status := range strings.Split(args[3], ",") {
+		line = append(line, fmt.Sprintf("%s=%d", status, counts[status]))
 	}
+	_, err = fmt.Fprintln(ts.Stdout(), strings.Join(line, " "))
 	return err
 }
 
--- a/scenarios/topology_test.go
+++ b/scenarios/topology_test.go
@@ -39,6 +39,7 @@
 	routers, engines, services int
 	teams                      []string // NAME:TOKENS
 	via                        []string
+	policy                     string              // file with changes of the policy document
 	extra                      map[string][]string // arguments by role
 }
 
@@ -60,6 +61,8 @@
 			t.teams = strings.Split(value, ",")
 		case "via":
 			t.via = strings.Split(value, ",")
+		case "policy":
+			t.policy = value
 		case rolePlatform, roleEngine, roleRouter, roleSidecar:
 			t.extra[key] = append(t.extra[key], value)
 		default:
@@ -208,6 +211,11 @@
 // configure puts model, service and teams in force.
 func (w *world) configure(ts *testscript.TestScript, t *topology) error {
 	doc := policy.Default()
+	if t.policy != "" {
+		if err := json.Unmarshal([]byte(ts.ReadFile(t.policy)), &doc); err != nil {
+			return err
+		}
+	}
 	doc.Models[modelName] = policy.Model{MaxOutputTokens: 4096, ContextTokens: 32768}
 	doc.Services[serviceName] = policy.Service{PriceTokens: servicePrice, KeyRequired: true}
 	doc.Operators = []policy.Operator{{Name: "op", KeySHA256: policy.HashKey(operatorKey)}, {Name: "op2", KeySHA256: policy.HashKey(operatorKey + "-2")}}
