Decode notifications once and combine writes between processes

Cause: the library's message type decodes each message twice to tell its kind, then decodes the parameters of a notification as generic values and encodes them again, with the keys in another order. Each message also was a write of its own.

The connection now brings its own jsonrpc2.ObjectStream. Frames and messages stay JSON-RPC 2.0 with a varint length. Notifications are decoded once and handed over from the read loop, in order; calls and replies still pass through the library. A goroutine per connection writes what has been queued by the time the socket is free; at most 256 KiB wait before senders block, and close gives queued messages 100 ms to leave. A frame above 64 MiB is refused.

Ruled out: a timer that collects messages, because it delays a token; a hand-written codec, because encoding/json alone is not the cost; writing from the sending goroutine, because one run would then write for all others.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -31,7 +31,8 @@
 const codeKind = 1
 
 // Handler serves a connection. Notifications of one connection arrive in
-// order and Notify must not block; calls run concurrently.
+// order, Notify must not block, and its params are valid until it returns;
+// calls run concurrently.
 type Handler interface {
 	Call(ctx context.Context, c *Conn, method string, params json.RawMessage) (any, error)
 	Notify(c *Conn, method string, params json.RawMessage)
@@ -69,6 +70,7 @@
 	opts    Options
 	handler Handler
 	sock    *trackedConn
+	stream  *stream
 	rpc     *jsonrpc2.Conn
 	ready   chan struct{} // closed once rpc is set
 	opened  atomic.Bool
@@ -136,8 +138,8 @@
 		ready:   make(chan struct{}),
 		done:    make(chan struct{}),
 	}
-	stream := jsonrpc2.NewBufferedStream(c.sock, jsonrpc2.VarintObjectCodec{})
-	c.rpc = jsonrpc2.NewConn(context.Background(), stream, dispatcher{c}, jsonrpc2.SetLogger(discardLogger{}))
+	c.stream = newStream(c.sock, c.notified)
+	c.rpc = jsonrpc2.NewConn(context.Background(), c.stream, dispatcher{c}, jsonrpc2.SetLogger(discardLogger{}))
 	close(c.ready)
 	go c.watch()
 	return c
@@ -172,9 +174,10 @@
 	return decodeError(err, method)
 }
 
-// Notify sends a notification.
-func (c *Conn) Notify(ctx context.Context, method string, params any) error {
-	if err := c.rpc.Notify(ctx, method, params); err != nil {
+// Notify queues a notification; messages leave in the order of the calls. It
+// fails if the connection has ended, and blocks while the peer accepts no data.
+func (c *Conn) Notify(_ context.Context, method string, params any) error {
+	if err := c.stream.sendNotification(method, params); err != nil {
 		return errkind.Wrap(err, errkind.Unreachable, "notify %s", method)
 	}
 	return nil
@@ -203,7 +206,7 @@
 // ping runs in its own goroutine, because a write to a stalled connection
 // blocks until the write deadline and must not delay the check for silence.
 func (c *Conn) ping() {
-	_ = c.rpc.Notify(context.Background(), wire.MethodPing, wire.Ping{Header: c.opts.Hello().Header})
+	_ = c.stream.sendNotification(wire.MethodPing, wire.Ping{Header: c.opts.Hello().Header}) // silence shows a failure
 }
 
 func (c *Conn) finish(err error) {
@@ -215,8 +218,17 @@
 	})
 }
 
-// dispatcher adapts Handler to jsonrpc2. The library calls it from the read
-// loop, so notifications keep their order.
+// notified passes a notification on from the read loop, so that the order is
+// kept.
+func (c *Conn) notified(method string, params json.RawMessage) {
+	<-c.ready
+	if c.opened.Load() || method == wire.MethodPing {
+		c.handler.Notify(c, method, params)
+	}
+}
+
+// dispatcher adapts Handler to jsonrpc2, for calls. The stream takes
+// notifications out before.
 type dispatcher struct{ c *Conn }
 
 // Handle implements jsonrpc2.Handler.
@@ -227,18 +239,13 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
-	if req.Method == wire.MethodHello && !req.Notif {
+	if req.Method == wire.MethodHello {
 		c.acceptHello(ctx, req, params)
 		return
 	}
-	if !c.opened.Load() && req.Method != wire.MethodPing {
-		return
-	}
-	if req.Notif {
-		c.handler.Notify(c, req.Method, params)
-		return
+	if c.opened.Load() {
+		go c.serveCall(ctx, req, params)
 	}
-	go c.serveCall(ctx, req, params)
 }
 
 func (c *Conn) acceptHello(ctx context.Context, req *jsonrpc2.Request, params json.RawMessage) {
--- /dev/null
+++ b/internal/rpc/stream_test.go
@@ -0,0 +1,98 @@
+package rpc
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"gotest.tools/v3/assert"
+)
+
+// socketPair returns both ends of a loopback connection.
+func socketPair(t *testing.T) (a, b *net.TCPConn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	out, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	in, err := ln.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { out.Close(); in.Close() })
+	return out.(*net.TCPConn), in.(*net.TCPConn)
+}
+
+func ignore(string, json.RawMessage) {}
+
+// Guards against the last messages being lost when a process closes a
+// connection right after it has sent them, and against messages of concurrent
+// senders that mix or change order.
+func TestQueuedMessagesLeaveBeforeClose(t *testing.T) {
+	a, b := socketPair(t)
+	sender := newStream(newTrackedConn(a, time.Second), ignore)
+	const senders, each = 4, 200
+	last := map[string]int{}
+	got := 0
+	receiver := newStream(newTrackedConn(b, time.Second), func(method string, params json.RawMessage) {
+		var n int
+		assert.Check(t, json.Unmarshal(params, &n))
+		assert.Check(t, n == last[method]+1, "%s: %d after %d", method, n, last[method])
+		last[method] = n
+		got++
+	})
+	defer receiver.Close()
+	var all sync.WaitGroup
+	for i := range senders {
+		all.Go(func() {
+			for n := range each {
+				assert.Check(t, sender.sendNotification(fmt.Sprint("m", i), n+1))
+			}
+		})
+	}
+	go func() { all.Wait(); assert.Check(t, sender.Close()) }()
+	assert.Equal(t, receiver.ReadObject(new(jsonrpc2.Request)), io.EOF)
+	assert.Equal(t, got, senders*each)
+}
+
+// Guards against a peer that accepts no data: senders must be blocked instead
+// of filling memory, and closing must not wait for the peer.
+func TestStalledPeerBoundsQueue(t *testing.T) {
+	a, b := socketPair(t)
+	assert.NilError(t, a.SetWriteBuffer(4096))
+	assert.NilError(t, b.SetReadBuffer(4096))
+	s := newStream(newTrackedConn(a, time.Minute), ignore)
+	sent := make(chan int, 1)
+	go func() {
+		n := 0
+		for s.sendNotification("n", make([]byte, 32<<10)) == nil {
+			n++
+		}
+		sent <- n
+	}()
+	time.Sleep(100 * time.Millisecond)
+	s.out.mu.Lock()
+	queued := len(s.out.queued)
+	s.out.mu.Unlock()
+	assert.Assert(t, queued <= 2*maxQueued, "%d bytes", queued)
+	began := time.Now()
+	_ = s.Close()
+	assert.Assert(t, time.Since(began) < 10*flushAtClose)
+	<-sent
+}
+
+// Guards against a length that makes the receiver reserve memory for data that
+// never comes.
+func TestFrameLengthIsBounded(t *testing.T) {
+	a, b := socketPair(t)
+	s := newStream(newTrackedConn(b, time.Second), ignore)
+	defer s.Close()
+	_, err := a.Write(binary.AppendUvarint(nil, maxFrame+1))
+	assert.NilError(t, err)
+	assert.ErrorContains(t, s.ReadObject(new(jsonrpc2.Request)), "exceeds")
+}
