Cut usage out of events instead of encoding them again

Cause: for every token the sidecar decoded the event into a map to drop the usage that only the sidecar had asked for, and encoded it again with the keys in another order. The meter also decoded four fields that only the event which closes a capped answer needs.

Ruled out: asking the engine for usage at the end only, because the counts of an answer that breaks off and the early exact prompt count depend on it.

--- a/internal/core/run/buffer.go
+++ b/internal/core/run/buffer.go
@@ -41,19 +41,6 @@
 	return status, t.append(e, wire.Chunk{Events: kept, PromptTokens: e.meter.Prompt()})
 }
 
-func withoutUsage(raw json.RawMessage) json.RawMessage {
-	var fields map[string]json.RawMessage
-	if json.Unmarshal(raw, &fields) != nil {
-		return raw
-	}
-	delete(fields, "usage")
-	out, err := json.Marshal(fields)
-	if err != nil {
-		return raw
-	}
-	return out
-}
-
 // Data appends bytes of a service's body as one chunk.
 func (t *Table) Data(runID string, data []byte) error {
 	e, err := t.inProgress(runID)
--- a/internal/core/run/meter.go
+++ b/internal/core/run/meter.go
@@ -19,20 +19,25 @@
 	finished map[int]bool
 	seen     map[int]bool // choices that produced content
 	exceeded bool
-	failed   bool // the engine reported an error in the stream
-	last     streamEvent
+	failed   bool            // the engine reported an error in the stream
+	last     json.RawMessage // latest event with choices
 }
 
 // streamEvent is the part of an engine's event that the sidecar reads.
 type streamEvent struct {
+	Choices []streamChoice  `json:"choices"`
+	Usage   *streamUsage    `json:"usage"`
+	Error   json.RawMessage `json:"error"`
+}
+
+// closingEvent is an event that finishes choices. Its head is that of the
+// events before it.
+type closingEvent struct {
 	ID      string         `json:"id,omitempty"`
 	Object  string         `json:"object,omitempty"`
 	Created int64          `json:"created,omitempty"`
 	Model   string         `json:"model,omitempty"`
 	Choices []streamChoice `json:"choices"`
-	Usage   *streamUsage   `json:"usage,omitempty"`
-
-	Error json.RawMessage `json:"error,omitempty"`
 }
 
 type streamChoice struct {
@@ -86,6 +91,9 @@
 	}
 	m.counted += tokens
 	m.note(ev)
+	if len(ev.Choices) > 0 {
+		m.last = raw
+	}
 	return ev, true
 }
 
@@ -110,9 +118,6 @@
 	if len(ev.Error) > 0 && string(ev.Error) != "null" {
 		m.failed = true
 	}
-	if len(ev.Choices) > 0 {
-		m.last = ev
-	}
 }
 
 func (m *Meter) noteUsage(u *streamUsage) {
@@ -155,7 +160,9 @@
 // "length", or nil if there are none.
 func (m *Meter) closing() json.RawMessage {
 	reason := "length"
-	ev := streamEvent{ID: m.last.ID, Object: m.last.Object, Created: m.last.Created, Model: m.last.Model}
+	var ev closingEvent
+	_ = json.Unmarshal(m.last, &ev) // without an event before it, the head stays empty
+	ev.Choices = nil
 	for i := range m.seen {
 		if !m.finished[i] {
 			ev.Choices = append(ev.Choices, streamChoice{Index: i, Delta: &streamDelta{}, FinishReason: &reason})
