Take notifications out of their frame without decoding it

Cause: decoding the message around a chunk, only to learn its method, read the chunk's bytes twice more and copied them.

Ruled out: a decoder that keeps its state between messages; it saves the allocations but not the passes.

A message of any other form is decoded as before.

--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -13,6 +14,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/wire"
 )
 
 const (
@@ -66,6 +68,10 @@
 		if err := s.readFrame(); err != nil {
 			return err
 		}
+		if method, params, ok := cutNotification(s.frame); ok {
+			s.notify(method, params)
+			continue
+		}
 		var e envelope
 		if err := json.Unmarshal(s.frame, &e); err != nil {
 			return err
@@ -77,6 +83,40 @@
 	}
 }
 
+// Parts of a notification in the form in which sendNotification encodes it.
+var (
+	notificationHead = []byte(`{"jsonrpc":"2.0","method":"`)
+	notificationBody = []byte(`","params":`)
+)
+
+// cutNotification takes the parameters out of a notification that has the form
+// of sendNotification, without decoding the message around them. Any other
+// message is left to the decoder.
+func cutNotification(frame []byte) (method string, params json.RawMessage, ok bool) {
+	rest, ok := bytes.CutPrefix(frame, notificationHead)
+	if !ok {
+		return "", nil, false
+	}
+	name, params, ok := bytes.Cut(rest, notificationBody)
+	if !ok || bytes.ContainsAny(name, `"\`) || !bytes.HasSuffix(params, []byte("}")) {
+		return "", nil, false
+	}
+	params = params[:len(params)-1]
+	if len(params) == 0 || params[0] != '{' || params[len(params)-1] != '}' {
+		return "", nil, false
+	}
+	return methodName(name), params, true
+}
+
+// methodName returns the name without an allocation for the method that comes
+// with every token.
+func methodName(name []byte) string {
+	if string(name) == wire.MethodRunChunk {
+		return wire.MethodRunChunk
+	}
+	return string(name)
+}
+
 func (s *stream) readFrame() error {
 	size, err := binary.ReadUvarint(s.in)
 	if err != nil {
--- a/internal/rpc/stream_test.go
+++ b/internal/rpc/stream_test.go
@@ -86,6 +86,25 @@
 	<-sent
 }
 
+// Guards against a call, or a message of another form, being taken for a
+// notification and therefore never answered.
+func TestOnlyNotificationsAreCut(t *testing.T) {
+	method, params, ok := cutNotification([]byte(`{"jsonrpc":"2.0","method":"run.chunk","params":{"r":"}"}}`))
+	assert.Assert(t, ok)
+	assert.Equal(t, method+string(params), `run.chunk{"r":"}"}`)
+	for _, frame := range []string{
+		`{"id":1,"jsonrpc":"2.0","method":"m","params":{}}`,
+		`{"jsonrpc":"2.0","method":"m","params":{},"id":1}`,
+		`{"jsonrpc":"2.0","method":"m","id":1,"params":{}}`,
+		`{"jsonrpc":"2.0","method":"m\"","params":{}}`,
+		`{"jsonrpc":"2.0","method":"m"}`,
+		`{"jsonrpc":"2.0","id":1,"result":{}}`,
+	} {
+		_, _, ok := cutNotification([]byte(frame))
+		assert.Assert(t, !ok, frame)
+	}
+}
+
 // Guards against a length that makes the receiver reserve memory for data that
 // never comes.
 func TestFrameLengthIsBounded(t *testing.T) {
