--- a/internal/core/run/meter.go
+++ b/internal/core/run/meter.go
@@ -19,34 +19,45 @@
 	finished map[int]bool
 	seen     map[int]bool // choices that produced content
 	exceeded bool
-	failed   bool // the engine reported an error in the stream
-	last     streamEvent
+	failed   bool            // the engine reported an error in the stream
+	last     json.RawMessage // latest event with choices
 }
 
 // streamEvent is the part of an engine's event that the sidecar reads.
 type streamEvent struct {
+	Choices []streamChoice  `json:"choices"`
+	Usage   streamUsage     `json:"usage"`
+	Error   json.RawMessage `json:"error"`
+}
+
+// closingEvent is an event that finishes choices. Its head is that of the
+// events before it.
+type closingEvent struct {
 	ID      string         `json:"id,omitempty"`
 	Object  string         `json:"object,omitempty"`
 	Created int64          `json:"created,omitempty"`
 	Model   string         `json:"model,omitempty"`
-	Choices []streamChoice `json:"choices"`
-	Usage   *streamUsage   `json:"usage,omitempty"`
+	Choices []closedChoice `json:"choices"`
+}
 
-	Error json.RawMessage `json:"error,omitempty"`
+type closedChoice struct {
+	Index        int      `json:"index"`
+	Delta        struct{} `json:"delta"`
+	FinishReason string   `json:"finish_reason"`
 }
 
 type streamChoice struct {
-	Index        int          `json:"index"`
-	Text         string       `json:"text,omitempty"`
-	Delta        *streamDelta `json:"delta,omitempty"`
-	FinishReason *string      `json:"finish_reason"`
+	Index        int         `json:"index"`
+	Text         string      `json:"text"`
+	Delta        streamDelta `json:"delta"`
+	FinishReason string      `json:"finish_reason"`
 }
 
 type streamDelta struct {
-	Content          string          `json:"content,omitempty"`
-	ReasoningContent string          `json:"reasoning_content,omitempty"`
-	Refusal          string          `json:"refusal,omitempty"`
-	ToolCalls        json.RawMessage `json:"tool_calls,omitempty"`
+	Content          string          `json:"content"`
+	ReasoningContent string          `json:"reasoning_content"`
+	Refusal          string          `json:"refusal"`
+	ToolCalls        json.RawMessage `json:"tool_calls"`
 }
 
 type streamUsage struct {
@@ -56,9 +67,6 @@
 
 func (c streamChoice) hasContent() bool {
 	d := c.Delta
-	if d == nil {
-		return c.Text != ""
-	}
 	return c.Text != "" || d.Content != "" || d.ReasoningContent != "" || d.Refusal != "" || len(d.ToolCalls) > 0
 }
 
@@ -86,6 +94,9 @@
 	}
 	m.counted += tokens
 	m.note(ev)
+	if len(ev.Choices) > 0 {
+		m.last = raw
+	}
 	return ev, true
 }
 
@@ -102,7 +113,7 @@
 func (m *Meter) note(ev streamEvent) {
 	for _, c := range ev.Choices {
 		m.seen[c.Index] = true
-		if c.FinishReason != nil && *c.FinishReason != "" {
+		if c.FinishReason != "" {
 			m.finished[c.Index] = true
 		}
 	}
@@ -110,26 +121,16 @@
 	if len(ev.Error) > 0 && string(ev.Error) != "null" {
 		m.failed = true
 	}
-	if len(ev.Choices) > 0 {
-		m.last = ev
-	}
 }
 
-func (m *Meter) noteUsage(u *streamUsage) {
-	if u == nil {
-		return
-	}
+func (m *Meter) noteUsage(u streamUsage) {
 	m.prompt = max(m.prompt, u.PromptTokens)
 	m.reported = max(m.reported, u.CompletionTokens)
 }
 
 // outputWith returns the output tokens once an event has been counted.
 func (m *Meter) outputWith(ev streamEvent, tokens int64) int64 {
-	n := m.Output() + tokens
-	if ev.Usage != nil {
-		n = max(n, ev.Usage.CompletionTokens)
-	}
-	return n
+	return max(m.Output()+tokens, ev.Usage.CompletionTokens)
 }
 
 // Output returns the output tokens known so far.
@@ -154,11 +155,12 @@
 // closing returns an event that finishes the open choices with the reason
 // "length", or nil if there are none.
 func (m *Meter) closing() json.RawMessage {
-	reason := "length"
-	ev := streamEvent{ID: m.last.ID, Object: m.last.Object, Created: m.last.Created, Model: m.last.Model}
+	var ev closingEvent
+	_ = json.Unmarshal(m.last, &ev) // without an event before it, the head stays empty
+	ev.Choices = nil
 	for i := range m.seen {
 		if !m.finished[i] {
-			ev.Choices = append(ev.Choices, streamChoice{Index: i, Delta: &streamDelta{}, FinishReason: &reason})
+			ev.Choices = append(ev.Choices, closedChoice{Index: i, FinishReason: "length"})
 		}
 	}
 	if len(ev.Choices) == 0 {
