Acknowledge records of closed holders

If the router that recovers a holder dies between closing its grants and telling the sidecars, their copies of the records were never acknowledged. Records of a closed holder are all stored, so any router may acknowledge them.

--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -232,8 +232,8 @@
 // settleRecord books a record that a sidecar handed over outside the run's own
 // stream. Records of other holders are left to the recovery of that holder.
 func (r *Router) settleRecord(rec ledger.Record) {
-	if r.durable.has(rec.RunID) {
-		r.ack([]ledger.Record{rec}) // the first acknowledgement was lost
+	if r.durable.has(rec.RunID) || r.holderClosed(rec.Holder) {
+		r.ack([]ledger.Record{rec}) // an earlier acknowledgement was lost
 		return
 	}
 	run := r.runByID(rec.RunID)
@@ -244,6 +244,12 @@
 	run.res.Settle(rec)
 }
 
+func (r *Router) holderClosed(holder string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.closedHolders[holder]
+}
+
 // recordsDurable is called with records that are stored in the table.
 func (r *Router) recordsDurable(records []ledger.Record) {
 	for _, rec := range records {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -126,15 +126,20 @@
 // not are closed after a while by the peer set.
 func (r *Router) applyHolders(rows []platform.Row) {
 	live := map[string]string{}
+	closed := map[string]bool{}
 	for _, row := range rows {
 		var reg member.HolderRow
 		if err := json.Unmarshal(row.Value, &reg); err != nil {
 			continue
 		}
+		closed[reg.Incarnation] = reg.State == member.HolderClosed
 		if reg.State == member.HolderLive && reg.RPCAddr != r.listeners.Peers.Addr().String() {
 			live[reg.RPCAddr] = reg.Incarnation
 		}
 	}
+	r.mu.Lock()
+	r.closedHolders = closed
+	r.mu.Unlock()
 	r.peers.keep(live)
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -76,9 +76,12 @@
 	confirmed  map[string]confirmation
 	unready    bool
 	stopping   bool
-	closed     chan struct{} // closed when the process ends
-	traffic    rpc.Traffic
-	adoptedAt  atomic.Int64 // unix time in nanoseconds of the latest configuration change here
+	// closedHolders are the holders whose grants are closed. Every record of
+	// theirs is stored.
+	closedHolders map[string]bool
+	closed        chan struct{} // closed when the process ends
+	traffic       rpc.Traffic
+	adoptedAt     atomic.Int64 // unix time in nanoseconds of the latest configuration change here
 }
 
 // budgetKeeper is the part of the escrow manager that requests use.
