Ask the configuration again when a run starts

A request was checked against the document that its router had at admission. If the document changed while the request waited, or the sidecar sent a newer one with stale_config, the run started under the new version without a check: batch work ran although the preset in force refuses it. The check now follows the header of each start message. Checking only after stale_config was ruled out, because a push can arrive first.

--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -165,6 +165,9 @@
 }
 
 func (cl *caller) mayUseModel(doc *policy.Document, model string) error {
+	if _, ok := doc.Models[model]; !ok {
+		return errkind.New(errkind.UnknownModel, "model %q is not served here", model)
+	}
 	workload, err := cl.checkWorkload(doc)
 	if err != nil {
 		return err
@@ -176,6 +179,9 @@
 }
 
 func (cl *caller) mayUseService(doc *policy.Document, service string) error {
+	if _, ok := doc.Services[service]; !ok {
+		return errkind.New(errkind.NotFound, "no service %q", service)
+	}
 	workload, err := cl.checkWorkload(doc)
 	if err != nil {
 		return err
--- a/internal/router/completion.go
+++ b/internal/router/completion.go
@@ -205,19 +205,16 @@
 
 func (r *Router) completionRequest(c *echo.Context, caller *caller, parsed *completionBody, body []byte) (*request, error) {
 	doc := r.config.Current()
-	model, ok := doc.Models[parsed.Model]
-	if !ok {
-		return nil, errkind.New(errkind.UnknownModel, "model %q is not served here", parsed.Model)
-	}
 	if err := caller.mayUseModel(doc, parsed.Model); err != nil {
 		return nil, err
 	}
 	preset := doc.Active()
-	outputCap, err := parsed.outputCap(model, preset)
+	outputCap, err := parsed.outputCap(doc.Models[parsed.Model], preset)
 	if err != nil {
 		return nil, err
 	}
 	req := caller.request(doc, preset)
+	req.permitted = func(doc *policy.Document) error { return caller.mayUseModel(doc, parsed.Model) }
 	req.Kind = wire.Completion
 	req.Model = parsed.Model
 	req.Method = http.MethodPost
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -49,10 +49,7 @@
 func (r *Router) serviceRequest(c *echo.Context, caller *caller, body []byte) (*request, policy.Service, error) {
 	doc := r.config.Current()
 	name := c.Param("name")
-	svc, ok := doc.Services[name]
-	if !ok {
-		return nil, svc, errkind.New(errkind.NotFound, "no service %q", name)
-	}
+	svc := doc.Services[name]
 	if err := caller.mayUseService(doc, name); err != nil {
 		return nil, svc, err
 	}
@@ -62,6 +59,7 @@
 		path += "?" + in.URL.RawQuery
 	}
 	req := caller.request(doc, doc.Active())
+	req.permitted = func(doc *policy.Document) error { return caller.mayUseService(doc, name) }
 	req.Kind = wire.ServiceRun
 	req.Service = name
 	req.Method = in.Method
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -11,6 +11,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/admit"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/core/policy"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/route"
 	"tarragonridge.example/tarragonridge/internal/wire"
@@ -33,6 +34,10 @@
 	idempotent    bool
 	timeout       time.Duration // until a run starts
 	sink          sink
+	// permitted reports whether a configuration lets the request run. It is
+	// asked again at each start, because the configuration may have changed
+	// while the request waited.
+	permitted func(*policy.Document) error
 }
 
 // sink passes an answer on to the caller.
@@ -185,7 +190,13 @@
 	msg.Reserved = run.res.Tokens()
 	msg.Suspect = sl.w.query.Suspect
 	for range maxStaleRetries {
+		// The check follows the header, so that it uses the version that the
+		// header names or a later one.
 		msg.Header = r.header()
+		if err := req.permitted(r.config.Current()); err != nil {
+			r.cancelRun(run)
+			return attemptResult{err: err}
+		}
 		result, err := r.callStart(sl, msg)
 		if err != nil {
 			r.resolveStart(run, sl)
