--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -45,6 +45,9 @@
 			"stream":   command(cmdStream),
 			"fault":    command(cmdFault),
 			"books":    command(cmdBooks),
+
+			"traffic":     command(cmdTraffic),
+			"traffic-end": command(cmdTrafficEnd),
 		},
 	})
 }
@@ -58,6 +61,7 @@
 	waiting   map[string]*call  // calls in the background
 	last      *answer
 	answers   answerLog
+	traffic   map[string]*traffic // loads in the background
 }
 
 type worldKey struct{}
@@ -72,6 +76,7 @@
 		keys:      map[string]string{},
 		waiting:   map[string]*call{},
 		answers:   answerLog{path: env.WorkDir + "/answers.jsonl"},
+		traffic:   map[string]*traffic{},
 	}
 	env.Values[worldKey{}] = w
 	t := env.T()
