Name a workload's own timeout and refuse before closing connections

A stopping router closed its listener in the moment in which it began to refuse, so kept-alive callers read EOF instead of the answer; it now answers stopping for 1 s, and closes connections with their next answer.

--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -138,7 +138,11 @@
 // request returns a request with the fields that do not depend on its kind.
 func (cl *caller) request(doc *policy.Document, preset policy.Preset) *request {
 	workload := doc.Workloads[cl.workload]
-	req := &request{timeout: callTimeoutOf(workload, preset)}
+	req := &request{timeout: time.Duration(preset.AdmissionTimeoutMS) * time.Millisecond}
+	if own := time.Duration(workload.TimeoutMS) * time.Millisecond; own > 0 && own < req.timeout {
+		req.timeout = own
+		req.ownTimeout = true
+	}
 	req.Identity = ledger.Identity{Team: cl.team.Name, Key: cl.key}
 	if cl.key == "" {
 		req.Key = cl.requestID
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -167,7 +167,7 @@
 func (r *Router) server() *http.Server {
 	limits := r.opts.Settings.Limits
 	return &http.Server{
-		Handler:           withWriteDeadline(r.handler()),
+		Handler:           r.withClose(withWriteDeadline(r.handler())),
 		ReadHeaderTimeout: time.Duration(limits.ReadHeaderTimeoutMS) * time.Millisecond,
 		ReadTimeout:       time.Duration(limits.ReadTimeoutMS) * time.Millisecond,
 		IdleTimeout:       time.Duration(limits.IdleTimeoutMS) * time.Millisecond,
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -20,6 +20,17 @@
 	return ln
 }
 
+// withClose ends kept-alive connections of a router that is about to stop with
+// their next answer, so that callers do not find them closed under a request.
+func (r *Router) withClose(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if r.isUnready() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
 // withWriteDeadline sets a deadline before each write.
 func withWriteDeadline(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
--- a/internal/router/process.go
+++ b/internal/router/process.go
@@ -144,6 +144,7 @@
 	r.setNotReady()
 	time.Sleep(drainGrace)
 	r.setStopping()
+	time.Sleep(refuseGrace)
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	err := srv.Shutdown(ctx)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,7 @@
 	lookupTimeout = 500 * time.Millisecond // of the search for an earlier run
 	resumeTimeout = 8 * time.Second        // a lost connection is given this long to come back
 	drainGrace    = 1 * time.Second        // new requests are still accepted this long after readiness has failed
+	refuseGrace   = 1 * time.Second        // and then refused this long before the listener closes
 )
 
 // Options configures a router.
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -77,7 +77,7 @@
 // submitOnce runs a non-idempotent call under a claim, so that it runs at most
 // once whichever router the caller asks.
 func (r *Router) submitOnce(ctx context.Context, req *request, sink *serviceSink) error {
-	startCtx, cancel := context.WithTimeout(ctx, req.timeout)
+	startCtx, cancel := startContext(ctx, req)
 	defer cancel()
 	call := &claimedCall{r: r, req: req, sink: sink, avoid: map[string]bool{}}
 	var last error
@@ -106,7 +106,7 @@
 	r, req := c.r, c.req
 	res, err := r.budgets.Reserve(startCtx, req.Team, req.Reserved)
 	if err != nil {
-		return c.replayOr(ctx, startError(ctx, err))
+		return c.replayOr(ctx, startError(ctx, startCtx, err))
 	}
 	w := &waiter{
 		Ticket: admit.Ticket{Team: req.Team, Priority: req.Priority, Pool: req.pool, Pinned: len(c.avoid) > 0},
@@ -115,7 +115,7 @@
 	sl, err := r.sched.acquire(startCtx, w)
 	if err != nil {
 		res.Cancel()
-		return c.replayOr(ctx, startError(ctx, err))
+		return c.replayOr(ctx, startError(ctx, startCtx, err))
 	}
 	defer sl.release()
 	next := claim.Attempt{ID: ulid.Make().String(), Router: res.Holder(), Target: sl.target.id, Sidecar: sl.sidecar}
@@ -271,15 +271,6 @@
 	return c.after(c.r.serveForeign(ctx, c.req, held.Attempt.ID, t, held.Attempt.Sidecar), held)
 }
 
-// callTimeoutOf returns how long a call may wait for a target.
-func callTimeoutOf(workload policy.Workload, preset policy.Preset) time.Duration {
-	timeout := time.Duration(preset.AdmissionTimeoutMS) * time.Millisecond
-	if limit := time.Duration(workload.TimeoutMS) * time.Millisecond; limit > 0 && limit < timeout {
-		timeout = limit
-	}
-	return timeout
-}
-
 // serviceMethods are the methods that callers may use on services.
 var serviceMethods = []string{
 	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -36,6 +36,7 @@
 	query         route.Query // for target choice
 	idempotent    bool
 	timeout       time.Duration // until a run starts
+	ownTimeout    bool          // timeout is the one of the workload, shorter than that of the preset
 	sink          sink
 	// permitted reports whether a configuration lets the request run. It is
 	// asked again at each start, because the configuration may have changed
@@ -67,7 +68,7 @@
 	if r.quarantined(req) {
 		return errkind.New(errkind.RequestQuarantined, "the request crashed the targets that ran it")
 	}
-	startCtx, cancel := context.WithTimeout(ctx, req.timeout)
+	startCtx, cancel := startContext(ctx, req)
 	defer cancel()
 	avoid := map[string]bool{}
 	r.countRequest()
@@ -119,7 +120,7 @@
 func (r *Router) attempt(ctx, startCtx context.Context, req *request, avoid map[string]bool) attemptResult {
 	res, err := r.budgets.Reserve(startCtx, req.Team, req.Reserved)
 	if err != nil {
-		return attemptResult{err: startError(ctx, err)}
+		return attemptResult{err: startError(ctx, startCtx, err)}
 	}
 	w := &waiter{
 		Ticket: admit.Ticket{Team: req.Team, Priority: req.Priority, Pool: req.pool, Pinned: len(avoid) > 0},
@@ -133,7 +134,7 @@
 	sl, err := r.sched.acquire(startCtx, w)
 	if err != nil {
 		res.Cancel()
-		return attemptResult{err: startError(ctx, err)}
+		return attemptResult{err: startError(ctx, startCtx, err)}
 	}
 	run := r.newAttempt(req, ulid.Make().String(), sl, res)
 	result := r.start(ctx, req, run, sl)
@@ -144,13 +145,29 @@
 	return result
 }
 
+// errWorkloadTimeout is the cause of a start context that the workload's own
+// timeout ended.
+var errWorkloadTimeout = errors.New("the workload's timeout has passed")
+
+// startContext bounds the wait until a run starts.
+func startContext(ctx context.Context, req *request) (context.Context, context.CancelFunc) {
+	if req.ownTimeout {
+		return context.WithTimeoutCause(ctx, req.timeout, errWorkloadTimeout)
+	}
+	return context.WithTimeout(ctx, req.timeout)
+}
+
 // startError maps the end of a wait for budget or target to an answer. A
-// caller that left gets Canceled; a wait that took too long keeps the kind
-// that the waiting component gave.
-func startError(ctx context.Context, err error) error {
+// caller that left gets Canceled, a workload whose timeout is shorter than the
+// preset's gets DeadlineExceeded, and any other wait that took too long keeps
+// the kind that the waiting component gave.
+func startError(ctx, startCtx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return &errkind.Error{Kind: errkind.Canceled, Detail: "the caller left before a run started", Ran: errkind.RanNo}
 	}
+	if errors.Is(context.Cause(startCtx), errWorkloadTimeout) {
+		return errkind.Wrap(err, errkind.DeadlineExceeded, "no run started within the workload's timeout: %s", errkind.From(err).Detail)
+	}
 	// An error with a kind may wrap the deadline of one call or of the wait; it
 	// says more than the deadline.
 	var kinded *errkind.Error
--- a/internal/router/submit_test.go
+++ b/internal/router/submit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -19,11 +20,22 @@
 		errkind.DeadlineExceeded:    expired,
 	}
 	for want, err := range cases {
-		assert.Equal(t, errkind.Of(startError(context.Background(), err)), want)
+		assert.Equal(t, errkind.Of(startError(context.Background(), context.Background(), err)), want)
 	}
 	gone, cancel := context.WithCancel(context.Background())
 	cancel()
-	assert.Equal(t, errkind.Of(startError(gone, expired)), errkind.Canceled)
+	assert.Equal(t, errkind.Of(startError(gone, gone, expired)), errkind.Canceled)
+}
+
+// Guards against a workload with a short timeout of its own being told that the
+// system is overloaded.
+func TestWorkloadTimeoutIsNamed(t *testing.T) {
+	startCtx, cancel := startContext(context.Background(), &request{timeout: time.Millisecond, ownTimeout: true})
+	defer cancel()
+	<-startCtx.Done()
+	err := startError(context.Background(), startCtx, errkind.New(errkind.Overloaded, "no target became free"))
+	assert.Equal(t, errkind.Of(err), errkind.DeadlineExceeded)
+	assert.ErrorContains(t, err, "no target became free")
 }
 
 // Guards against an answer that says "not run" because the last attempt did not
