--- a/internal/router/bootstrap_test.go
+++ b/internal/router/bootstrap_test.go
@@ -170,6 +170,8 @@
 	})
 	down.Store(true)
 	second := run(t, "entry-2", table, false, first.peers)
+	// A graceful stop waits for the table, so a failed test would not end.
+	t.Cleanup(func() { down.Store(false) })
 	waitFor(t, "a model list from the second router", func() bool {
 		status, body := get(second.callers, "/v1/models", "key-1")
 		return status == http.StatusOK && strings.Contains(body, `"m1"`)
@@ -196,11 +198,12 @@
 	table := outage{platform.NewMemory(), &down}
 	first := run(t, "entry-1", table, false)
 	second := run(t, "entry-2", table, false, first.peers)
+	// A graceful stop waits for the table, so a failed test would not end.
+	t.Cleanup(func() { down.Store(false) })
 	time.Sleep(1200 * time.Millisecond) // two rounds of questions
 	status, body := get(second.callers, "/readyz", "")
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Equal(t, body, "no configuration\n")
-	down.Store(false) // lets both stop without waiting for the table
 }
 
 // Guards against metrics that callers can read although they have an address
