--- a/internal/httpapi/problem.go
+++ b/internal/httpapi/problem.go
@@ -40,6 +40,14 @@
 	Billed      int64        `json:"billed"`                  // tokens
 	RetryAfterS int64        `json:"retry_after_s,omitempty"` // absent if a retry does not help
 	RequestID   string       `json:"request_id"`
+	Error       ErrorObject  `json:"error"` // the form in which clients of the OpenAI format read errors
+}
+
+// ErrorObject repeats a problem for clients of the OpenAI format.
+type ErrorObject struct {
+	Message string       `json:"message"`
+	Type    errkind.Kind `json:"type"`
+	Code    errkind.Kind `json:"code"`
 }
 
 // ProblemFor returns the body for an error. Causes stay out of it, and so does
@@ -54,6 +62,7 @@
 		Type: typePrefix + string(a.Kind), Title: a.Title, Status: a.Status, Detail: detail,
 		Kind: a.Kind, Ran: a.Ran, Billed: e.Billed,
 		RetryAfterS: int64(math.Ceil(a.RetryAfter.Seconds())), RequestID: requestID,
+		Error: ErrorObject{Message: a.Title + ": " + detail, Type: a.Kind, Code: a.Kind},
 	}
 }
 
