Count no token for empty tool calls

Cause: an event with tool_calls null or [] counted as a token, because the raw field is not empty. Some engines send it with every event, for example with the first one that only names the role. The count then runs ahead of the engine's, and an answer that uses its whole cap loses its last token.

Ruled out: dropping the count in favour of the reported usage, because it covers engines that report none.

Conclusion: null and the empty list carry no token. A test covers both forms.

--- a/internal/core/run/meter.go
+++ b/internal/core/run/meter.go
@@ -67,7 +67,14 @@
 
 func (c streamChoice) hasContent() bool {
 	d := c.Delta
-	return c.Text != "" || d.Content != "" || d.ReasoningContent != "" || d.Refusal != "" || len(d.ToolCalls) > 0
+	return c.Text != "" || d.Content != "" || d.ReasoningContent != "" || d.Refusal != "" || d.hasToolCalls()
+}
+
+// hasToolCalls reports whether the field carries anything. Some engines send
+// null or an empty list with every event.
+func (d streamDelta) hasToolCalls() bool {
+	calls := string(d.ToolCalls)
+	return calls != "" && calls != "null" && calls != "[]"
 }
 
 // NewMeter returns a meter for a run.
--- a/internal/core/run/usage_test.go
+++ b/internal/core/run/usage_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"tarragonridge.example/tarragonridge/internal/wire"
 )
 
 // Guards against an event that is damaged when its usage is cut out, and
@@ -34,3 +36,14 @@
 		assert.DeepEqual(t, got, object)
 	})
 }
+
+// Guards against an event without a token that counts against the output cap,
+// which would cut the last token off.
+func TestEmptyToolCallsAreNoTokens(t *testing.T) {
+	for field, want := range map[string]int64{"null": 0, "[]": 0, `[{"index":0}]`: 1} {
+		m := NewMeter(wire.StartRun{OutputCap: 5})
+		_, ok := m.take(json.RawMessage(`{"choices":[{"index":0,"delta":{"role":"assistant","content":"","tool_calls":` + field + `}}]}`))
+		assert.Assert(t, ok)
+		assert.Equal(t, m.Output(), want, field)
+	}
+}
