Keep messages that arrive before the dialing side has opened

Cause: a peer may send as soon as it has answered the hello, but the side that dialed dropped all messages until it had taken the answer in. The router so lost a sidecar's first load report, which alone carries the whole cache state.

Ruled out: a delay at the sender, because it only makes the loss rarer; waiting on the accepting side, where a message before the hello is out of order.

Conclusion: the dialing side waits until Opened has returned or the connection ends.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -73,7 +73,9 @@
 	stream  *stream
 	rpc     *jsonrpc2.Conn
 	ready   chan struct{} // closed once rpc is set
+	dialed  bool          // this side opened the connection
 	opened  atomic.Bool
+	usable  chan struct{} // closed once Handler.Opened has returned
 	peer    atomic.Pointer[wire.Hello]
 	once    sync.Once
 	done    chan struct{}
@@ -87,7 +89,7 @@
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.Unreachable, "dial %s", addr)
 	}
-	c := newConn(sock, opts, h)
+	c := newConn(sock, opts, h, true)
 	callCtx, cancel := context.WithTimeout(ctx, opts.SilenceAfter)
 	defer cancel()
 	var reply wire.Hello
@@ -121,7 +123,7 @@
 			}
 			return errkind.Wrap(err, errkind.Internal, "accept on %s", ln.Addr())
 		}
-		c := newConn(sock, opts, h)
+		c := newConn(sock, opts, h, false)
 		conns.Store(c, struct{}{})
 		go func() {
 			<-c.done
@@ -130,12 +132,14 @@
 	}
 }
 
-func newConn(sock net.Conn, opts Options, h Handler) *Conn {
+func newConn(sock net.Conn, opts Options, h Handler, dialed bool) *Conn {
 	c := &Conn{
 		opts:    opts,
 		handler: h,
 		sock:    newTrackedConn(sock, opts.SilenceAfter),
 		ready:   make(chan struct{}),
+		dialed:  dialed,
+		usable:  make(chan struct{}),
 		done:    make(chan struct{}),
 	}
 	c.stream = newStream(c.sock, c.notified)
@@ -150,6 +154,22 @@
 	c.peer.Store(&peer)
 	if c.opened.CompareAndSwap(false, true) {
 		c.handler.Opened(c)
+		close(c.usable)
+	}
+}
+
+// awaitOpen reports whether messages may be handled. The peer may send right
+// after its hello, so the side that dialed waits until it has taken the hello
+// in; on the other side a message before the hello is out of order.
+func (c *Conn) awaitOpen() bool {
+	if !c.dialed {
+		return c.opened.Load()
+	}
+	select {
+	case <-c.usable:
+		return true
+	case <-c.rpc.DisconnectNotify():
+		return false
 	}
 }
 
@@ -222,7 +242,7 @@
 // kept.
 func (c *Conn) notified(method string, params json.RawMessage) {
 	<-c.ready
-	if c.opened.Load() || method == wire.MethodPing {
+	if method == wire.MethodPing || c.awaitOpen() {
 		c.handler.Notify(c, method, params)
 	}
 }
@@ -243,7 +263,7 @@
 		c.acceptHello(ctx, req, params)
 		return
 	}
-	if c.opened.Load() {
+	if c.awaitOpen() {
 		go c.serveCall(ctx, req, params)
 	}
 }
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -93,6 +93,27 @@
 	}
 }
 
+// greeter sends a notification as soon as a connection is open.
+type greeter struct{ *recorder }
+
+func (greeter) Opened(c *rpc.Conn) { _ = c.Notify(context.Background(), "first", 1) }
+
+// Guards against the loss of a message that the peer sends right after its
+// hello, such as the first load report with the whole cache state.
+func TestFirstNotificationArrives(t *testing.T) {
+	addr := serve(t, greeter{newRecorder()})
+	client := newRecorder()
+	for i := range 20 {
+		c, err := rpc.Dial(context.Background(), addr, options("client"), client)
+		assert.NilError(t, err)
+		assert.NilError(t, c.Call(context.Background(), "echo", 1, nil)) // its reply follows the notification
+		assert.NilError(t, c.Close())
+		client.mu.Lock()
+		assert.Equal(t, len(client.notes), i+1)
+		client.mu.Unlock()
+	}
+}
+
 // Guards against a connection that stays open although the peer has stopped
 // sending: it must be reported as closed within the silence limit.
 func TestSilentConnectionIsClosed(t *testing.T) {
