Add the measurement of the control cost of a router

The control cost at the target size is to be worked out from measured slopes, and no tool can register hundreds of sidecars and routers. 'load control' runs light sidecars and routers in its own process: they answer hello, pings and config.push, send load reports and renew their registrations. It reads the router's CPU, memory and rpc bytes and the platform's reads and writes over a window, takes its own calls off, and times configuration changes until every process has them, with pushes and without. 'load fill' writes teams and budgets into an empty table.

Ruled out: real sidecars with stand-in engines, which need three processes per target. Creating teams through the admin API, which takes a change of the configuration for each.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -19,6 +19,8 @@
 	Send     loadSendCmd     `cmd:"" default:"withargs" help:"Send load and write its figures."`
 	Report   loadReportCmd   `cmd:"" help:"Compare results in a table and a plot."`
 	Overhead loadOverheadCmd `cmd:"" help:"Measure what router and sidecar add to a direct connection."`
+	Control  loadControlCmd  `cmd:"" help:"Measure the control cost of a router against the size of the fleet."`
+	Fill     loadFillCmd     `cmd:"" help:"Write teams and budgets into an empty table."`
 }
 
 // loadSendCmd is one run of the load generator.
