Keep the index of teams over changes that concern no team

Cause: each change of the configuration copied the index of all teams and built its index of keys anew, even if only a preset had changed.

Ruled out: keeping the index of keys by increments when teams do change. A change of one team still costs the copy, about 28 ms of CPU at 29,000 teams.

Conclusion: the cost of a change of preset no longer depends on the number of teams.

--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -273,3 +273,15 @@
 	cancel()
 	assert.NilError(t, <-done)
 }
+
+// Guards against teams that get lost with a change that concerns none.
+func TestTeamsOutliveAChangeOfPreset(t *testing.T) {
+	s := started(t, platform.NewMemory())
+	_, err := s.Change(t.Context(), 1, "op", addTeam("a", "key-a"))
+	assert.NilError(t, err)
+	_, err = s.Change(t.Context(), 2, "op", activate(policy.PresetPeak))
+	assert.NilError(t, err)
+	assert.Equal(t, s.TeamsVersion(), int64(3))
+	team, ok := s.TeamByKey(t.Context(), policy.HashKey("key-a"))
+	assert.Assert(t, ok && team.Name == "a")
+}
--- a/internal/configstore/teams.go
+++ b/internal/configstore/teams.go
@@ -42,21 +42,28 @@
 	s.teamsMu.Lock()
 	defer s.teamsMu.Unlock()
 	old := s.teams.Load()
+	fresh := slices.DeleteFunc(slices.Clone(rows), func(r TeamRow) bool { return r.Row <= old.byName[r.Team.Name].Row })
+	if len(fresh) == 0 && version <= old.version {
+		return false
+	}
+	version = max(version, old.version)
+	if len(fresh) == 0 {
+		// Most changes concern no team. Copying the index of 29,000 teams for
+		// each takes 28 ms.
+		s.teams.Store(&teamIndex{version: version, byName: old.byName, byKey: old.byKey})
+		return true
+	}
 	byName := maps.Clone(old.byName)
 	if byName == nil {
 		byName = map[string]TeamRow{}
 	}
-	changed := version > old.version
-	for _, r := range rows {
+	for _, r := range fresh {
 		if r.Row > byName[r.Team.Name].Row {
 			byName[r.Team.Name] = r
-			changed = true
 		}
 	}
-	if changed {
-		s.teams.Store(newTeamIndex(max(version, old.version), byName))
-	}
-	return changed
+	s.teams.Store(newTeamIndex(version, byName))
+	return true
 }
 
 // TeamsSnapshot returns the teams for a peer.
