--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,6 +15,7 @@
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/rpc"
 )
 
 const (
@@ -31,9 +33,10 @@
 	seconds  prometheus.Histogram
 	active   prometheus.Gauge
 	buffered prometheus.Gauge
+	traffic  rpc.Traffic
 }
 
-func newMetrics() *metrics {
+func newMetrics(configVersion func() int64) *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -52,9 +55,19 @@
 	}
 	m.registry.MustRegister(m.runs, m.refusals, m.tokens, m.seconds, m.active, m.buffered,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.counter("tarragonridge_rpc_received_bytes_total", "Bytes received from routers.", &m.traffic.Received)
+	m.counter("tarragonridge_rpc_sent_bytes_total", "Bytes sent to routers.", &m.traffic.Sent)
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "tarragonridge_config_version", Help: "Version of the configuration in force here."},
+		func() float64 { return float64(configVersion()) }))
 	return m
 }
 
+func (m *metrics) counter(name, help string, value *atomic.Int64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help},
+		func() float64 { return float64(value.Load()) }))
+}
+
 func (m *metrics) ended(r ledger.Record) {
 	m.runs.WithLabelValues(string(r.Outcome)).Inc()
 	m.tokens.WithLabelValues("prompt").Add(float64(r.PromptTokens))
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -55,19 +55,20 @@
 	}
 	opts = opts.withDefaults()
 	incarnation := ulid.Make().String()
-	return &Server{
+	s := &Server{
 		opts:        opts,
 		log:         opts.Logger.With("role", "sidecar", "target", opts.Target, "incarnation", incarnation),
 		incarnation: incarnation,
 		clock:       opts.Clock,
 		target:      newTarget(opts),
-		metrics:     newMetrics(),
 		table:       run.New(opts.Limits, opts.Target, incarnation),
 		runs:        map[string]*liveRun{},
 		readers:     map[readerKey]*reader{},
 		peers:       map[*rpc.Conn]*peer{},
 		load:        loadState{},
-	}, nil
+	}
+	s.metrics = newMetrics(func() int64 { return s.header().ConfigVersion })
+	return s, nil
 }
 
 // Incarnation returns the identity of this start of the process.
@@ -117,6 +118,7 @@
 	rpcOpts := s.opts.RPC
 	rpcOpts.Hello = s.hello
 	rpcOpts.Logger = s.log
+	rpcOpts.Traffic = &s.metrics.traffic
 	s.mu.Lock()
 	s.ready = true
 	s.mu.Unlock()
