Scan the registrations only after they have changed

Cause: every router scanned all rows sidecar/ and holder/ each second. With 2,800 targets that is 7 reads a second and router, and 350 routers together exceed the 2,000 reads a second of the table.

Each transaction that adds, moves or ends a registration now also writes the row member/version, without a condition, so that registrations do not conflict. Routers read its version each second and scan after a change, after an operator's action and every 15 s; the scans of a large fleet are spread over 5 ms per router.

Ruled out: a feed of the changed keys, which makes registrations conflict on the row of the feed; polling less often, which delays the use of new targets.

The scan of holder/ by the lease observer every 2 s and the host list each second remain.

--- a/internal/core/member/rows.go
+++ b/internal/core/member/rows.go
@@ -7,6 +7,15 @@
 	SidecarPrefix = "sidecar/"
 )
 
+// VersionKey is the row that every transaction writes that adds, ends or moves
+// a registration. Routers poll its version instead of scanning all
+// registrations. It is written without a condition, so that registrations do
+// not conflict with each other; only its version in the table has a meaning.
+const VersionKey = "member/version"
+
+// VersionValue is the content of the row VersionKey.
+var VersionValue = []byte("{}")
+
 // State is the life cycle of a router registration.
 type State string
 
--- a/internal/escrow/observe.go
+++ b/internal/escrow/observe.go
@@ -107,7 +107,7 @@
 	holder.State = member.HolderFenced
 	res, err := m.commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
-		Puts:       []platform.Put{{Key: row.Key, Value: encode(holder)}},
+		Puts:       []platform.Put{{Key: row.Key, Value: encode(holder)}, memberVersion()},
 	})
 	if errkind.Is(err, errkind.PlatformUncertain) {
 		m.observer.fencedBy[holder.Incarnation] = true
--- a/internal/escrow/recover.go
+++ b/internal/escrow/recover.go
@@ -183,7 +183,7 @@
 	c.holder.State = member.HolderClosed
 	return c.commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: key, Version: c.version}},
-		Puts:       []platform.Put{{Key: key, Value: encode(c.holder)}},
+		Puts:       []platform.Put{{Key: key, Value: encode(c.holder)}, memberVersion()},
 	})
 }
 
--- a/internal/escrow/rows.go
+++ b/internal/escrow/rows.go
@@ -95,6 +95,12 @@
 	return platform.Put{Key: holderKey(inc.id), Value: encode(m.holderRow(inc))}
 }
 
+// memberVersion is part of each transaction that changes the state of a holder.
+// A renewal does not change it.
+func memberVersion() platform.Put {
+	return platform.Put{Key: member.VersionKey, Value: member.VersionValue}
+}
+
 // register writes the holder row of a new incarnation.
 func (m *Manager) register(ctx context.Context, inc *incarnation) error {
 	if m.holderVersion(inc) > 0 {
@@ -103,7 +109,7 @@
 	put := m.renewal(inc)
 	res, err := m.commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: put.Key}},
-		Puts:       []platform.Put{put},
+		Puts:       []platform.Put{put, memberVersion()},
 	})
 	if err == nil && res.Committed {
 		m.adopt(inc, res.Versions[put.Key])
--- a/internal/load/control/config.go
+++ b/internal/load/control/config.go
@@ -21,6 +21,7 @@
 	OperatorKey string
 	Sidecars    int           // light sidecars
 	Peers       int           // light routers
+	Dial        []string      // rpc addresses of sidecars that the light routers hold links to
 	Models      int           // the sidecars are spread over this many models; default 1
 	ReportEvery time.Duration // of load reports with a new load; 0: the targets are idle
 	ChangeEvery time.Duration // of configuration changes during the window; 0: none
--- a/internal/load/control/fleet.go
+++ b/internal/load/control/fleet.go
@@ -32,6 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
+	routers = append(routers, c.Dial...)
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	f := &fleet{table: table, stop: stop}
 	for i := range c.Sidecars {
@@ -83,26 +84,26 @@
 			out = append(out, reg.RPCAddr)
 		}
 	}
-	if len(out) == 0 {
-		return nil, eris.New("no router is registered")
-	}
 	return out, nil
 }
 
 func (f *fleet) register(ctx context.Context) error {
 	err := fillRows(ctx, f.table, len(f.sidecars), func(i int) (string, any) {
 		return member.SidecarKey(f.sidecars[i].name), f.sidecars[i].sidecarRow()
-	})
+	}, memberVersion)
 	if err != nil {
 		return err
 	}
-	return f.writePeers(ctx, member.HolderLive)
+	return f.writePeers(ctx, member.HolderLive, memberVersion)
 }
 
-func (f *fleet) writePeers(ctx context.Context, state member.State) error {
+// memberVersion tells the routers that the registrations have changed.
+var memberVersion = platform.Put{Key: member.VersionKey, Value: member.VersionValue}
+
+func (f *fleet) writePeers(ctx context.Context, state member.State, more ...platform.Put) error {
 	return fillRows(ctx, f.table, len(f.peers), func(i int) (string, any) {
 		return member.HolderKey(f.peers[i].incarnation), f.peers[i].holderRow(state)
-	})
+	}, more...)
 }
 
 // renew keeps the leases of the light routers, in one transaction, so that the
@@ -119,9 +120,9 @@
 	f.work.Wait()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*platformTimeout)
 	defer cancel()
-	err := f.writePeers(ctx, member.HolderClosed)
+	err := f.writePeers(ctx, member.HolderClosed, memberVersion)
 	for first := 0; first < len(f.sidecars); first += rowsPerFill {
-		var txn platform.Txn
+		txn := platform.Txn{Puts: []platform.Put{memberVersion}}
 		for _, p := range f.sidecars[first:min(first+rowsPerFill, len(f.sidecars))] {
 			txn.Deletes = append(txn.Deletes, member.SidecarKey(p.name))
 		}
--- a/internal/load/control/table.go
+++ b/internal/load/control/table.go
@@ -76,7 +76,8 @@
 	})
 }
 
-func fillRows(ctx context.Context, table platform.Table, count int, row func(i int) (string, any)) error {
+// fillRows writes count rows, each transaction together with the puts more.
+func fillRows(ctx context.Context, table platform.Table, count int, row func(i int) (string, any), more ...platform.Put) error {
 	for first := 0; first < count; first += rowsPerFill {
 		var txn platform.Txn
 		for i := first; i < min(first+rowsPerFill, count); i++ {
@@ -87,6 +88,7 @@
 			}
 			txn.Puts = append(txn.Puts, platform.Put{Key: key, Value: data})
 		}
+		txn.Puts = append(txn.Puts, more...)
 		if err := commit(ctx, table, txn); err != nil {
 			return err
 		}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
@@ -15,6 +16,13 @@
 const (
 	memberPoll    = 1 * time.Second
 	memberTimeout = 3 * time.Second
+	// memberScanEvery bounds how long a registration stays unnoticed that was
+	// written without a new membership version, and keeps the links to peers,
+	// which need a sign every peerKeep.
+	memberScanEvery = 15 * time.Second
+	// memberScanSpread per router spreads the scans that follow a change, so
+	// that a large fleet does not exceed the table's read rate.
+	memberScanSpread = 5 * time.Millisecond
 )
 
 // watchMembers follows the registrations of targets and routers and the host
@@ -22,29 +30,76 @@
 func (r *Router) watchMembers(ctx context.Context) {
 	ticker := time.NewTicker(memberPoll)
 	defer ticker.Stop()
+	var seen memberScan
 	for {
-		r.refreshMembers(ctx)
+		r.refreshMembers(ctx, &seen)
 		select {
 		case <-ticker.C:
 		case <-r.membersPoke:
+			seen = memberScan{}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (r *Router) refreshMembers(ctx context.Context) {
+// memberScan is the last complete scan of the registrations.
+type memberScan struct {
+	version int64 // of the row member.VersionKey, read before the scan
+	at      time.Time
+}
+
+// due reports whether the registrations have to be scanned when the membership
+// version is version. Without a version every poll scans: the processes that
+// registered so far do not write it.
+func (s memberScan) due(now time.Time, version int64) bool {
+	return version == 0 || version != s.version || now.Sub(s.at) >= memberScanEvery
+}
+
+func (r *Router) refreshMembers(ctx context.Context, seen *memberScan) {
 	callCtx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
-	if rows, err := platform.ScanAll(callCtx, r.table, member.SidecarPrefix); err == nil {
-		r.applySidecars(ctx, rows)
-	}
-	if rows, err := platform.ScanAll(callCtx, r.table, member.HolderPrefix); err == nil {
-		r.applyHolders(rows)
+	version, err := r.memberVersion(callCtx)
+	if err == nil && seen.due(time.Now(), version) {
+		r.scanMembers(ctx, seen, version)
 	}
 	r.applyHosts(callCtx)
 }
 
+func (r *Router) memberVersion(ctx context.Context) (int64, error) {
+	row, err := r.table.Get(ctx, member.VersionKey)
+	if errkind.Is(err, errkind.NotFound) {
+		return 0, nil
+	}
+	return row.Version, err
+}
+
+// scanMembers reads all registrations. A scan that fails is repeated with the
+// next poll.
+func (r *Router) scanMembers(ctx context.Context, seen *memberScan, version int64) {
+	if !seen.at.IsZero() {
+		spread := time.Duration(r.peers.size()+1) * memberScanSpread
+		select {
+		case <-time.After(rand.N(spread)):
+		case <-ctx.Done():
+			return
+		}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	sidecars, err := platform.ScanAll(callCtx, r.table, member.SidecarPrefix)
+	if err == nil {
+		r.applySidecars(ctx, sidecars)
+	}
+	holders, holdersErr := platform.ScanAll(callCtx, r.table, member.HolderPrefix)
+	if holdersErr == nil {
+		r.applyHolders(holders)
+	}
+	if err == nil && holdersErr == nil {
+		*seen = memberScan{version: version, at: time.Now()}
+	}
+}
+
 // applySidecars opens links to new targets and closes those of targets whose
 // registration is gone.
 func (r *Router) applySidecars(ctx context.Context, rows []platform.Row) {
@@ -73,13 +128,18 @@
 		}
 		if t.pool != poolOf(reg) {
 			r.forgetTarget(t)
-			return // added in its new pool with the next refresh
+			r.addTarget(ctx, reg)
+			return
 		}
 		// A sidecar at another address is a new incarnation. Runs of the old
 		// one end when the new one says hello.
 		r.moveTarget(ctx, t, reg)
 		return
 	}
+	r.addTarget(ctx, reg)
+}
+
+func (r *Router) addTarget(ctx context.Context, reg member.SidecarRow) {
 	t := &target{id: reg.Target, addr: reg.Addr, domain: reg.Domain, host: reg.Host, pool: poolOf(reg)}
 	r.connectTarget(ctx, t)
 	r.sched.add(t)
@@ -178,7 +238,7 @@
 	}
 	res, err := r.table.Commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
-		Puts:       []platform.Put{{Key: row.Key, Value: value}},
+		Puts:       []platform.Put{{Key: row.Key, Value: value}, {Key: member.VersionKey, Value: member.VersionValue}},
 	})
 	if err != nil {
 		return err
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// size returns the number of links.
+func (p *peerSet) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.links)
+}
+
 // conns returns the open connections.
 func (p *peerSet) conns() []*rpc.Conn {
 	p.mu.Lock()
--- a/internal/sidecar/register.go
+++ b/internal/sidecar/register.go
@@ -91,7 +91,7 @@
 	}
 	result, err := s.opts.Table.Commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+		Puts:       []platform.Put{{Key: key, Value: value}, {Key: member.VersionKey, Value: member.VersionValue}},
 	})
 	if err != nil {
 		return err
