Ask sidecars for their version 1 s after a change of the configuration

Cause: a sidecar that the accepting router's push has missed learned a change from a router that had polled it, when the sidecar showed its old version with the next ping of an idle connection. Poll, push delay and idle ping add up to 6 s, above the limit of 5 s. Changes that follow each other within 1 s put the push off without end, because the delay counted from the latest change.

A router now asks the sidecars that have not shown the version, 1 s after it came into force there, and pushes to those that answer with an older one than was in force 1 s ago.

Ruled out: pushing at once to all, because then 350 routers push the document to each of 2,800 sidecars; shorter idle pings, which raise the control traffic that is over its limit already.

Conclusion: the bound without hints is poll plus push delay plus two round trips. The questions cost one idle ping per link and change.

--- a/internal/load/control/run.go
+++ b/internal/load/control/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"runtime"
 	"time"
 )
@@ -92,6 +93,11 @@
 	return 0, 0
 }
 
+// changePhase is the longest pause before a timed change. It exceeds the
+// periods of the polls and pings, so that the changes fall on any phase of
+// them.
+const changePhase = 5 * time.Second
+
 // timedChanges makes the timed changes one after the other. The routers are
 // watched only during them, because reading their metrics costs CPU.
 func (m *measurement) timedChanges(ctx context.Context) (Quantiles, error) {
@@ -106,6 +112,7 @@
 	var all []float64
 	missing := 0
 	for range m.config.Changes {
+		sleep(ctx, rand.N(changePhase))
 		delays, lacking, err := m.changer.timed(ctx, processes)
 		if err != nil {
 			return Quantiles{}, err
--- a/internal/router/process.go
+++ b/internal/router/process.go
@@ -73,7 +73,7 @@
 	r.peers = newPeerSet(loopCtx, r)
 	r.escrow = escrow.New(r.escrowOptions())
 	r.budgets = escrowKeeper{r.escrow}
-	r.config.OnChange(func(*policy.Document) { r.noteAdopted() })
+	r.config.OnChange(func(doc *policy.Document) { r.noteAdopted(doc.Version) })
 	for _, addr := range r.opts.Settings.Peers {
 		if addr != r.listeners.Peers.Addr().String() {
 			r.peers.connect(addr, true)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -78,7 +78,7 @@
 	stopping   bool
 	closed     chan struct{} // closed when the process ends
 	traffic    rpc.Traffic
-	adoptedAt  atomic.Int64 // unix time in nanoseconds of the latest configuration change here
+	pushDue    atomic.Int64 // configuration version that every process should have by now
 }
 
 // budgetKeeper is the part of the escrow manager that requests use.
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -56,15 +56,44 @@
 const pushDelay = 1 * time.Second
 
 // noteAdopted is called when a new configuration version is in force here.
-func (r *Router) noteAdopted() { r.adoptedAt.Store(time.Now().UnixNano()) }
+func (r *Router) noteAdopted(version int64) {
+	time.AfterFunc(pushDelay, func() { r.askVersions(version) })
+}
 
-// pushIfBehind pushes the configuration to a process that still shows an older
-// version when the accepting router's push should have reached it.
-func (r *Router) pushIfBehind(c *rpc.Conn, version int64) {
-	if version >= r.config.Version() {
-		return
+// askVersions asks the sidecars that have not shown the version for theirs. An
+// answer with an older version leads to a push. Without it, a sidecar that the
+// accepting router's push missed would wait for the next ping of an idle
+// connection, which with the poll of the table exceeds 5 s.
+func (r *Router) askVersions(version int64) {
+	r.raisePushDue(version)
+	for _, t := range r.sched.list(func(t *target) bool { return t.conn != nil }) {
+		c := t.link.Conn()
+		if c != nil && !r.hasConfirmed(c.Peer(), version) {
+			go c.Ping()
+		}
+	}
+}
+
+func (r *Router) raisePushDue(version int64) {
+	for {
+		old := r.pushDue.Load()
+		if version <= old || r.pushDue.CompareAndSwap(old, version) {
+			return
+		}
 	}
-	if time.Since(time.Unix(0, r.adoptedAt.Load())) > pushDelay {
+}
+
+func (r *Router) hasConfirmed(peer wire.Hello, version int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmed[processName(peer)].version >= version
+}
+
+// pushIfBehind pushes the configuration to a process that shows a version older
+// than the one in force here pushDelay ago. The accepting router's push should
+// have reached it by then.
+func (r *Router) pushIfBehind(c *rpc.Conn, version int64) {
+	if version < r.pushDue.Load() {
 		go r.pushConfig(c)
 	}
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -271,6 +271,9 @@
 	return c.dialled && max(silent, c.sock.unsentFor(now)) >= c.opts.IdlePingEvery
 }
 
+// Ping asks the peer for a ping, whose header shows its configuration version.
+func (c *Conn) Ping() { c.ping(true) }
+
 // ping runs in its own goroutine, because a write to a stalled connection
 // blocks until the write deadline and must not delay the check for silence.
 func (c *Conn) ping(want bool) {
