Retry at the only usable target and admit that an earlier attempt ran

Cause: a retry excluded every target that an earlier attempt had used. With no other target it waited for its deadline and answered 503 overloaded, ran=no. Two faults followed. A run that was lost with a silent connection, and is known not to have run, was refused although its target was idle (false refusal). A request whose attempts had run at all targets was told that it did not run. Ruled out: capacity (the engine was idle) and the resumption of the run (the sidecar had answered that it does not know it).

--- a/internal/router/schedule.go
+++ b/internal/router/schedule.go
@@ -54,7 +54,7 @@
 type waiter struct {
 	admit.Ticket
 	query route.Query
-	avoid map[string]bool // targets that failed this request before
+	avoid map[string]bool // targets that failed this request before; used only if no other is usable
 	ready chan *target
 	fail  chan error
 }
@@ -222,15 +222,10 @@
 	if w == nil {
 		return nil
 	}
-	now := s.now()
-	var targets []*target
-	var candidates []route.Candidate
-	for _, t := range s.pools[w.Pool] {
-		if w.avoid[t.id] || !t.usable(now) {
-			continue
-		}
-		targets = append(targets, t)
-		candidates = append(candidates, t.candidate())
+	targets := s.eligible(w)
+	candidates := make([]route.Candidate, len(targets))
+	for i, t := range targets {
+		candidates[i] = t.candidate()
 	}
 	preset := s.preset()
 	settings := route.Settings{
@@ -245,6 +240,27 @@
 	return targets[i]
 }
 
+// eligible returns the usable targets that have not failed the request, or all
+// usable ones if there is no such target: an attempt that is known not to have
+// run, because its connection broke, says nothing against its target.
+func (s *scheduler) eligible(w *waiter) []*target {
+	now := s.now()
+	var fresh, tried []*target
+	for _, t := range s.pools[w.Pool] {
+		switch {
+		case !t.usable(now):
+		case w.avoid[t.id]:
+			tried = append(tried, t)
+		default:
+			fresh = append(fresh, t)
+		}
+	}
+	if len(fresh) == 0 {
+		return tried
+	}
+	return fresh
+}
+
 // noteActive takes the number of runs that a message of the sidecar states.
 func (t *target) noteActive(active int) {
 	t.active = active
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -19,6 +19,7 @@
 // Outcomes of a run that no target has seen or whose sidecar is gone.
 var (
 	errNotRun      = errkind.New(errkind.Tombstoned, "the sidecar did not receive the run")
+	errAnswerGone  = errkind.New(errkind.OutcomeUnknown, "the answer is no longer kept at the sidecar")
 	errSidecarGone = errkind.New(errkind.TargetCrashed, "the sidecar was replaced during the run")
 )
 
@@ -66,13 +67,19 @@
 	defer cancel()
 	avoid := map[string]bool{}
 	r.countRequest()
-	var last error
+	var last, spent error
 	for range maxAttempts {
 		res := r.attempt(ctx, startCtx, req, avoid)
-		if res.err == nil || !res.retry {
-			return res.err
+		if res.err == nil {
+			return nil
+		}
+		if !res.retry {
+			return finalAnswer(spent, res.err)
 		}
 		last = res.err
+		if !knownNotRun(last) {
+			spent = last
+		}
 		if r.quarantined(req) {
 			return &errkind.Error{Kind: errkind.RequestQuarantined, Detail: "the request crashed the targets that ran it", Ran: errkind.RanYes}
 		}
@@ -80,9 +87,29 @@
 			break
 		}
 	}
+	return finalAnswer(spent, last)
+}
+
+// finalAnswer turns the last attempt's error into the answer to the caller.
+// spent is the error of an earlier attempt that may have run, or nil: after
+// such an attempt the answer must not say that the request did not run.
+func finalAnswer(spent, last error) error {
+	if spent != nil && knownNotRun(last) {
+		return finalError(spent)
+	}
 	return finalError(last)
 }
 
+// knownNotRun reports whether an attempt's error means that no target has run
+// any part of it.
+func knownNotRun(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.Draining, errkind.Tombstoned, errkind.Fenced, errkind.StaleConfig:
+		return true
+	}
+	return errkind.From(err).Answer().Ran == errkind.RanNo
+}
+
 // finalError turns the last attempt's error into the answer to the caller.
 func finalError(err error) error {
 	switch errkind.Of(err) {
--- a/internal/router/submit_test.go
+++ b/internal/router/submit_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"tarragonridge.example/tarragonridge/internal/core/admit"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/policy"
+	"tarragonridge.example/tarragonridge/internal/rpc"
 )
 
 // Guards against an answer that blames the deadline and hides what the request
@@ -25,3 +29,35 @@
 	cancel()
 	assert.Equal(t, errkind.Of(startError(gone, expired)), errkind.Canceled)
 }
+
+// Guards against an answer that says "not run" after an earlier attempt has
+// run.
+func TestAnswerAfterASpentAttempt(t *testing.T) {
+	crashed := errkind.New(errkind.TargetCrashed, "first attempt")
+	full := errkind.New(errkind.Overloaded, "no target became free")
+	assert.Equal(t, errkind.Of(finalAnswer(crashed, full)), errkind.TargetCrashed)
+	assert.Equal(t, errkind.Of(finalAnswer(crashed, errNotRun)), errkind.TargetCrashed)
+	assert.Equal(t, errkind.Of(finalAnswer(nil, full)), errkind.Overloaded)
+	assert.Equal(t, errkind.Of(finalAnswer(nil, errNotRun)), errkind.NoTarget)
+	assert.Assert(t, knownNotRun(full))
+	assert.Assert(t, !knownNotRun(crashed))
+	assert.Assert(t, !knownNotRun(errkind.New(errkind.Unreachable, "connection lost")))
+}
+
+// Guards against a request that waits until its deadline because every target
+// has failed it once, although one of them is usable.
+func TestRetryReturnsToTheOnlyUsableTarget(t *testing.T) {
+	doc := policy.Default()
+	preset := doc.Active()
+	s := newScheduler(1, func() policy.Preset { return preset }, time.Now)
+	first := &target{id: "first", pool: "p", conn: &rpc.Conn{}}
+	second := &target{id: "second", pool: "p", conn: &rpc.Conn{}}
+	s.add(first)
+	s.add(second)
+	w := &waiter{Ticket: admit.Ticket{Pool: "p"}, avoid: map[string]bool{"first": true}}
+	assert.Equal(t, s.place(w), second)
+	second.draining = true
+	assert.Equal(t, s.place(w), first)
+	w.avoid["second"] = true
+	assert.Equal(t, s.place(w), first)
+}
