Keep a run until its answer has arrived, not only its record

Cause: after a lost connection the sidecar's first load report offers the records of ended runs. The router booked the record and removed the run, so the chunks and the End that followed on the new connection found no run, and the caller waited for ever. Ruled out: the reattachment (it succeeded with known=true) and the sidecar's reader (its End arrived, found no run).

A run whose answer the sidecar no longer keeps now ends with outcome_unknown, where it would have waited as well.

--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -101,7 +101,7 @@
 	h.r.sched.update(h.t, func(t *target) { t.noteActive(end.Active) })
 	run := h.r.runByID(end.RunID)
 	if run == nil {
-		h.r.settleRecord(end.Record)
+		h.r.settleRecord(end.Record, nil)
 		return
 	}
 	h.r.noteCrash(h.t, end)
@@ -126,7 +126,7 @@
 		t.draining = report.Draining
 	})
 	for _, rec := range records {
-		h.r.settleRecord(rec)
+		h.r.settleRecord(rec, c)
 	}
 	h.r.pushIfBehind(c, report.ConfigVersion)
 }
@@ -187,12 +187,16 @@
 	if err := c.Call(ctx, wire.MethodRunAttach, req, &res); err != nil {
 		return
 	}
-	if res.Known {
+	switch {
+	case !res.Known:
+		if run.fail(errNotRun) {
+			r.cancelRun(run)
+		}
+	case res.Expired:
+		run.fail(errAnswerGone)
+		r.removeIfOver(run)
+	default:
 		run.resumed()
-		return
-	}
-	if run.fail(errNotRun) {
-		r.cancelRun(run)
 	}
 }
 
@@ -230,8 +234,10 @@
 }
 
 // settleRecord books a record that a sidecar handed over outside the run's own
-// stream. Records of other holders are left to the recovery of that holder.
-func (r *Router) settleRecord(rec ledger.Record) {
+// stream. Records of other holders are left to the recovery of that holder. The
+// record can overtake the answer after a connection was lost, so the run stays
+// until its answer has ended. c is the sidecar's connection, or nil.
+func (r *Router) settleRecord(rec ledger.Record, c *rpc.Conn) {
 	if r.durable.has(rec.RunID) {
 		r.ack([]ledger.Record{rec}) // the first acknowledgement was lost
 		return
@@ -240,8 +246,20 @@
 	if run == nil || run.res == nil || rec.Holder != run.res.Holder() {
 		return
 	}
-	r.removeRun(run)
 	run.res.Settle(rec)
+	run.book()
+	if !r.removeIfOver(run) && c != nil {
+		go r.reattach(run, c) // the rest of the answer
+	}
+}
+
+// removeIfOver removes a run whose record is booked and whose answer has ended.
+func (r *Router) removeIfOver(run *run) bool {
+	if !run.over() {
+		return false
+	}
+	r.removeRun(run)
+	return true
 }
 
 // recordsDurable is called with records that are stored in the table.
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -38,6 +38,7 @@
 	prompt    int64 // exact prompt tokens, 0 until known
 	end       *wire.End
 	err       error     // final failure without an End
+	booked    bool      // the record arrived ahead of the End
 	lostSince time.Time // connection lost and not yet resumed; zero if connected
 	wake      chan struct{}
 }
@@ -78,6 +79,20 @@
 
 func (r *run) finished() bool { return r.end != nil || r.err != nil }
 
+// book notes that the run's record is booked.
+func (r *run) book() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.booked = true
+}
+
+// over reports whether the record is booked and readers need nothing more.
+func (r *run) over() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.booked && r.finished()
+}
+
 // finish takes the End. It returns false if the run had ended before.
 func (r *run) finish(e wire.End) bool {
 	r.mu.Lock()
