Notice a connection that delivers in one direction only

Cause: silence was judged by what arrives. On a connection that discards bytes towards the sidecar while streams of other requests or load reports keep arriving, a run.start was lost and its caller waited until the idle limit of 12 s or longer. Ruled out: the retry (it starts only when the connection has ended).

A call now needs proof that this side's data arrives: an answer to any call or to a ping. Without one for the silence limit the connection is closed. Pings for the proof are sent only while a call is open for more than a ping period, so a healthy connection carries no more traffic than before.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -1,7 +1,9 @@
 // Package rpc carries typed messages between the system's processes over
 // jsonrpc2. A connection is closed when nothing has arrived for a while,
 // because a connection can stop delivering data without an error while new
-// connections work. The side that dialled sends pings and the other answers.
+// connections work. It can also stop in one direction only, so a call that waits
+// for its answer needs proof that this side's data arrives: an answer to a call or
+// to a ping. The side that dialled sends pings and the other answers.
 // While work depends on the connection, silence is noticed within seconds; an
 // idle connection is checked rarely, because heartbeats on every idle
 // connection are the largest part of the control traffic.
@@ -102,6 +104,7 @@
 	opened  atomic.Bool
 	dialled bool         // this side sends the pings
 	calls   atomic.Int32 // open calls of this side
+	proof   atomic.Int64 // unix time in nanoseconds of the last answer to a call or ping
 	peer    atomic.Pointer[wire.Hello]
 	once    sync.Once
 	usable  chan struct{} // closed after Opened
@@ -170,6 +173,7 @@
 		done:    make(chan struct{}),
 	}
 	stream := jsonrpc2.NewBufferedStream(c.sock, jsonrpc2.VarintObjectCodec{})
+	c.noteProof()
 	c.rpc = jsonrpc2.NewConn(context.Background(), stream, dispatcher{c}, jsonrpc2.SetLogger(discardLogger{}))
 	close(c.ready)
 	go c.watch()
@@ -204,8 +208,17 @@
 func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
 	c.calls.Add(1)
 	defer c.calls.Add(-1)
-	err := c.rpc.Call(ctx, method, params, result)
-	return decodeError(err, method)
+	err := decodeError(c.rpc.Call(ctx, method, params, result), method)
+	if !errkind.Is(err, errkind.Unreachable) {
+		c.noteProof()
+	}
+	return err
+}
+
+func (c *Conn) noteProof() { c.proof.Store(time.Now().UnixNano()) }
+
+func (c *Conn) unprovenFor(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, c.proof.Load()))
 }
 
 // Notify sends a notification.
@@ -220,54 +233,63 @@
 func (c *Conn) watch() {
 	ticker := time.NewTicker(c.opts.PingEvery)
 	defer ticker.Stop()
-	var busySince time.Time // zero while the connection is idle
+	var busySince, callSince time.Time // zero while idle or without an open call
 	for {
 		select {
 		case <-c.rpc.DisconnectNotify():
 			c.finish(errkind.New(errkind.Unreachable, "connection closed"))
 			return
 		case now := <-ticker.C:
-			busySince = c.busySince(now, busySince)
-			if limit := c.silenceLimit(now, busySince); limit > 0 {
+			calling := c.calls.Load() > 0
+			callSince = since(calling, now, callSince)
+			busySince = since(calling || c.opts.Busy(), now, busySince)
+			if err := c.silent(now, busySince, callSince); err != nil {
 				_ = c.rpc.Close()
-				c.finish(errkind.New(errkind.Unreachable, "nothing received for %s", limit))
+				c.finish(err)
 				return
 			}
-			if c.pingDue(now, busySince) {
+			if c.pingDue(now, busySince, callSince) {
 				go c.ping(true)
 			}
 		}
 	}
 }
 
-func (c *Conn) busySince(now, since time.Time) time.Time {
+// since returns when a state began that holds now or not.
+func since(holds bool, now, began time.Time) time.Time {
 	switch {
-	case c.calls.Load() == 0 && !c.opts.Busy():
+	case !holds:
 		return time.Time{}
-	case since.IsZero():
+	case began.IsZero():
 		return now
 	}
-	return since
+	return began
 }
 
-// silenceLimit returns the limit that the silence has exceeded, or 0. A
-// connection that has just become busy is given the whole limit.
-func (c *Conn) silenceLimit(now, busySince time.Time) time.Duration {
+// silent returns an error if the silence has exceeded a limit. A connection that
+// has just become busy is given the whole limit, and so is a call.
+func (c *Conn) silent(now, busySince, callSince time.Time) error {
 	silent := c.sock.silentFor(now)
 	if !busySince.IsZero() && min(silent, now.Sub(busySince)) > c.opts.SilenceAfter {
-		return c.opts.SilenceAfter
+		return errkind.New(errkind.Unreachable, "nothing received for %s", c.opts.SilenceAfter)
+	}
+	if !callSince.IsZero() && min(c.unprovenFor(now), now.Sub(callSince)) > c.opts.SilenceAfter {
+		return errkind.New(errkind.Unreachable, "no answer to calls and pings for %s", c.opts.SilenceAfter)
 	}
 	if idle := idleSilencePings * c.opts.IdlePingEvery; silent > idle {
-		return idle
+		return errkind.New(errkind.Unreachable, "nothing received for %s", idle)
 	}
-	return 0
+	return nil
 }
 
-func (c *Conn) pingDue(now, busySince time.Time) bool {
+func (c *Conn) pingDue(now, busySince, callSince time.Time) bool {
 	silent := c.sock.silentFor(now)
 	if !busySince.IsZero() && silent >= c.opts.PingEvery {
 		return true
 	}
+	if !callSince.IsZero() && c.unprovenFor(now) >= c.opts.PingEvery {
+		return true
+	}
 	return c.dialled && max(silent, c.sock.unsentFor(now)) >= c.opts.IdlePingEvery
 }
 
@@ -277,12 +299,17 @@
 	_ = c.rpc.Notify(context.Background(), wire.MethodPing, wire.Ping{Header: c.opts.Hello().Header, Want: want})
 }
 
-// answerPing answers a ping that asks for it.
-func (c *Conn) answerPing(params json.RawMessage) {
+// takePing answers a ping that asks for it; any other is itself an answer.
+func (c *Conn) takePing(params json.RawMessage) {
 	var ping wire.Ping
-	if json.Unmarshal(params, &ping) == nil && ping.Want {
+	if json.Unmarshal(params, &ping) != nil {
+		return
+	}
+	if ping.Want {
 		go c.ping(false)
+		return
 	}
+	c.noteProof()
 }
 
 func (c *Conn) finish(err error) {
@@ -311,7 +338,7 @@
 		return
 	}
 	if req.Method == wire.MethodPing {
-		c.answerPing(params)
+		c.takePing(params)
 	}
 	if !c.awaitUsable() {
 		return
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -105,6 +105,38 @@
 	}
 }
 
+// chatter sends notifications until the connection ends and answers no call.
+type chatter struct{ *recorder }
+
+func (chatter) Opened(c *rpc.Conn) {
+	go func() {
+		for c.Notify(context.Background(), "more", 1) == nil {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+}
+
+// Guards against a call that waits for ever on a connection that delivers data in
+// the other direction only.
+func TestCallOnHalfSilentConnectionFails(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	relay, silence := relayTo(t, serve(t, chatter{newRecorder()}), ln, toServer)
+	client := newRecorder()
+	c, err := rpc.Dial(context.Background(), relay, options("client"), client)
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.Call(context.Background(), "echo", 1, nil))
+	silence()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	err = c.Call(ctx, "echo", 1, nil)
+	assert.Equal(t, errkind.Of(err), errkind.Unreachable)
+	assert.NilError(t, ctx.Err(), "the connection was not closed")
+	assert.Equal(t, errkind.Of(<-client.closed), errkind.Unreachable)
+}
+
 // greeter notifies a peer as soon as it has connected.
 type greeter struct{ *recorder }
 
@@ -143,7 +175,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer ln.Close()
-	relay, silence := relayTo(t, serve(t, newRecorder()), ln)
+	relay, silence := relayTo(t, serve(t, newRecorder()), ln, toServer, toClient)
 	client := newRecorder()
 	c, err := rpc.Dial(context.Background(), relay, opts, client)
 	assert.NilError(t, err)
@@ -157,11 +189,22 @@
 	}
 }
 
+type direction int
+
+const (
+	toServer direction = iota
+	toClient
+)
+
 // relayTo forwards connections of ln to addr until silence is called; then it
-// discards all bytes and keeps the connections open.
-func relayTo(t *testing.T, addr string, ln net.Listener) (string, func()) {
+// discards the bytes of the directions and keeps the connections open.
+func relayTo(t *testing.T, addr string, ln net.Listener, discard ...direction) (string, func()) {
 	t.Helper()
 	silent := make(chan struct{})
+	silentIn := map[direction]<-chan struct{}{}
+	for _, d := range discard {
+		silentIn[d] = silent
+	}
 	go func() {
 		for {
 			in, err := ln.Accept()
@@ -173,8 +216,8 @@
 				return
 			}
 			t.Cleanup(func() { in.Close(); out.Close() })
-			go pump(in, out, silent)
-			go pump(out, in, silent)
+			go pump(in, out, silentIn[toServer])
+			go pump(out, in, silentIn[toClient])
 		}
 	}()
 	return ln.Addr().String(), func() { close(silent) }
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -48,6 +48,8 @@
 
 			"traffic":     command(cmdTraffic),
 			"traffic-end": command(cmdTrafficEnd),
+
+			"broken-stream": command(cmdBrokenStream),
 		},
 	})
 }
--- a/scenarios/traffic_test.go
+++ b/scenarios/traffic_test.go
@@ -22,7 +22,6 @@
 type traffic struct {
 	w        *world
 	lines    []string
-	env      func(string) string
 	statuses []string
 	stop     chan struct{}
 	work     sync.WaitGroup
@@ -175,6 +174,20 @@
 	return nil
 }
 
+// cmdBrokenStream implements "broken-stream": the last answer is a stream that
+// ends with an error event and not as a complete answer.
+func cmdBrokenStream(_ *testscript.TestScript, w *world, args []string) error {
+	if w.last == nil || len(args) != 0 {
+		return fmt.Errorf("usage: broken-stream, after a call")
+	}
+	body := string(w.last.body)
+	_, event, found := strings.Cut(body, "event: error\ndata: ")
+	if !found || strings.Contains(body, "[DONE]") || strings.Contains(strings.TrimSpace(event), "\n") {
+		return fmt.Errorf("the stream does not end with an error event\n%s", body)
+	}
+	return nil
+}
+
 // echoed is the text of an answer of n tokens to a word.
 func echoed(word string, n int) string {
 	var b strings.Builder
