--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -20,6 +20,7 @@
 // Outcomes of a run that no target has seen or whose sidecar is gone.
 var (
 	errNotRun      = errkind.New(errkind.Tombstoned, "the sidecar did not receive the run")
+	errAnswerGone  = errkind.New(errkind.OutcomeUnknown, "the answer is no longer kept at the sidecar")
 	errSidecarGone = errkind.New(errkind.TargetCrashed, "the sidecar was replaced during the run")
 )
 
@@ -72,15 +73,15 @@
 	defer cancel()
 	avoid := map[string]bool{}
 	r.countRequest()
-	var last error
+	var errs attemptErrors
 	for range maxAttempts {
 		res := r.attempt(ctx, startCtx, req, avoid)
 		if res.err == nil {
 			return nil
 		}
-		last = overAttempts(last, res.err)
+		errs.add(res.err)
 		if !res.retry {
-			return last
+			return errs.answer()
 		}
 		if r.quarantined(req) {
 			return &errkind.Error{Kind: errkind.RequestQuarantined, Detail: "the request crashed the targets that ran it", Ran: errkind.RanYes}
@@ -89,21 +90,44 @@
 			break
 		}
 	}
-	return last
+	return errs.answer()
 }
 
-// overAttempts returns the answer for a request whose attempts so far ended
-// with last, if any, and whose next attempt ended with err. An attempt that did
-// not run must not hide an earlier one that may have.
-func overAttempts(last, err error) error {
-	err = finalError(err)
-	if last != nil && ranOf(err) == errkind.RanNo && ranOf(last) != errkind.RanNo {
-		return last
+// attemptErrors holds the errors of a request's attempts.
+type attemptErrors struct {
+	last  error
+	spent error // of the latest attempt that may have run, or nil
+}
+
+func (a *attemptErrors) add(err error) {
+	a.last = err
+	if !knownNotRun(err) {
+		a.spent = err
 	}
-	return err
 }
 
-func ranOf(err error) errkind.Ran { return errkind.From(err).Answer().Ran }
+// answer returns the answer to the caller.
+func (a attemptErrors) answer() error { return finalAnswer(a.spent, a.last) }
+
+// finalAnswer turns the last attempt's error into the answer to the caller.
+// spent is the error of an earlier attempt that may have run, or nil: after
+// such an attempt the answer must not say that the request did not run.
+func finalAnswer(spent, last error) error {
+	if spent != nil && knownNotRun(last) {
+		return finalError(spent)
+	}
+	return finalError(last)
+}
+
+// knownNotRun reports whether an attempt's error means that no target has run
+// any part of it.
+func knownNotRun(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.Draining, errkind.Tombstoned, errkind.Fenced, errkind.StaleConfig:
+		return true
+	}
+	return errkind.From(err).Answer().Ran == errkind.RanNo
+}
 
 // finalError turns the last attempt's error into the answer to the caller.
 func finalError(err error) error {
