Exclude a target from retries only for errors that speak against it

Two changes met: a retry that finds no untried target is refused at once, and a retry returns to a target that has failed the request if no other is usable. The scenario of silent connections then got 503 no_target, because its only target counted as tried although the sidecar had not received the run. A broken connection and refusals for reasons of the router no longer exclude a target; crashes, failures and overload do, and with no other target the answer comes at once.

--- a/internal/router/schedule.go
+++ b/internal/router/schedule.go
@@ -240,25 +240,16 @@
 	return targets[i]
 }
 
-// eligible returns the usable targets that have not failed the request, or all
-// usable ones if there is no such target: an attempt that is known not to have
-// run, because its connection broke, says nothing against its target.
+// eligible returns the usable targets that are not excluded for the request.
 func (s *scheduler) eligible(w *waiter) []*target {
 	now := s.now()
-	var fresh, tried []*target
+	var out []*target
 	for _, t := range s.pools[w.Pool] {
-		switch {
-		case !t.usable(now):
-		case w.avoid[t.id]:
-			tried = append(tried, t)
-		default:
-			fresh = append(fresh, t)
+		if !w.avoid[t.id] && t.usable(now) {
+			out = append(out, t)
 		}
 	}
-	if len(fresh) == 0 {
-		return tried
-	}
-	return fresh
+	return out
 }
 
 // noteActive takes the number of runs that a message of the sidecar states.
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -151,7 +151,9 @@
 func (c *claimedCall) after(result attemptResult, held claims.Held) attemptResult {
 	if result.retry {
 		c.spent = &held
-		c.avoid[held.Attempt.Target] = true
+		if excludesTarget(result.err) {
+			c.avoid[held.Attempt.Target] = true
+		}
 	}
 	return result
 }
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -163,12 +163,23 @@
 	run := r.newAttempt(req, ulid.Make().String(), sl, res)
 	result := r.start(ctx, req, run, sl)
 	sl.release()
-	if result.retry {
+	if result.retry && excludesTarget(result.err) {
 		avoid[sl.target.id] = true
 	}
 	return result
 }
 
+// excludesTarget reports whether an attempt's error speaks against its target.
+// A run that the sidecar did not receive, because the connection broke, and a
+// refusal for reasons of this router do not.
+func excludesTarget(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.Tombstoned, errkind.Fenced, errkind.StaleConfig:
+		return false
+	}
+	return true
+}
+
 // errWorkloadTimeout is the cause of a start context that the workload's own
 // timeout ended.
 var errWorkloadTimeout = errors.New("the workload's timeout has passed")
