Let requests wait for the registration of the next incarnation

Cause: a router that gives up a fenced incarnation registers a new one within milliseconds, but requests that came in between, and requests that waited for budget, were refused at once with platform_unavailable and 5 s to retry. These are false refusals. Ruled out: the sidecars (their refusal kind=fenced is right and leads to another attempt) and the relay through the peer.

Requests wait now for the first attempt to register. If it fails, the table cannot be reached, and the refusal comes at once as before.

--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -206,6 +206,26 @@
 	c.audit()
 }
 
+// Guards against a refusal in the moment between two incarnations, although the
+// table answers.
+func TestReserveWaitsForTheNextIncarnation(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	c.topUp(1000)
+	n := c.nodes[0]
+	n.table.Set(platformtest.Faults{Delay: 5 * time.Millisecond})
+	for range 5 {
+		n.GiveUp(n.Incarnation())
+		assert.NilError(t, c.run(n, 10, 10, time.Second))
+	}
+	n.table.SetDown(true)
+	n.GiveUp(n.Incarnation())
+	start := time.Now()
+	_, err := c.reserve(n, 10, 10*time.Second)
+	assert.Equal(t, errkind.Of(err), errkind.PlatformUnavailable)
+	assert.Assert(t, time.Since(start) < 5*time.Second, "a table that is down must not delay the refusal")
+}
+
 // Guards against any mix of lost answers, late writes, refusals, top-ups, a
 // crash and a fence that overspends, loses a record or stores one twice.
 func TestStorm(t *testing.T) {
--- a/internal/escrow/manager.go
+++ b/internal/escrow/manager.go
@@ -123,7 +123,8 @@
 	id      string
 	ctx     context.Context // ends when the incarnation is given up
 	end     context.CancelFunc
-	version int64 // latest known version of the holder row; 0 until registered
+	tried   chan struct{} // closed when the first attempt to register has ended or inc is dead
+	version int64         // latest known version of the holder row; 0 until registered
 	renewed time.Time
 	dead    bool
 	teams   map[string]*team
@@ -161,7 +162,7 @@
 }
 
 func (m *Manager) newIncarnation() *incarnation {
-	inc := &incarnation{id: ulid.Make().String(), teams: map[string]*team{}}
+	inc := &incarnation{id: ulid.Make().String(), tried: make(chan struct{}), teams: map[string]*team{}}
 	inc.ctx, inc.end = context.WithCancel(m.ctx)
 	return inc
 }
@@ -211,7 +212,9 @@
 	if inc == nil {
 		return
 	}
-	if err := m.register(ctx, inc); err != nil {
+	err := m.register(ctx, inc)
+	m.noteTried(inc)
+	if err != nil {
 		m.opt.Logger.Warn("holder not registered", "holder", inc.id, "err", err)
 		return
 	}
@@ -297,12 +300,28 @@
 	}
 }
 
+// noteTried lets requests go on that wait for the registration.
+func (m *Manager) noteTried(inc *incarnation) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	inc.noteTried()
+}
+
+func (inc *incarnation) noteTried() {
+	select {
+	case <-inc.tried:
+	default:
+		close(inc.tried)
+	}
+}
+
 // bury ends an incarnation. m.mu is held.
 func (m *Manager) bury(inc *incarnation) {
 	inc.dead = true
+	inc.noteTried()
 	inc.version = 0
 	inc.end()
-	m.failAll(inc, errkind.New(errkind.PlatformUnavailable, "router registers again"))
+	m.failAll(inc, errRegistersAgain)
 }
 
 // team returns the state of a team and creates it if needed. m.mu is held.
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -28,7 +28,7 @@
 
 // Reserve takes tokens out of the local share. If the share is short, it waits
 // while a draw is under way or reservations in flight may still release
-// enough. Errors: BudgetExhausted at once if they cannot; BudgetBusy if they
+// enough, and while the first attempt to register is under way. Errors: BudgetExhausted at once if they cannot; BudgetBusy if they
 // still hold the budget at the deadline; PlatformUnavailable if the table
 // cannot be reached or the router is not registered; Stopping. None of these
 // requests ran.
@@ -36,20 +36,57 @@
 	if tokens < 0 {
 		return nil, errkind.New(errkind.InvalidRequest, "reservation is negative")
 	}
-	m.mu.Lock()
-	got, w, err := m.reserveOrQueue(team, tokens)
-	m.mu.Unlock()
-	if w == nil {
-		return got, err
+	for {
+		if err := m.awaitRegistration(ctx); err != nil {
+			return nil, err
+		}
+		m.mu.Lock()
+		got, w, err := m.reserveOrQueue(team, tokens)
+		m.mu.Unlock()
+		if w == nil {
+			return got, err
+		}
+		select {
+		case <-w.done:
+		case <-ctx.Done():
+			m.mu.Lock()
+			m.abandon(team, w, ctx.Err())
+			m.mu.Unlock()
+		}
+		if !errors.Is(w.err, errRegistersAgain) {
+			return w.got, w.err
+		}
 	}
-	select {
-	case <-w.done:
-	case <-ctx.Done():
+}
+
+// errRegistersAgain sends a waiter to the next incarnation.
+var errRegistersAgain = errkind.New(errkind.PlatformUnavailable, "router registers again")
+
+// awaitRegistration waits until the current incarnation is registered or its
+// first attempt to register has failed. A router that has just given up an
+// incarnation registers within milliseconds if it reaches the table, and a
+// request must not be refused for that.
+func (m *Manager) awaitRegistration(ctx context.Context) error {
+	for {
+		m.mu.Lock()
+		inc := m.inc
+		over := m.draining || m.stopped || inc.version > 0
+		m.mu.Unlock()
+		if over {
+			return nil
+		}
+		select {
+		case <-inc.tried:
+		case <-ctx.Done():
+			return deadlineError(errkind.PlatformUnavailable, ctx.Err())
+		}
 		m.mu.Lock()
-		m.abandon(team, w, ctx.Err())
+		same := m.inc == inc
 		m.mu.Unlock()
+		if same {
+			return nil // registered, or refused by reserveOrQueue
+		}
 	}
-	return w.got, w.err
 }
 
 // reserveOrQueue returns a reservation, an error, or a waiter. m.mu is held.
@@ -104,7 +141,7 @@
 	if kind == errkind.BudgetBusy {
 		return errkind.Wrap(cause, kind, "requests in progress hold the budget")
 	}
-	return errkind.Wrap(cause, kind, "draw was not confirmed before the deadline")
+	return errkind.Wrap(cause, kind, "the table did not answer before the deadline")
 }
 
 // admit grants waiters in order as long as the share covers the first. m.mu is
