Blame a crash on one suspect at a time and count it once

Cause: an innocent request was quarantined beside one that crashes targets. Routers know their own suspects only, so the suspects of two routers ran at one target, and both were blamed for its crash. It was counted per run, so that three runs of the same content at one target led to a verdict after a single crash. - A suspect that has run well is cleared at the peers as well. They went on adding up crashes against it for an hour.

--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -26,12 +26,14 @@
 // Crash is a report of a target crash with the request in flight.
 type Crash struct {
 	Key
-	RunID string // reports of the same run count once
+	// ID names the crash: all reports of one crash count once, whether several
+	// routers report it or several runs of the request were in flight.
+	ID    string
 	Alone bool
 }
 
 type entry struct {
-	runs    map[string]bool // run id -> alone
+	crashes map[string]bool // crash id -> alone
 	verdict bool
 	last    time.Time
 }
@@ -48,18 +50,18 @@
 // before, quarantined.
 func (t *Tracker) Report(now time.Time, c Crash) (newVerdict bool) {
 	e := t.entry(now, c.Key)
-	e.runs[c.RunID] = e.runs[c.RunID] || c.Alone
+	e.crashes[c.ID] = e.crashes[c.ID] || c.Alone
 	e.last = now
 	if e.verdict {
 		return false
 	}
 	alone := 0
-	for _, a := range e.runs {
+	for _, a := range e.crashes {
 		if a {
 			alone++
 		}
 	}
-	e.verdict = len(e.runs) >= MaxCrashes || alone >= MaxAloneCrashes
+	e.verdict = len(e.crashes) >= MaxCrashes || alone >= MaxAloneCrashes
 	return e.verdict
 }
 
@@ -84,11 +86,15 @@
 	return t.current(now, k) != nil
 }
 
-// Clear forgets a suspect whose run has ended well.
-func (t *Tracker) Clear(k Key) {
-	if e := t.entries[k]; e != nil && !e.verdict {
-		delete(t.entries, k)
+// Clear forgets a suspect whose run has ended well. It reports whether the
+// request was a suspect.
+func (t *Tracker) Clear(k Key) bool {
+	e := t.entries[k]
+	if e == nil || e.verdict {
+		return false
 	}
+	delete(t.entries, k)
+	return true
 }
 
 func (t *Tracker) current(now time.Time, k Key) *entry {
@@ -114,7 +120,7 @@
 	if len(t.entries) >= maxEntries {
 		t.evict(now)
 	}
-	e := &entry{runs: map[string]bool{}, last: now}
+	e := &entry{crashes: map[string]bool{}, last: now}
 	t.entries[k] = e
 	return e
 }
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -15,7 +15,7 @@
 )
 
 func crash(run string, alone bool) quarantine.Crash {
-	return quarantine.Crash{Key: key, RunID: run, Alone: alone}
+	return quarantine.Crash{Key: key, ID: run, Alone: alone}
 }
 
 // Guards against a request crashing an unbounded number of targets.
@@ -27,8 +27,9 @@
 	assert.Assert(t, tr.Quarantined(now, key))
 }
 
-// Guards against the same crash counting twice when several processes report it.
-func TestSameRunCountsOnce(t *testing.T) {
+// Guards against one crash counting more than once, because several routers
+// report it or several runs of the same content were in flight.
+func TestSameCrashCountsOnce(t *testing.T) {
 	tr := quarantine.NewTracker()
 	for range 5 {
 		tr.Report(now, crash("1", true))
@@ -41,10 +42,10 @@
 func TestClearForgetsSuspectButNotVerdict(t *testing.T) {
 	tr := quarantine.NewTracker()
 	tr.Report(now, crash("1", true))
-	tr.Clear(key)
+	assert.Assert(t, tr.Clear(key))
 	assert.Assert(t, !tr.Suspect(now, key))
 	tr.Convict(now, key)
-	tr.Clear(key)
+	assert.Assert(t, !tr.Clear(key))
 	assert.Assert(t, tr.Quarantined(now, key))
 	assert.Assert(t, !tr.Quarantined(now.Add(25*time.Hour), key))
 }
--- a/internal/core/run/table.go
+++ b/internal/core/run/table.go
@@ -182,6 +182,8 @@
 		return errkind.New(errkind.Draining, "target %s", t.target)
 	case s.ConfigVersion < t.version:
 		return errkind.New(errkind.StaleConfig, "version %d is older than %d", s.ConfigVersion, t.version)
+	case s.Suspect && t.runsSuspect():
+		return errkind.New(errkind.Overloaded, "another suspect of a crash is in progress")
 	case len(t.active) >= t.limits.MaxRuns:
 		return errkind.New(errkind.Overloaded, "%d runs in progress", len(t.active))
 	case t.bytes >= t.limits.MaxBytes:
@@ -190,6 +192,17 @@
 	return nil
 }
 
+// runsSuspect reports whether a suspect is in progress. Routers do not know each
+// other's suspects, and a second one would be blamed for the crash of the first.
+func (t *Table) runsSuspect() bool {
+	for _, e := range t.active {
+		if e.start.Suspect {
+			return true
+		}
+	}
+	return false
+}
+
 // holdsIdentity reports whether the run stands for its identity. A run that
 // did not deliver an answer makes room for another attempt, except for a
 // service call that may have run and must not be repeated.
--- a/internal/core/run/table_test.go
+++ b/internal/core/run/table_test.go
@@ -324,3 +324,20 @@
 		assert.Equal(t, err == nil, kept, "run %s", id)
 	}
 }
+
+// Guards against an innocent suspect that is blamed for the crash of another
+// router's suspect at the same target.
+func TestOneSuspectAtATime(t *testing.T) {
+	now := time.Unix(1, 0)
+	table := run.New(run.DefaultLimits(), "t", "s")
+	start := func(id string, suspect bool) error {
+		_, err := table.Start(now, wire.StartRun{RunID: id, Identity: ledger.Identity{Key: id}, Suspect: suspect})
+		return err
+	}
+	assert.NilError(t, start("r1", true))
+	assert.NilError(t, start("r2", false))
+	assert.Equal(t, errkind.Of(start("r3", true)), errkind.Overloaded)
+	_, err := table.End(now, "r1", run.Ending{Outcome: ledger.Whole})
+	assert.NilError(t, err)
+	assert.NilError(t, start("r3", true))
+}
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
@@ -146,16 +147,28 @@
 		ContentHash: run.hash,
 		RunID:       run.id,
 		Target:      t.id,
+		CrashID:     crashID(end),
 		Alone:       end.Alone,
 	}, true)
 }
 
+// crashID names the crash that ended a run. The sidecar ends all runs of a
+// crash at the same moment.
+func crashID(end wire.End) string {
+	return end.Record.Sidecar + "/" + strconv.FormatInt(end.Record.EndedUS, 10)
+}
+
 // reportCrash takes in a crash report and, if it is this router's own, tells
 // the peers.
 func (r *Router) reportCrash(rep wire.QuarantineReport, own bool) {
 	key := quarantine.Key{Team: rep.Team, Hash: rep.ContentHash}
 	r.mu.Lock()
-	verdict := r.crashes.Report(time.Now(), quarantine.Crash{Key: key, RunID: rep.RunID, Alone: rep.Alone})
+	if rep.Cleared {
+		r.crashes.Clear(key)
+		r.mu.Unlock()
+		return
+	}
+	verdict := r.crashes.Report(time.Now(), quarantine.Crash{Key: key, ID: rep.CrashID, Alone: rep.Alone})
 	r.mu.Unlock()
 	r.opts.Logger.Warn("target crashed with request in flight", "target", rep.Target, "team", rep.Team, "run", rep.RunID, "alone", rep.Alone, "quarantined", verdict)
 	if !own {
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -29,6 +29,10 @@
 // maxAttempts bounds the targets that one request tries.
 const maxAttempts = 4
 
+// suspectWait is the distance of a suspect's attempts while each target runs
+// another suspect. Such a refusal is no attempt: it has cost the target nothing.
+const suspectWait = 20 * time.Millisecond
+
 // request is a validated request of a caller.
 type request struct {
 	wire.StartRun             // template; run id, attempt and holder are set per attempt
@@ -55,6 +59,7 @@
 	err   error // nil: the caller has the answer
 	retry bool  // another target may be tried
 	paid  bool  // the retry has been taken from the share already
+	full  bool  // the sidecar has no room for the run at the moment
 }
 
 // submit runs a request and passes its answer to its sink. The error, if any,
@@ -68,11 +73,16 @@
 	avoid := map[string]bool{}
 	r.countRequest()
 	var last, spent error
-	for range maxAttempts {
+	for tries := 0; tries < maxAttempts; tries++ {
 		res := r.attempt(ctx, startCtx, req, avoid)
 		if res.err == nil {
 			return nil
 		}
+		if res.full && r.suspected(req) {
+			tries--
+			_ = waitFor(startCtx, nil, suspectWait) // the next attempt sees the end of startCtx
+			continue
+		}
 		if !res.retry {
 			return finalAnswer(spent, res.err)
 		}
@@ -263,7 +273,9 @@
 		r.sched.update(sl.target, func(t *target) { t.draining = true })
 	case errkind.Fenced:
 		r.budgets.GiveUp(holder)
-	case errkind.Overloaded, errkind.Tombstoned, errkind.StaleConfig, errkind.NoTarget:
+	case errkind.Overloaded:
+		return attemptResult{err: err, retry: true, full: true}
+	case errkind.Tombstoned, errkind.StaleConfig, errkind.NoTarget:
 	default:
 		return attemptResult{err: err}
 	}
@@ -413,10 +425,17 @@
 	return r.crashes.Suspect(time.Now(), crashKey(req))
 }
 
+// clearSuspect forgets a suspect that has run well, here and at the peers: they
+// would otherwise add up the crashes of other requests against it.
 func (r *Router) clearSuspect(req *request) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.crashes.Clear(crashKey(req))
+	cleared := r.crashes.Clear(crashKey(req))
+	r.mu.Unlock()
+	if cleared {
+		r.notifyPeers(wire.MethodQuarantineReport, wire.QuarantineReport{
+			Header: r.header(), Team: req.Team, ContentHash: req.ContentHash, Cleared: true,
+		})
+	}
 }
 
 func (r *Router) countRequest() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -274,7 +274,9 @@
 	ContentHash string `json:"content_hash"`
 	RunID       string `json:"run_id"`
 	Target      string `json:"target"`
+	CrashID     string `json:"crash_id"` // the same for all runs that a crash ended
 	Alone       bool   `json:"alone"`
+	Cleared     bool   `json:"cleared,omitempty"` // the request has run well and is no suspect any more
 }
 
 // TimelineQuery asks for events of a process.
