--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -11,6 +11,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/admit"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/core/policy"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/route"
 	"tarragonridge.example/tarragonridge/internal/wire"
@@ -41,6 +42,10 @@
 	idempotent    bool
 	timeout       time.Duration // until a run starts
 	sink          sink
+	// permitted reports whether a configuration lets the request run. It is
+	// asked again at each start, because the configuration may have changed
+	// while the request waited.
+	permitted func(*policy.Document) error
 }
 
 // sink passes an answer on to the caller.
@@ -72,7 +77,7 @@
 	defer cancel()
 	avoid := map[string]bool{}
 	r.countRequest()
-	var last, spent error
+	var last error
 	for tries := 0; tries < maxAttempts; tries++ {
 		res := r.attempt(ctx, startCtx, req, avoid)
 		if res.err == nil {
@@ -83,12 +88,9 @@
 			_ = waitFor(startCtx, nil, suspectWait) // the next attempt sees the end of startCtx
 			continue
 		}
+		last = overAttempts(last, res.err)
 		if !res.retry {
-			return finalAnswer(spent, res.err)
-		}
-		last = res.err
-		if !knownNotRun(last) {
-			spent = last
+			return last
 		}
 		if r.quarantined(req) {
 			return &errkind.Error{Kind: errkind.RequestQuarantined, Detail: "the request crashed the targets that ran it", Ran: errkind.RanYes}
@@ -97,28 +99,21 @@
 			break
 		}
 	}
-	return finalAnswer(spent, last)
+	return last
 }
 
-// finalAnswer turns the last attempt's error into the answer to the caller.
-// spent is the error of an earlier attempt that may have run, or nil: after
-// such an attempt the answer must not say that the request did not run.
-func finalAnswer(spent, last error) error {
-	if spent != nil && knownNotRun(last) {
-		return finalError(spent)
+// overAttempts returns the answer for a request whose attempts so far ended
+// with last, if any, and whose next attempt ended with err. An attempt that did
+// not run must not hide an earlier one that may have.
+func overAttempts(last, err error) error {
+	err = finalError(err)
+	if last != nil && ranOf(err) == errkind.RanNo && ranOf(last) != errkind.RanNo {
+		return last
 	}
-	return finalError(last)
+	return err
 }
 
-// knownNotRun reports whether an attempt's error means that no target has run
-// any part of it.
-func knownNotRun(err error) bool {
-	switch errkind.Of(err) {
-	case errkind.Draining, errkind.Tombstoned, errkind.Fenced, errkind.StaleConfig:
-		return true
-	}
-	return errkind.From(err).Answer().Ran == errkind.RanNo
-}
+func ranOf(err error) errkind.Ran { return errkind.From(err).Answer().Ran }
 
 // finalError turns the last attempt's error into the answer to the caller.
 func finalError(err error) error {
@@ -154,12 +149,23 @@
 	run := r.newAttempt(req, ulid.Make().String(), sl, res)
 	result := r.start(ctx, req, run, sl)
 	sl.release()
-	if result.retry {
+	if result.retry && !blameless(result) {
 		avoid[sl.target.id] = true
 	}
 	return result
 }
 
+// blameless reports whether an attempt says nothing against its target: the run
+// was lost with the connection, or the refusal concerns the router or the moment.
+// The next attempt may go to the same target, which may be the only one.
+func blameless(res attemptResult) bool {
+	switch errkind.Of(res.err) {
+	case errkind.Tombstoned, errkind.Fenced, errkind.StaleConfig:
+		return true
+	}
+	return res.full
+}
+
 // startError maps the end of a wait for budget or target to an answer. A
 // caller that left gets Canceled; a wait that took too long keeps the kind
 // that the waiting component gave.
@@ -210,7 +216,13 @@
 	msg.Reserved = run.res.Tokens()
 	msg.Suspect = sl.w.query.Suspect
 	for range maxStaleRetries {
+		// The check follows the header, so that it uses the version that the
+		// header names or a later one.
 		msg.Header = r.header()
+		if err := req.permitted(r.config.Current()); err != nil {
+			r.cancelRun(run)
+			return attemptResult{err: err}
+		}
 		result, err := r.callStart(sl, msg)
 		if err != nil {
 			r.resolveStart(run, sl)
