Let the runs of a crashed target read what it had sent them

Cause: the first run that notices a crash ends all runs of the target at once, so tokens that the others had not read yet were not charged. Ruled out: the stand-in alone as the cause, since the figures change with the sidecar. The crash now ends the other runs after 50 ms.

--- a/internal/sidecar/execute.go
+++ b/internal/sidecar/execute.go
@@ -28,6 +28,10 @@
 // of three runs.
 const capGrace = 5 * time.Millisecond
 
+// crashGrace lets the other runs of a crashed target read what it had sent them
+// before the crash ends them: tokens that are not read are not charged.
+const crashGrace = 50 * time.Millisecond
+
 // maxErrorBody bounds the error body of an engine that is passed on, in bytes.
 const maxErrorBody = 64 << 10
 
@@ -214,6 +218,7 @@
 		return failed(errkind.Wrap(err, errkind.TargetFailed, "engine sent an event above the limit"))
 	}
 	if !x.s.target.alive() {
+		sleep(context.Background(), crashGrace)
 		x.s.crash()
 	}
 	return run.Ending{Outcome: ledger.Crashed, Kind: x.lossKind(errkind.TargetCrashed), Detail: "connection to the target broke"}
