Add a crash order to the engine stand-in

An engine could crash only through a request that crashes it, so a target's end for another reason could not be shown with counts that the audit can use.

--- a/internal/standin/engine/driver.go
+++ b/internal/standin/engine/driver.go
@@ -79,6 +79,15 @@
 	return next, ok
 }
 
+// crashNow ends all runs, as a request that crashes the engine does.
+func (d *driver) crashNow() {
+	d.mu.Lock()
+	d.model.Reset(time.Now())
+	lost := d.dropAll()
+	d.mu.Unlock()
+	d.crash(lost)
+}
+
 // crash closes the listener before any request learns of the crash; otherwise a
 // client whose request has ended could still connect.
 func (d *driver) crash(lost map[string]*mailbox) {
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -21,8 +21,13 @@
 	FaultOverrun  FaultMode = "overrun"  // outputs exceed max_tokens by the factor
 	FaultFail     FaultMode = "fail"     // requests are answered with status 500 and do not run
 	FaultTruncate FaultMode = "truncate" // connections close in the middle of the answer
+	FaultCrash    FaultMode = "crash"    // the engine crashes once, now, whatever it runs
 )
 
+// crashDelay lets the answer to the order leave before the crash closes its
+// connection.
+const crashDelay = 20 * time.Millisecond
+
 // defaultFactor is used when a fault gives none.
 const defaultFactor = 2
 
@@ -43,7 +48,7 @@
 
 func (f Fault) problem() string {
 	switch f.Mode {
-	case FaultUp, FaultSlow, FaultHang:
+	case FaultUp, FaultSlow, FaultHang, FaultCrash:
 		if f.Count != 0 {
 			return "count does not apply to this mode"
 		}
@@ -128,6 +133,10 @@
 	if problem := f.problem(); problem != "" {
 		return apiError(http.StatusBadRequest, "invalid_request_error", problem)
 	}
+	if f.Mode == FaultCrash {
+		time.AfterFunc(crashDelay, s.driver.crashNow)
+		return c.JSON(http.StatusOK, f)
+	}
 	s.faults.set(f)
 	s.driver.with(func(now time.Time, model *sim.Engine) { applyFault(now, model, f) })
 	s.log.Info("fault set", "mode", f.Mode, "factor", f.Factor, "count", f.Count)
