--- a/internal/router/schedule.go
+++ b/internal/router/schedule.go
@@ -54,7 +54,7 @@
 type waiter struct {
 	admit.Ticket
 	query route.Query
-	avoid map[string]bool // targets that failed this request before; used only if no other is usable
+	avoid map[string]bool // targets that failed this request before
 	ready chan *target
 	fail  chan error
 }
@@ -222,10 +222,15 @@
 	if w == nil {
 		return nil
 	}
-	targets := s.eligible(w)
-	candidates := make([]route.Candidate, len(targets))
-	for i, t := range targets {
-		candidates[i] = t.candidate()
+	now := s.now()
+	var targets []*target
+	var candidates []route.Candidate
+	for _, t := range s.pools[w.Pool] {
+		if w.avoid[t.id] || !t.usable(now) {
+			continue
+		}
+		targets = append(targets, t)
+		candidates = append(candidates, t.candidate())
 	}
 	preset := s.preset()
 	settings := route.Settings{
@@ -240,18 +245,6 @@
 	return targets[i]
 }
 
-// eligible returns the usable targets that are not excluded for the request.
-func (s *scheduler) eligible(w *waiter) []*target {
-	now := s.now()
-	var out []*target
-	for _, t := range s.pools[w.Pool] {
-		if !w.avoid[t.id] && t.usable(now) {
-			out = append(out, t)
-		}
-	}
-	return out
-}
-
 // noteActive takes the number of runs that a message of the sidecar states.
 func (t *target) noteActive(active int) {
 	t.active = active
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -151,7 +151,7 @@
 func (c *claimedCall) after(result attemptResult, held claims.Held) attemptResult {
 	if result.retry {
 		c.spent = &held
-		if excludesTarget(result.err) {
+		if !blameless(result) {
 			c.avoid[held.Attempt.Target] = true
 		}
 	}
