Let light sidecars share a model and refuse requests

The search for an earlier run asks every sidecar of a pool. Its cost is measured with light sidecars that are draining in the pool of a real one.

--- a/internal/cli/load_control.go
+++ b/internal/cli/load_control.go
@@ -17,6 +17,8 @@
 	KeyEnv      string        `default:"TARRAGONRIDGE_OPERATOR_KEY" help:"Environment variable with the operator key."`
 	Sidecars    int           `default:"24" help:"Light sidecars in this process."`
 	Peers       int           `default:"2" help:"Light routers in this process."`
+	Model       string        `help:"Model of all light sidecars."`
+	Draining    bool          `help:"The light sidecars take no requests, but routers ask them for earlier runs."`
 	Dial        []string      `help:"Rpc addresses of sidecars that the light routers connect to; then --metrics may name a sidecar."`
 	Models      int           `default:"1" help:"Models over which the sidecars are spread."`
 	ReportEvery time.Duration `help:"Interval of load reports with a new load; 0: idle targets."`
@@ -35,7 +37,7 @@
 	defer stop()
 	result, err := control.Run(ctx, control.Config{
 		Metrics: c.Metrics, Platform: c.Platform, Admin: c.Admin, OperatorKey: os.Getenv(c.KeyEnv),
-		Sidecars: c.Sidecars, Peers: c.Peers, Models: c.Models, Dial: c.Dial, ReportEvery: c.ReportEvery,
+		Sidecars: c.Sidecars, Peers: c.Peers, Models: c.Models, Dial: c.Dial, Model: c.Model, Draining: c.Draining, ReportEvery: c.ReportEvery,
 		ChangeEvery: c.ChangeEvery, Changes: c.Changes, Hints: c.Hints, Settle: c.Settle,
 		Window: c.Window, Repeats: c.Repeats, Progress: s.Err,
 	})
--- a/internal/load/control/config.go
+++ b/internal/load/control/config.go
@@ -5,6 +5,7 @@
 package control
 
 import (
+	"fmt"
 	"io"
 	"time"
 
@@ -21,6 +22,8 @@
 	OperatorKey string
 	Sidecars    int           // light sidecars
 	Peers       int           // light routers
+	Model       string        // of all light sidecars; empty: model-0 and so on
+	Draining    bool          // the light sidecars take no requests but are asked for earlier runs
 	Dial        []string      // rpc addresses of sidecars that the light routers hold links to
 	Models      int           // the sidecars are spread over this many models; default 1
 	ReportEvery time.Duration // of load reports with a new load; 0: the targets are idle
@@ -53,7 +56,13 @@
 	return nil
 }
 
-func (c Config) models() int { return max(c.Models, 1) }
+// model returns the model of a light sidecar.
+func (c Config) model(i int) string {
+	if c.Model != "" {
+		return c.Model
+	}
+	return fmt.Sprintf("model-%d", i%max(c.Models, 1))
+}
 
 // client returns a client of the platform. Host names the caller.
 func (c Config) client() *platform.Client {
--- a/internal/load/control/fleet.go
+++ b/internal/load/control/fleet.go
@@ -36,11 +36,11 @@
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	f := &fleet{table: table, stop: stop}
 	for i := range c.Sidecars {
-		model := fmt.Sprintf("model-%d", i%c.models())
-		p, err := newLightProcess(roleSidecar, fmt.Sprintf("control-%05d", i), model, adopted)
+		p, err := newLightProcess(roleSidecar, fmt.Sprintf("control-%05d", i), c.model(i), adopted)
 		if err != nil {
 			return f, err
 		}
+		p.draining = c.Draining
 		f.sidecars = append(f.sidecars, p)
 		f.run(func() { p.serve(runCtx) })
 		if c.ReportEvery > 0 {
--- a/internal/load/control/process.go
+++ b/internal/load/control/process.go
@@ -26,6 +26,7 @@
 	role        string
 	name        string // target or host
 	model       string // of a sidecar
+	draining    bool
 	incarnation string
 	listener    net.Listener
 	clock       hlc.Clock
@@ -55,6 +56,7 @@
 	h := wire.Hello{Header: p.header(), Role: p.role, Incarnation: p.incarnation, Host: p.name, Domain: "control"}
 	if p.role == roleSidecar {
 		h.Target = p.name
+		h.Draining = p.draining
 	}
 	return h
 }
@@ -151,7 +153,7 @@
 // report sends a load report as a sidecar does.
 func (p *lightProcess) report(c *rpc.Conn, running int) {
 	_ = c.Notify(context.Background(), wire.MethodLoadReport, wire.LoadReport{
-		Header: p.header(), Target: p.name, Running: running, Healthy: true,
+		Header: p.header(), Target: p.name, Running: running, Healthy: true, Draining: p.draining,
 		Models: []string{p.model}, Role: "mixed",
 	})
 }
