--- a/internal/core/run/buffer.go
+++ b/internal/core/run/buffer.go
@@ -15,7 +15,8 @@
 	Failed bool // the engine reported an error
 }
 
-// Events appends events of an engine's stream as one chunk. Events from the
+// Events appends events of an engine's stream as one chunk and takes the slice
+// over. Events from the
 // first token beyond the cap on are left out. Unless keepUsage is set, usage is
 // removed from events that carry choices, where only the sidecar asked for it.
 func (t *Table) Events(runID string, events []json.RawMessage, keepUsage bool) (Status, error) {
@@ -23,13 +24,13 @@
 	if err != nil {
 		return Status{}, err
 	}
-	kept := make([]json.RawMessage, 0, len(events))
+	kept := events[:0]
 	for _, raw := range events {
 		ev, ok := e.meter.take(raw)
 		if !ok {
 			break
 		}
-		if !keepUsage && ev.Usage != nil && len(ev.Choices) > 0 {
+		if !keepUsage && len(ev.Choices) > 0 {
 			raw = withoutUsage(raw)
 		}
 		kept = append(kept, raw)
@@ -41,19 +42,6 @@
 	return status, t.append(e, wire.Chunk{Events: kept, PromptTokens: e.meter.Prompt()})
 }
 
-func withoutUsage(raw json.RawMessage) json.RawMessage {
-	var fields map[string]json.RawMessage
-	if json.Unmarshal(raw, &fields) != nil {
-		return raw
-	}
-	delete(fields, "usage")
-	out, err := json.Marshal(fields)
-	if err != nil {
-		return raw
-	}
-	return out
-}
-
 // Data appends bytes of a service's body as one chunk.
 func (t *Table) Data(runID string, data []byte) error {
 	e, err := t.inProgress(runID)
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -138,7 +138,11 @@
 // request returns a request with the fields that do not depend on its kind.
 func (cl *caller) request(doc *policy.Document, preset policy.Preset) *request {
 	workload := doc.Workloads[cl.workload]
-	req := &request{timeout: callTimeoutOf(workload, preset)}
+	req := &request{timeout: time.Duration(preset.AdmissionTimeoutMS) * time.Millisecond}
+	if own := time.Duration(workload.TimeoutMS) * time.Millisecond; own > 0 && own < req.timeout {
+		req.timeout = own
+		req.ownTimeout = true
+	}
 	req.Identity = ledger.Identity{Team: cl.team.Name, Key: cl.key}
 	if cl.key == "" {
 		req.Key = cl.requestID
@@ -165,6 +169,9 @@
 }
 
 func (cl *caller) mayUseModel(doc *policy.Document, model string) error {
+	if _, ok := doc.Models[model]; !ok {
+		return errkind.New(errkind.UnknownModel, "model %q is not served here", model)
+	}
 	workload, err := cl.checkWorkload(doc)
 	if err != nil {
 		return err
@@ -176,6 +183,9 @@
 }
 
 func (cl *caller) mayUseService(doc *policy.Document, service string) error {
+	if _, ok := doc.Services[service]; !ok {
+		return errkind.New(errkind.NotFound, "no service %q", service)
+	}
 	workload, err := cl.checkWorkload(doc)
 	if err != nil {
 		return err
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,7 @@
 	lookupTimeout = 500 * time.Millisecond // of the search for an earlier run
 	resumeTimeout = 8 * time.Second        // a lost connection is given this long to come back
 	drainGrace    = 1 * time.Second        // new requests are still accepted this long after readiness has failed
+	refuseGrace   = 1 * time.Second        // and then refused this long before the listener closes
 )
 
 // Options configures a router.
@@ -76,9 +77,12 @@
 	confirmed  map[string]confirmation
 	unready    bool
 	stopping   bool
-	closed     chan struct{} // closed when the process ends
-	traffic    rpc.Traffic
-	pushDue    atomic.Int64 // configuration version that every process should have by now
+	// closedHolders are the holders whose grants are closed. Every record of
+	// theirs is stored.
+	closedHolders map[string]bool
+	closed        chan struct{} // closed when the process ends
+	traffic       rpc.Traffic
+	pushDue       atomic.Int64 // configuration version that every process should have by now
 }
 
 // budgetKeeper is the part of the escrow manager that requests use.
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -38,6 +38,7 @@
 	prompt    int64 // exact prompt tokens, 0 until known
 	end       *wire.End
 	err       error     // final failure without an End
+	booked    bool      // the record arrived ahead of the End
 	lostSince time.Time // connection lost and not yet resumed; zero if connected
 	wake      chan struct{}
 }
@@ -78,6 +79,20 @@
 
 func (r *run) finished() bool { return r.end != nil || r.err != nil }
 
+// book notes that the run's record is booked.
+func (r *run) book() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.booked = true
+}
+
+// over reports whether the record is booked and readers need nothing more.
+func (r *run) over() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.booked && r.finished()
+}
+
 // finish takes the End. It returns false if the run had ended before.
 func (r *run) finish(e wire.End) bool {
 	r.mu.Lock()
@@ -138,8 +153,9 @@
 
 // reader reads a run from the start.
 type reader struct {
-	run *run
-	pos int
+	run     *run
+	pos     int
+	current wire.Chunk // the latest one taken
 }
 
 // step is what a reader finds: a chunk, the End, an error, or nothing yet. In
@@ -191,14 +207,14 @@
 }
 
 // take returns the chunk at the reader's position. A run that has one reader
-// only gives the chunk's memory up.
+// only gives the chunk's memory up. The result is valid until the next call.
 func (rd *reader) take() *wire.Chunk {
-	c := rd.run.buf[rd.pos]
+	rd.current = rd.run.buf[rd.pos]
 	if !rd.run.keepAll {
 		rd.run.buf[rd.pos] = wire.Chunk{}
 	}
 	rd.pos++
-	return &c
+	return &rd.current
 }
 
 // waitFor waits for wake, for ctx, or for the wait time if it is positive.
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -11,6 +11,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/admit"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/core/policy"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/route"
 	"tarragonridge.example/tarragonridge/internal/wire"
@@ -19,6 +20,7 @@
 // Outcomes of a run that no target has seen or whose sidecar is gone.
 var (
 	errNotRun      = errkind.New(errkind.Tombstoned, "the sidecar did not receive the run")
+	errAnswerGone  = errkind.New(errkind.OutcomeUnknown, "the answer is no longer kept at the sidecar")
 	errSidecarGone = errkind.New(errkind.TargetCrashed, "the sidecar was replaced during the run")
 )
 
@@ -35,7 +37,12 @@
 	query         route.Query // for target choice
 	idempotent    bool
 	timeout       time.Duration // until a run starts
+	ownTimeout    bool          // timeout is the one of the workload, shorter than that of the preset
 	sink          sink
+	// permitted reports whether a configuration lets the request run. It is
+	// asked again at each start, because the configuration may have changed
+	// while the request waited.
+	permitted func(*policy.Document) error
 }
 
 // sink passes an answer on to the caller.
@@ -62,17 +69,20 @@
 	if r.quarantined(req) {
 		return errkind.New(errkind.RequestQuarantined, "the request crashed the targets that ran it")
 	}
-	startCtx, cancel := context.WithTimeout(ctx, req.timeout)
+	startCtx, cancel := startContext(ctx, req)
 	defer cancel()
 	avoid := map[string]bool{}
 	r.countRequest()
-	var last error
+	var errs attemptErrors
 	for range maxAttempts {
 		res := r.attempt(ctx, startCtx, req, avoid)
-		if res.err == nil || !res.retry {
-			return res.err
+		if res.err == nil {
+			return nil
+		}
+		errs.add(res.err)
+		if !res.retry {
+			return errs.answer()
 		}
-		last = res.err
 		if r.quarantined(req) {
 			return &errkind.Error{Kind: errkind.RequestQuarantined, Detail: "the request crashed the targets that ran it", Ran: errkind.RanYes}
 		}
@@ -80,9 +90,45 @@
 			break
 		}
 	}
+	return errs.answer()
+}
+
+// attemptErrors holds the errors of a request's attempts.
+type attemptErrors struct {
+	last  error
+	spent error // of the latest attempt that may have run, or nil
+}
+
+func (a *attemptErrors) add(err error) {
+	a.last = err
+	if !knownNotRun(err) {
+		a.spent = err
+	}
+}
+
+// answer returns the answer to the caller.
+func (a attemptErrors) answer() error { return finalAnswer(a.spent, a.last) }
+
+// finalAnswer turns the last attempt's error into the answer to the caller.
+// spent is the error of an earlier attempt that may have run, or nil: after
+// such an attempt the answer must not say that the request did not run.
+func finalAnswer(spent, last error) error {
+	if spent != nil && knownNotRun(last) {
+		return finalError(spent)
+	}
 	return finalError(last)
 }
 
+// knownNotRun reports whether an attempt's error means that no target has run
+// any part of it.
+func knownNotRun(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.Draining, errkind.Tombstoned, errkind.Fenced, errkind.StaleConfig:
+		return true
+	}
+	return errkind.From(err).Answer().Ran == errkind.RanNo
+}
+
 // finalError turns the last attempt's error into the answer to the caller.
 func finalError(err error) error {
 	switch errkind.Of(err) {
@@ -98,7 +144,7 @@
 func (r *Router) attempt(ctx, startCtx context.Context, req *request, avoid map[string]bool) attemptResult {
 	res, err := r.budgets.Reserve(startCtx, req.Team, req.Reserved)
 	if err != nil {
-		return attemptResult{err: startError(ctx, err)}
+		return attemptResult{err: startError(ctx, startCtx, err)}
 	}
 	w := &waiter{
 		Ticket: admit.Ticket{Team: req.Team, Priority: req.Priority, Pool: req.pool, Pinned: len(avoid) > 0},
@@ -112,7 +158,7 @@
 	sl, err := r.sched.acquire(startCtx, w)
 	if err != nil {
 		res.Cancel()
-		return attemptResult{err: startError(ctx, err)}
+		return attemptResult{err: startError(ctx, startCtx, err)}
 	}
 	run := r.newAttempt(req, ulid.Make().String(), sl, res)
 	result := r.start(ctx, req, run, sl)
@@ -123,13 +169,29 @@
 	return result
 }
 
+// errWorkloadTimeout is the cause of a start context that the workload's own
+// timeout ended.
+var errWorkloadTimeout = errors.New("the workload's timeout has passed")
+
+// startContext bounds the wait until a run starts.
+func startContext(ctx context.Context, req *request) (context.Context, context.CancelFunc) {
+	if req.ownTimeout {
+		return context.WithTimeoutCause(ctx, req.timeout, errWorkloadTimeout)
+	}
+	return context.WithTimeout(ctx, req.timeout)
+}
+
 // startError maps the end of a wait for budget or target to an answer. A
-// caller that left gets Canceled; a wait that took too long keeps the kind
-// that the waiting component gave.
-func startError(ctx context.Context, err error) error {
+// caller that left gets Canceled, a workload whose timeout is shorter than the
+// preset's gets DeadlineExceeded, and any other wait that took too long keeps
+// the kind that the waiting component gave.
+func startError(ctx, startCtx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return &errkind.Error{Kind: errkind.Canceled, Detail: "the caller left before a run started", Ran: errkind.RanNo}
 	}
+	if errors.Is(context.Cause(startCtx), errWorkloadTimeout) {
+		return errkind.Wrap(err, errkind.DeadlineExceeded, "no run started within the workload's timeout: %s", errkind.From(err).Detail)
+	}
 	// An error with a kind may wrap the deadline of one call or of the wait; it
 	// says more than the deadline.
 	var kinded *errkind.Error
@@ -173,7 +235,13 @@
 	msg.Reserved = run.res.Tokens()
 	msg.Suspect = sl.w.query.Suspect
 	for range maxStaleRetries {
+		// The check follows the header, so that it uses the version that the
+		// header names or a later one.
 		msg.Header = r.header()
+		if err := req.permitted(r.config.Current()); err != nil {
+			r.cancelRun(run)
+			return attemptResult{err: err}
+		}
 		result, err := r.callStart(sl, msg)
 		if err != nil {
 			r.resolveStart(run, sl)
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -1,7 +1,9 @@
 // Package rpc carries typed messages between the system's processes over
 // jsonrpc2. A connection is closed when nothing has arrived for a while,
 // because a connection can stop delivering data without an error while new
-// connections work. The side that dialled sends pings and the other answers.
+// connections work. It can also stop in one direction only, so a call that waits
+// for its answer needs proof that this side's data arrives: an answer to a call or
+// to a ping. The side that dialled sends pings and the other answers.
 // While work depends on the connection, silence is noticed within seconds; an
 // idle connection is checked rarely, because heartbeats on every idle
 // connection are the largest part of the control traffic.
@@ -39,8 +41,9 @@
 const codeKind = 1
 
 // Handler serves a connection. Opened comes before anything else of the
-// connection. Notifications of one connection arrive in order; calls run
-// concurrently. Opened and Notify must not wait for a call.
+// connection. Notifications of one connection arrive in order, and their
+// params are valid until Notify returns; calls run concurrently. Opened and
+// Notify must not wait for a call.
 type Handler interface {
 	Call(ctx context.Context, c *Conn, method string, params json.RawMessage) (any, error)
 	Notify(c *Conn, method string, params json.RawMessage)
@@ -97,11 +100,13 @@
 	opts    Options
 	handler Handler
 	sock    *trackedConn
+	stream  *stream
 	rpc     *jsonrpc2.Conn
 	ready   chan struct{} // closed once rpc is set
 	opened  atomic.Bool
 	dialled bool         // this side sends the pings
 	calls   atomic.Int32 // open calls of this side
+	proof   atomic.Int64 // unix time in nanoseconds of the last answer to a call or ping
 	peer    atomic.Pointer[wire.Hello]
 	once    sync.Once
 	usable  chan struct{} // closed after Opened
@@ -169,8 +174,9 @@
 		usable:  make(chan struct{}),
 		done:    make(chan struct{}),
 	}
-	stream := jsonrpc2.NewBufferedStream(c.sock, jsonrpc2.VarintObjectCodec{})
-	c.rpc = jsonrpc2.NewConn(context.Background(), stream, dispatcher{c}, jsonrpc2.SetLogger(discardLogger{}))
+	c.noteProof()
+	c.stream = newStream(c.sock, c.notified)
+	c.rpc = jsonrpc2.NewConn(context.Background(), c.stream, dispatcher{c}, jsonrpc2.SetLogger(discardLogger{}))
 	close(c.ready)
 	go c.watch()
 	return c
@@ -204,13 +210,23 @@
 func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
 	c.calls.Add(1)
 	defer c.calls.Add(-1)
-	err := c.rpc.Call(ctx, method, params, result)
-	return decodeError(err, method)
+	err := decodeError(c.rpc.Call(ctx, method, params, result), method)
+	if !errkind.Is(err, errkind.Unreachable) {
+		c.noteProof()
+	}
+	return err
 }
 
-// Notify sends a notification.
-func (c *Conn) Notify(ctx context.Context, method string, params any) error {
-	if err := c.rpc.Notify(ctx, method, params); err != nil {
+func (c *Conn) noteProof() { c.proof.Store(time.Now().UnixNano()) }
+
+func (c *Conn) unprovenFor(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, c.proof.Load()))
+}
+
+// Notify queues a notification; messages leave in the order of the calls. It
+// fails if the connection has ended, and blocks while the peer accepts no data.
+func (c *Conn) Notify(_ context.Context, method string, params any) error {
+	if err := c.stream.sendNotification(method, params); err != nil {
 		return errkind.Wrap(err, errkind.Unreachable, "notify %s", method)
 	}
 	return nil
@@ -220,54 +236,63 @@
 func (c *Conn) watch() {
 	ticker := time.NewTicker(c.opts.PingEvery)
 	defer ticker.Stop()
-	var busySince time.Time // zero while the connection is idle
+	var busySince, callSince time.Time // zero while idle or without an open call
 	for {
 		select {
 		case <-c.rpc.DisconnectNotify():
 			c.finish(errkind.New(errkind.Unreachable, "connection closed"))
 			return
 		case now := <-ticker.C:
-			busySince = c.busySince(now, busySince)
-			if limit := c.silenceLimit(now, busySince); limit > 0 {
+			calling := c.calls.Load() > 0
+			callSince = since(calling, now, callSince)
+			busySince = since(calling || c.opts.Busy(), now, busySince)
+			if err := c.silent(now, busySince, callSince); err != nil {
 				_ = c.rpc.Close()
-				c.finish(errkind.New(errkind.Unreachable, "nothing received for %s", limit))
+				c.finish(err)
 				return
 			}
-			if c.pingDue(now, busySince) {
+			if c.pingDue(now, busySince, callSince) {
 				go c.ping(true)
 			}
 		}
 	}
 }
 
-func (c *Conn) busySince(now, since time.Time) time.Time {
+// since returns when a state began that holds now or not.
+func since(holds bool, now, began time.Time) time.Time {
 	switch {
-	case c.calls.Load() == 0 && !c.opts.Busy():
+	case !holds:
 		return time.Time{}
-	case since.IsZero():
+	case began.IsZero():
 		return now
 	}
-	return since
+	return began
 }
 
-// silenceLimit returns the limit that the silence has exceeded, or 0. A
-// connection that has just become busy is given the whole limit.
-func (c *Conn) silenceLimit(now, busySince time.Time) time.Duration {
+// silent returns an error if the silence has exceeded a limit. A connection that
+// has just become busy is given the whole limit, and so is a call.
+func (c *Conn) silent(now, busySince, callSince time.Time) error {
 	silent := c.sock.silentFor(now)
 	if !busySince.IsZero() && min(silent, now.Sub(busySince)) > c.opts.SilenceAfter {
-		return c.opts.SilenceAfter
+		return errkind.New(errkind.Unreachable, "nothing received for %s", c.opts.SilenceAfter)
+	}
+	if !callSince.IsZero() && min(c.unprovenFor(now), now.Sub(callSince)) > c.opts.SilenceAfter {
+		return errkind.New(errkind.Unreachable, "no answer to calls and pings for %s", c.opts.SilenceAfter)
 	}
 	if idle := idleSilencePings * c.opts.IdlePingEvery; silent > idle {
-		return idle
+		return errkind.New(errkind.Unreachable, "nothing received for %s", idle)
 	}
-	return 0
+	return nil
 }
 
-func (c *Conn) pingDue(now, busySince time.Time) bool {
+func (c *Conn) pingDue(now, busySince, callSince time.Time) bool {
 	silent := c.sock.silentFor(now)
 	if !busySince.IsZero() && silent >= c.opts.PingEvery {
 		return true
 	}
+	if !callSince.IsZero() && c.unprovenFor(now) >= c.opts.PingEvery {
+		return true
+	}
 	return c.dialled && max(silent, c.sock.unsentFor(now)) >= c.opts.IdlePingEvery
 }
 
@@ -277,15 +302,21 @@
 // ping runs in its own goroutine, because a write to a stalled connection
 // blocks until the write deadline and must not delay the check for silence.
 func (c *Conn) ping(want bool) {
-	_ = c.rpc.Notify(context.Background(), wire.MethodPing, wire.Ping{Header: c.opts.Hello().Header, Want: want})
+	msg := wire.Ping{Header: c.opts.Hello().Header, Want: want}
+	_ = c.stream.sendNotification(wire.MethodPing, msg) // silence shows a failure
 }
 
-// answerPing answers a ping that asks for it.
-func (c *Conn) answerPing(params json.RawMessage) {
+// takePing answers a ping that asks for it; any other is itself an answer.
+func (c *Conn) takePing(params json.RawMessage) {
 	var ping wire.Ping
-	if json.Unmarshal(params, &ping) == nil && ping.Want {
+	if json.Unmarshal(params, &ping) != nil {
+		return
+	}
+	if ping.Want {
 		go c.ping(false)
+		return
 	}
+	c.noteProof()
 }
 
 func (c *Conn) finish(err error) {
@@ -297,8 +328,20 @@
 	})
 }
 
-// dispatcher adapts Handler to jsonrpc2. The library calls it from the read
-// loop, so notifications keep their order.
+// notified passes a notification on from the read loop, so that the order is
+// kept.
+func (c *Conn) notified(method string, params json.RawMessage) {
+	<-c.ready
+	if method == wire.MethodPing {
+		c.takePing(params)
+	}
+	if c.awaitUsable() {
+		c.handler.Notify(c, method, params)
+	}
+}
+
+// dispatcher adapts Handler to jsonrpc2, for calls. The stream takes
+// notifications out before.
 type dispatcher struct{ c *Conn }
 
 // Handle implements jsonrpc2.Handler.
@@ -309,21 +352,13 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
-	if req.Method == wire.MethodHello && !req.Notif {
+	if req.Method == wire.MethodHello {
 		c.acceptHello(ctx, req, params)
 		return
 	}
-	if req.Method == wire.MethodPing {
-		c.answerPing(params)
-	}
-	if !c.awaitUsable() {
-		return
-	}
-	if req.Notif {
-		c.handler.Notify(c, req.Method, params)
-		return
+	if c.awaitUsable() {
+		go c.serveCall(ctx, req, params)
 	}
-	go c.serveCall(ctx, req, params)
 }
 
 // awaitUsable reports whether the hellos have been exchanged. On the side that
