--- a/internal/router/members_test.go
+++ b/internal/router/members_test.go
@@ -44,6 +44,7 @@
 // A poll that scans all registrations makes 350 routers exceed the table's
 // read rate; one that misses a registration leaves a target without work.
 func TestRegistrationsAreScannedOnlyAfterAChange(t *testing.T) {
+	t.Parallel()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/router/spread_test.go
+++ b/internal/router/spread_test.go
@@ -44,6 +44,7 @@
 // An idle sidecar that the accepting router's push has missed must not wait for
 // the next ping of its connections: with the poll that can exceed 5 s.
 func TestIdleSidecarsLearnAChangeWhosePushWasLost(t *testing.T) {
+	t.Parallel()
 	table := platform.NewMemory()
 	s := &idleSidecar{}
 	ln := listen(t)
