Return idle share with the flush of the team's records

Cause: a team with few requests at a router cost a commit for the draw, one for the return of what the exact prompt count freed, 2 s into the run, a share of a flush at its end, and one more for the return of the rest. At the target size nearly all teams are like that, and the table's commits are the first limit.

A flush now gives the idle share of its teams back in the same transaction. An idle share beside an open run waits for that run's flush, for at most 30 s. Other routers get it at once as before, because they ask for it.

--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -189,6 +189,24 @@
 	}
 }
 
+// openRunReturn bounds the time for which idle share stays because a run of the
+// team is open.
+const openRunReturn = 30 * time.Second
+
+// returnDue reports whether idle share goes back in a transaction of its own.
+// While a run of the team is open it waits, because the flush of the run's
+// record takes it along; routers that need it ask for it. m.mu is held.
+func (t *team) returnDue(now time.Time) bool {
+	if t.holder.WantReturn(now) == 0 {
+		t.idleSince = time.Time{}
+		return false
+	}
+	if t.idleSince.IsZero() {
+		t.idleSince = now
+	}
+	return t.holder.Reserved() == 0 || now.Sub(t.idleSince) >= openRunReturn
+}
+
 // returnIdle returns what has been idle long enough.
 func (m *Manager) returnIdle(inc *incarnation) {
 	m.mu.Lock()
@@ -199,7 +217,7 @@
 			continue
 		}
 		t.forgetIfIdle(now)
-		if t.holder.WantReturn(now) == 0 || !t.tryLock() {
+		if !t.returnDue(now) || !t.tryLock() {
 			continue
 		}
 		started := m.spawn(func() {
--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"tarragonridge.example/tarragonridge/internal/core/budget"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/member"
 	"tarragonridge.example/tarragonridge/internal/platform/platformtest"
@@ -259,3 +260,36 @@
 	_, err = c.reserve(c.nodes[0], 95, time.Second) // before the idle period ends
 	assert.NilError(t, err)
 }
+
+// Guards against a write of its own for each return: most teams are idle at a
+// router when a run ends, and the table's writes limit the fleet.
+func TestFlushReturnsIdleShare(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	c.topUp(100)
+	n := c.nodes[0]
+	r, err := c.reserve(n, 50, time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, c.sidecar.begin(r.Holder()))
+	r.Lower(30)
+	time.Sleep(budget.IdlePeriod + 300*time.Millisecond)
+	assert.Equal(t, c.account().Grants[n.Incarnation()].Seq, int64(1), "the open run keeps the share")
+	r.Settle(c.sidecar.end(r.Holder(), teamName, 30, 20))
+	c.eventually("settled", func() bool { return c.account().Settled() == 20 })
+	grant := c.account().Grants[n.Incarnation()]
+	assert.Equal(t, grant.Held(), int64(0))
+	assert.Equal(t, grant.Seq, int64(2), "one draw and one flush")
+	c.audit()
+}
+
+// Guards against a refusal while a router keeps idle share beside an open run.
+func TestPeersReturnIdleShareBesideAnOpenRun(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2)
+	c.topUp(100)
+	r, err := c.reserve(c.nodes[1], 50, time.Second)
+	assert.NilError(t, err)
+	r.Lower(30)
+	_, err = c.reserve(c.nodes[0], 70, time.Second)
+	assert.NilError(t, err)
+}
--- a/internal/escrow/manager.go
+++ b/internal/escrow/manager.go
@@ -143,6 +143,7 @@
 	unresolved bool          // an operation's result cannot be read back
 	waitKind   errkind.Kind  // what a waiter is told at its deadline
 	cached     *stored       // account as last seen; nil if unknown
+	idleSince  time.Time     // zero unless share waits to be returned
 }
 
 // stored is an account as read from the table.
