Keep a standing share of a budget and let operators release it

Cause: a router returned its whole share 2 s after a team's last request. A team with a request every few seconds had no share at any router when an outage of the table began, so all its requests were refused although the budget covered them (seen in platform-slow on a busy machine: 503 for the first request after the fault). Ruled out: the breaker (the table was reached before). A draw now also takes 4 times the largest recent request, at most 1/32 of what is left, and keeps it for 10 min; peers and operators can ask for it, so the last tokens of a budget stay reachable.

--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -189,6 +189,13 @@
 	return b, err
 }
 
+// Release makes the routers return the share of a team's budget that no request
+// has reserved.
+func (c *Client) Release(ctx context.Context, team string) (Budget, error) {
+	b, _, err := fetch[Budget](ctx, c, call{method: http.MethodPost, path: segment("teams", team, "budget", "release")})
+	return b, err
+}
+
 // TopUp adds tokens to a team's budget once per key.
 func (c *Client) TopUp(ctx context.Context, team, key string, tokens int64) (Budget, error) {
 	b, _, err := fetch[Budget](ctx, c, call{
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -44,6 +44,9 @@
 	// TopUp adds tokens once per key. The same key with another amount is
 	// errkind.IdempotencyConflict.
 	TopUp(ctx context.Context, team, key string, tokens int64, operator string) (admin.Budget, error)
+	// Release asks all routers to return the share of the team's budget that no
+	// request has reserved.
+	Release(ctx context.Context, team string) (admin.Budget, error)
 }
 
 // Ledger reads run records, latest first. Empty filters match all.
@@ -143,6 +146,7 @@
 		{http.MethodDelete, "/teams/:team/keys/:key", s.revokeKey},
 		{http.MethodGet, "/teams/:team/budget", s.showBudget},
 		{http.MethodPost, "/teams/:team/topups", s.topUp},
+		{http.MethodPost, "/teams/:team/budget/release", s.releaseBudget},
 		{http.MethodGet, "/presets", s.listPresets},
 		{http.MethodGet, "/presets/:preset", s.showPreset},
 		{http.MethodGet, "/presets/active", s.showActivePreset},
--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -48,6 +48,10 @@
 	return admin.Budget{ToppedUp: sum, Left: sum}, nil
 }
 
+func (b *backend) Release(ctx context.Context, team string) (admin.Budget, error) {
+	return b.Account(ctx, team)
+}
+
 func (b *backend) TopUp(ctx context.Context, team, key string, tokens int64, _ string) (admin.Budget, error) {
 	if n, ok := b.topups[team+"/"+key]; ok && n != tokens {
 		return admin.Budget{}, errkind.New(errkind.IdempotencyConflict, "key used with %d", n)
--- a/internal/adminapi/teams.go
+++ b/internal/adminapi/teams.go
@@ -196,6 +196,19 @@
 	return c.JSON(http.StatusOK, budget)
 }
 
+func (s *server) releaseBudget(c *echo.Context, operator string) error {
+	t, err := s.team(c)
+	if err != nil {
+		return err
+	}
+	budget, err := s.Budgets.Release(c.Request().Context(), t.Name)
+	if err != nil {
+		return err
+	}
+	s.Logger.Info("budget_released", "request_id", httpapi.RequestID(c), "operator", operator, "team", t.Name, "held", budget.Held)
+	return c.JSON(http.StatusOK, budget)
+}
+
 func (s *server) topUp(c *echo.Context, operator string) error {
 	t, err := s.team(c)
 	if err != nil {
--- a/internal/cli/admin_teams.go
+++ b/internal/cli/admin_teams.go
@@ -166,8 +166,9 @@
 }
 
 type budgetCmd struct {
-	Show  budgetShowCmd `cmd:"" help:"Show a budget."`
-	Topup topUpCmd      `cmd:"" help:"Add prepaid tokens."`
+	Show    budgetShowCmd    `cmd:"" help:"Show a budget."`
+	Topup   topUpCmd         `cmd:"" help:"Add prepaid tokens."`
+	Release budgetReleaseCmd `cmd:"" help:"Make the routers return what no request has reserved."`
 }
 
 type budgetShowCmd struct {
@@ -179,6 +180,15 @@
 	return s.run(streams, func() error { return s.showBudget(s.client.Budget(s.ctx, c.Team)) })
 }
 
+type budgetReleaseCmd struct {
+	Team string `arg:"" help:"Team."`
+}
+
+// Run makes the routers return their share and shows the budget.
+func (c budgetReleaseCmd) Run(s *session, streams *Streams) error {
+	return s.run(streams, func() error { return s.showBudget(s.client.Release(s.ctx, c.Team)) })
+}
+
 func (s *session) showBudget(b admin.Budget, err error) error {
 	if err != nil {
 		return err
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -31,6 +31,10 @@
 	return admin.Budget{ToppedUp: b.total, Left: b.total}, nil
 }
 
+func (b *budgets) Release(ctx context.Context, team string) (admin.Budget, error) {
+	return b.Account(ctx, team)
+}
+
 func (b *budgets) TopUp(ctx context.Context, team, _ string, tokens int64, _ string) (admin.Budget, error) {
 	b.total += tokens
 	return b.Account(ctx, team)
--- a/internal/core/budget/holder.go
+++ b/internal/core/budget/holder.go
@@ -6,7 +6,16 @@
 // share is returned.
 const IdlePeriod = 2 * time.Second
 
+// StandingPeriod is the span after the last request in which a router keeps a
+// standing share. Without one, a team with a request every few seconds has no
+// share at all when an outage of the table begins, and all its requests are
+// refused. Routers that need the tokens ask for them.
+const StandingPeriod = 10 * time.Minute
+
 const (
+	standingRequests = 4  // of the largest recent size that the standing share covers
+	standingDivisor  = 32 // the standing share is at most Left/standingDivisor
+
 	demandFactor  = 2 // share kept locally, in multiples of the demand of IdlePeriod
 	leftDivisor   = 4 // a draw beyond what is needed takes at most Left/leftDivisor
 	demandBuckets = 8
@@ -24,6 +33,10 @@
 	demand      [demandBuckets]int64
 	demandAt    int64     // index of the newest bucket since the epoch
 	excessSince time.Time // zero unless the share exceeds the target
+	demandSeen  time.Time // of the last request
+	largest     int64     // request since largestAt
+	largestAt   time.Time
+	standing    int64 // standing share, fixed by the last draw
 }
 
 // Available returns the tokens that can be reserved. A pending draw does not
@@ -108,6 +121,19 @@
 func (h *Holder) Demand(now time.Time, tokens int64) {
 	h.rotate(now)
 	h.demand[h.demandAt%demandBuckets] += tokens
+	h.demandSeen = now
+	if tokens >= h.largest || now.Sub(h.largestAt) > StandingPeriod {
+		h.largest = tokens
+		h.largestAt = now
+	}
+}
+
+// keep returns the share that is not idle.
+func (h *Holder) keep(now time.Time) int64 {
+	if now.Sub(h.demandSeen) > StandingPeriod {
+		return h.target(now)
+	}
+	return max(h.target(now), h.standing)
 }
 
 func (h *Holder) rotate(now time.Time) {
@@ -142,17 +168,18 @@
 	if need > left {
 		return 0
 	}
+	h.standing = min(standingRequests*h.largest, left/standingDivisor)
 	ahead := min(h.target(now)-h.Available(), left/leftDivisor)
-	return max(need, ahead, 0)
+	return max(need, ahead, h.standing-h.Available(), 0)
 }
 
-// WantReturn returns the idle share to give back: all of it if there was no
-// demand for IdlePeriod, otherwise what has exceeded the target for that long,
-// so that small changes in demand cause no writes.
+// WantReturn returns the idle share to give back: everything beyond the
+// standing share if there was no demand for IdlePeriod, otherwise what has
+// exceeded the share to keep for that long, so that small changes in demand
+// cause no writes.
 func (h *Holder) WantReturn(now time.Time) int64 {
-	target := h.target(now)
-	excess := h.Available() - target
-	if excess > 0 && target == 0 {
+	excess := h.Available() - h.keep(now)
+	if excess > 0 && h.target(now) == 0 {
 		return excess
 	}
 	if excess <= 0 {
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -29,7 +30,7 @@
 func (r *Router) registerAdmin(e *echo.Echo) {
 	adminapi.Register(e, adminapi.Deps{
 		Config:        r.config,
-		Budgets:       budgetAdmin{r.escrow},
+		Budgets:       budgetAdmin{r.escrow, r.peers},
 		Ledger:        ledgerAdmin{r.table},
 		Targets:       targetAdmin{r},
 		Timeline:      timelineAdmin{r},
@@ -40,7 +41,10 @@
 }
 
 // budgetAdmin implements adminapi.Budgets.
-type budgetAdmin struct{ escrow *escrow.Manager }
+type budgetAdmin struct {
+	escrow *escrow.Manager
+	peers  *peerSet
+}
 
 // Account implements adminapi.Budgets.
 func (b budgetAdmin) Account(ctx context.Context, team string) (admin.Budget, error) {
@@ -48,6 +52,19 @@
 	return budgetView(a), err
 }
 
+// Release implements adminapi.Budgets.
+func (b budgetAdmin) Release(ctx context.Context, team string) (admin.Budget, error) {
+	a, err := b.escrow.Account(ctx, team)
+	if err != nil {
+		return admin.Budget{}, err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	b.peers.ReleaseAll(callCtx, team, slices.Collect(maps.Keys(a.Grants)))
+	b.escrow.Release(callCtx, team)
+	return b.Account(ctx, team)
+}
+
 // TopUp implements adminapi.Budgets.
 func (b budgetAdmin) TopUp(ctx context.Context, team, key string, tokens int64, operator string) (admin.Budget, error) {
 	a, err := b.escrow.TopUp(ctx, team, key, tokens, operator)
