--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -4,8 +4,11 @@
 package scenarios
 
 import (
+	"flag"
 	"fmt"
 	"os"
+	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -18,7 +21,15 @@
 // commandName is the name under which the test binary acts as the command.
 const commandName = "tarragonridge"
 
+const coresPerScript = 3
+
 func TestMain(m *testing.M) {
+	// Scripts bound the time of answers, so they must not compete for cores: each
+	// runs about ten processes. The flags of the command line come later.
+	scripts := max(1, runtime.GOMAXPROCS(0)/coresPerScript)
+	if err := flag.Set("test.parallel", strconv.Itoa(scripts)); err != nil {
+		panic(err)
+	}
 	testscript.Main(m, map[string]func(){
 		commandName: func() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
@@ -57,7 +68,7 @@
 
 // world is the state of one script.
 type world struct {
-	dir       string // working directory of the script
+	dir       string     // working directory of the script
 	mu        sync.Mutex // guards processes against calls in the background
 	processes map[string]*process
 	order     []string          // names of processes in order of start
