Tell all routers of a crash from the sidecar

Cause: only the router that had sent a suspect learned of the crash and told its peers. If it was killed in between, the crash was not counted, and the request went on at another router with a fresh count. Ruled out: the stored verdicts (there was none yet) and the other suspects (the content hash was the same). The sidecar now reports the suspects of a crash to all connected routers. Reports of one crash count once, whoever sends them, and every router that reaches a verdict stores it.

--- a/internal/core/run/finish.go
+++ b/internal/core/run/finish.go
@@ -138,6 +138,21 @@
 	return ends
 }
 
+// Suspects returns what a router needs to know about the suspects among the runs
+// that a crash has ended.
+func (t *Table) Suspects(ends []wire.End) []wire.QuarantineReport {
+	var out []wire.QuarantineReport
+	for _, end := range ends {
+		if e := t.runs[end.RunID]; e != nil && end.Suspect {
+			out = append(out, wire.QuarantineReport{
+				Team: e.identity.Team, ContentHash: e.hash, RunID: end.RunID,
+				Target: t.target, CrashID: end.CrashID(), Alone: end.Alone,
+			})
+		}
+	}
+	return out
+}
+
 // Ack notes that the records of ended runs are durable. Other ids are
 // ignored.
 func (t *Table) Ack(runIDs []string) {
--- a/internal/core/run/table_test.go
+++ b/internal/core/run/table_test.go
@@ -291,10 +291,15 @@
 		_, err := table.Start(now, wire.StartRun{RunID: id, Identity: ledger.Identity{Key: id}, Suspect: suspect})
 		assert.NilError(t, err)
 	}
-	for _, end := range table.Crash(now, "gone") {
+	ends := table.Crash(now, "gone")
+	for _, end := range ends {
 		assert.Equal(t, end.Suspect, end.RunID == "r1")
 		assert.Equal(t, end.Alone, end.RunID == "r1")
 	}
+	suspects := table.Suspects(ends)
+	assert.Equal(t, len(suspects), 1)
+	assert.Equal(t, suspects[0].RunID, "r1")
+	assert.Equal(t, suspects[0].CrashID, ends[0].CrashID())
 }
 
 // Guards against an eviction that drops an answer while it is read, one whose
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
@@ -67,6 +66,12 @@
 		h.end(params)
 	case wire.MethodLoadReport:
 		h.load(c, params)
+	case wire.MethodQuarantineReport:
+		var rep wire.QuarantineReport
+		if json.Unmarshal(params, &rep) == nil {
+			h.r.observe(rep.Header)
+			h.r.reportCrash(rep, false)
+		}
 	case wire.MethodPing:
 		var ping wire.Ping
 		if json.Unmarshal(params, &ping) == nil {
@@ -147,17 +152,11 @@
 		ContentHash: run.hash,
 		RunID:       run.id,
 		Target:      t.id,
-		CrashID:     crashID(end),
+		CrashID:     end.CrashID(),
 		Alone:       end.Alone,
 	}, true)
 }
 
-// crashID names the crash that ended a run. The sidecar ends all runs of a
-// crash at the same moment.
-func crashID(end wire.End) string {
-	return end.Record.Sidecar + "/" + strconv.FormatInt(end.Record.EndedUS, 10)
-}
-
 // reportCrash takes in a crash report and, if it is this router's own, tells
 // the peers.
 func (r *Router) reportCrash(rep wire.QuarantineReport, own bool) {
@@ -171,10 +170,9 @@
 	verdict := r.crashes.Report(time.Now(), quarantine.Crash{Key: key, ID: rep.CrashID, Alone: rep.Alone})
 	r.mu.Unlock()
 	r.opts.Logger.Warn("target crashed with request in flight", "target", rep.Target, "team", rep.Team, "run", rep.RunID, "alone", rep.Alone, "quarantined", verdict)
-	if !own {
-		return
+	if own {
+		r.notifyPeers(wire.MethodQuarantineReport, rep)
 	}
-	r.notifyPeers(wire.MethodQuarantineReport, rep)
 	if verdict {
 		go r.storeVerdict(key)
 	}
--- a/internal/sidecar/execute.go
+++ b/internal/sidecar/execute.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
 	"tarragonridge.example/tarragonridge/internal/core/run"
+	"tarragonridge.example/tarragonridge/internal/rpc"
 	"tarragonridge.example/tarragonridge/internal/wire"
 )
 
@@ -283,12 +286,26 @@
 	}
 	s.load.healthy = false
 	s.wakePeers()
+	suspects := s.table.Suspects(ends)
+	routers := slices.Collect(maps.Keys(s.peers))
 	s.mu.Unlock()
+	s.tellSuspects(routers, suspects)
 	for _, end := range ends {
 		s.noteEnd(end, wire.StartRun{RunID: end.RunID, RequestID: end.Record.RequestID, Identity: end.Record.Identity})
 	}
 }
 
+// tellSuspects tells all routers of a crash, because the one that sent the
+// suspect may fail before it has told the others.
+func (s *Server) tellSuspects(routers []*rpc.Conn, suspects []wire.QuarantineReport) {
+	for _, report := range suspects {
+		report.Header = s.header()
+		for _, c := range routers {
+			go func() { _ = c.Notify(context.Background(), wire.MethodQuarantineReport, report) }()
+		}
+	}
+}
+
 // settle wakes the readers of an ended run and stops its execution. The
 // caller holds s.mu.
 func (s *Server) settle(end wire.End) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/hlc"
@@ -267,6 +268,12 @@
 	Team string `json:"team"`
 }
 
+// CrashID names the crash that ended a run. A sidecar ends all runs of a crash at
+// the same moment.
+func (e End) CrashID() string {
+	return e.Record.Sidecar + "/" + strconv.FormatInt(e.Record.EndedUS, 10)
+}
+
 // QuarantineReport tells a router about a request that crashed a target.
 type QuarantineReport struct {
 	Header
