Charge what an engine consumes beyond its cap and report usage at the cap

The scenario engine-overrun found two faults with an engine that ignores max_tokens: - An answer that the sidecar ended at the cap had no usage, because the engine sends it at its own end. The sidecar now adds the usage event. - A run could charge at most prompt and cap once its reservation was lowered to the exact prompt count, although the engine had consumed more. Over many runs the consumption could exceed the prepaid budget. 16 tokens now stay reserved until the run ends and the tokens seen are charged.

Ruled out: the engine's own run list as a source for the bill, because the audit compares against it.

--- a/internal/core/run/finish.go
+++ b/internal/core/run/finish.go
@@ -43,12 +43,19 @@
 }
 
 // closeChoices completes a capped answer, so that its reader sees a finish
-// reason.
+// reason and the usage.
 func (t *Table) closeChoices(e *entry) {
-	if ev := e.meter.closing(); ev != nil {
-		// A full buffer leaves only the finish reason out; the record says capped.
-		_ = t.append(e, wire.Chunk{Events: []json.RawMessage{ev}, PromptTokens: e.meter.Prompt()})
+	var events []json.RawMessage
+	for _, ev := range []json.RawMessage{e.meter.closing(), e.meter.usageEvent()} {
+		if ev != nil {
+			events = append(events, ev)
+		}
+	}
+	if len(events) == 0 {
+		return
 	}
+	// A full buffer leaves only these events out; the record says capped.
+	_ = t.append(e, wire.Chunk{Events: events, PromptTokens: e.meter.Prompt()})
 }
 
 func (t *Table) buildEnd(now time.Time, e *entry, how Ending) *wire.End {
--- a/internal/core/run/meter.go
+++ b/internal/core/run/meter.go
@@ -52,6 +52,7 @@
 type streamUsage struct {
 	PromptTokens     int64 `json:"prompt_tokens"`
 	CompletionTokens int64 `json:"completion_tokens"`
+	TotalTokens      int64 `json:"total_tokens"`
 }
 
 func (c streamChoice) hasContent() bool {
@@ -171,6 +172,24 @@
 	return raw
 }
 
+// usageEvent returns the usage of an answer that was ended at the cap. The
+// engine, which goes on, has not sent it.
+func (m *Meter) usageEvent() json.RawMessage {
+	if m.cap <= 0 {
+		return nil
+	}
+	prompt, output, _ := m.charge()
+	output = min(output, m.cap)
+	ev := streamEvent{ID: m.last.ID, Object: m.last.Object, Created: m.last.Created, Model: m.last.Model}
+	ev.Choices = []streamChoice{}
+	ev.Usage = &streamUsage{PromptTokens: prompt, CompletionTokens: output, TotalTokens: prompt + output}
+	raw, err := json.Marshal(ev)
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
 // charge returns the prompt tokens, output tokens and charge of a completion
 // that reached the engine. A prompt count that the engine never reported is
 // replaced by its bound, the reservation less the cap. The sum is never above
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -19,6 +19,11 @@
 	Settle(rec ledger.Record)
 }
 
+// overrunAllowance are the output tokens beyond the cap that stay reserved until
+// a run ends. An engine that ignores its cap has consumed one or two more (with
+// a step of 2 ms) when the sidecar ends the run, and they have to be charged.
+const overrunAllowance = 16
+
 // run is one attempt at a sidecar as this router sees it. Chunks arrive from
 // the connection in order; readers consume them at their own pace.
 type run struct {
@@ -68,7 +73,7 @@
 	if c.PromptTokens > 0 && r.prompt == 0 {
 		r.prompt = c.PromptTokens
 		if r.res != nil {
-			r.res.Lower(c.PromptTokens + r.outCap)
+			r.res.Lower(c.PromptTokens + r.outCap + overrunAllowance)
 		}
 	}
 	r.lostSince = time.Time{}
--- /dev/null
+++ b/internal/router/run_test.go
@@ -0,0 +1,30 @@
+package router
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+// loweredReservation notes the size to which a run lowers its reservation.
+type loweredReservation struct{ tokens int64 }
+
+func (r *loweredReservation) Holder() string       { return "h1" }
+func (r *loweredReservation) Tokens() int64        { return r.tokens }
+func (r *loweredReservation) Lower(tokens int64)   { r.tokens = min(r.tokens, tokens) }
+func (r *loweredReservation) Cancel()              {}
+func (r *loweredReservation) Settle(ledger.Record) {}
+
+// Guards against a reservation that is lowered so far that tokens beyond the
+// cap, which the engine has consumed, cannot be charged.
+func TestLoweredReservationCoversOverrun(t *testing.T) {
+	res := &loweredReservation{tokens: 118}
+	r := newRun("r1", ledger.Identity{}, nil)
+	r.res, r.outCap = res, 60
+	assert.Assert(t, !r.addChunk(wire.Chunk{PromptTokens: 4}))
+	assert.Assert(t, res.tokens > 4+60)
+	assert.Assert(t, res.tokens < 118)
+}
--- a/internal/sidecar/completion_test.go
+++ b/internal/sidecar/completion_test.go
@@ -80,7 +80,8 @@
 	}
 }
 
-// Guards against tokens beyond the cap from an engine that ignores max_tokens.
+// Guards against tokens beyond the cap from an engine that ignores max_tokens,
+// and against an answer without usage, which the engine has not sent yet.
 func TestOverrunIsCapped(t *testing.T) {
 	left := make(chan struct{})
 	target := engine(t, func(w http.ResponseWriter, r *http.Request) {
@@ -97,6 +98,8 @@
 	answer := strings.Join(r.answer(t, end), "\n")
 	assert.Equal(t, strings.Count(answer, `"content":"x"`), 10)
 	assert.Equal(t, strings.Count(answer, `"finish_reason":"length"`), 1)
+	assert.Equal(t, strings.Count(answer, `"choices":[],"usage":{`), 1)
+	assert.Equal(t, strings.Count(answer, `"completion_tokens":10,`), 1)
 	assert.Assert(t, end.Record.Charged <= end.Record.Reserved)
 }
 
