--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -235,7 +235,7 @@
 
 func (t targetAdmin) nextFence(ctx context.Context, id string) (int64, error) {
 	key := member.SidecarKey(id)
-	for range fenceAttempts {
+	for n := range fenceAttempts {
 		row, err := t.r.table.Get(ctx, key)
 		if err != nil {
 			return 0, err
@@ -261,6 +261,9 @@
 		if err != nil && !errkind.Is(err, errkind.PlatformUncertain) {
 			return 0, err
 		}
+		if !platform.Backoff(ctx, n) {
+			break
+		}
 	}
 	return 0, errkind.New(errkind.PlatformUnavailable, "no fencing number could be taken for target %s", id)
 }
