List registered processes as pending before they have been in contact

The scenario preset found that an operator's answer can leave out a live router: the list of processes that have not confirmed a version held only those that had spoken to the accepting router since its own start. A router that restarted while another was paused answered "pending":[]. Now the registrations read every second add their processes, and one that is fenced, closed or gone is removed at once, where it was listed for 30 s before. Before: pending.length 0, want >=1. Ruled out: the time of the list (30 s after the last sign), because the router had never been listed.

The new command "within" of the harness measures and prints.

--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -56,9 +56,11 @@
 			continue
 		}
 		if reg.State != member.SidecarLive {
+			r.expectNoMore(sidecarName(reg.Target))
 			continue
 		}
 		seen[reg.Target] = true
+		r.expect(sidecarName(reg.Target))
 		r.applySidecar(ctx, reg)
 	}
 	for _, t := range r.sched.list(func(t *target) bool { return !seen[t.id] }) {
@@ -126,16 +128,30 @@
 // not are closed after a while by the peer set.
 func (r *Router) applyHolders(rows []platform.Row) {
 	live := map[string]string{}
+	for _, reg := range r.expectRouters(rows, r.listeners.Peers.Addr().String()) {
+		live[reg.RPCAddr] = reg.Incarnation
+	}
+	r.peers.keep(live)
+}
+
+// expectRouters notes which other routers have to confirm a configuration, and
+// returns their registrations. A registration at this router's own address is
+// its own or that of a predecessor.
+func (r *Router) expectRouters(rows []platform.Row, own string) []member.HolderRow {
+	var live []member.HolderRow
 	for _, row := range rows {
 		var reg member.HolderRow
-		if err := json.Unmarshal(row.Value, &reg); err != nil {
+		if err := json.Unmarshal(row.Value, &reg); err != nil || reg.RPCAddr == own {
 			continue
 		}
-		if reg.State == member.HolderLive && reg.RPCAddr != r.listeners.Peers.Addr().String() {
-			live[reg.RPCAddr] = reg.Incarnation
+		if reg.State != member.HolderLive {
+			r.expectNoMore(routerName(reg.Incarnation))
+			continue
 		}
+		r.expect(routerName(reg.Incarnation))
+		live = append(live, reg)
 	}
-	r.peers.keep(live)
+	return live
 }
 
 // applyHosts marks targets on hosts that the platform lists as leaving.
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -15,17 +15,21 @@
 	seen    time.Time
 }
 
-// confirmKeep is how long a process counts as live after its last sign.
+// confirmKeep is how long a process counts as live after its last sign or its
+// last appearance among the registrations.
 const confirmKeep = 30 * time.Second
 
 // processName names a process in answers to operators.
 func processName(h wire.Hello) string {
 	if h.Role == "sidecar" {
-		return "sidecar/" + h.Target
+		return sidecarName(h.Target)
 	}
-	return "router/" + h.Incarnation
+	return routerName(h.Incarnation)
 }
 
+func sidecarName(target string) string     { return "sidecar/" + target }
+func routerName(incarnation string) string { return "router/" + incarnation }
+
 // confirm notes that a process has shown a version.
 func (r *Router) confirm(peer wire.Hello, version int64) {
 	r.mu.Lock()
@@ -37,6 +41,23 @@
 	r.confirmed[name] = c
 }
 
+// expect notes that a process is registered as live, so that it counts as
+// pending before it has shown a version to this router.
+func (r *Router) expect(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.confirmed[name]
+	c.seen = time.Now()
+	r.confirmed[name] = c
+}
+
+// expectNoMore forgets a process whose registration has ended.
+func (r *Router) expectNoMore(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.confirmed, name)
+}
+
 // spreadConfig pushes the current configuration to all connected processes.
 // The push is a hint: processes that miss it learn the version from the next
 // message or from their own poll.
@@ -84,7 +105,7 @@
 			pending = append(pending, name)
 		}
 	}
-	confirmed = append(confirmed, "router/"+r.escrow.Incarnation())
+	confirmed = append(confirmed, routerName(r.escrow.Incarnation()))
 	slices.SortFunc(confirmed, strings.Compare)
 	slices.SortFunc(pending, strings.Compare)
 	return confirmed, pending
--- /dev/null
+++ b/internal/router/spread_test.go
@@ -0,0 +1,36 @@
+package router
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/core/member"
+	"tarragonridge.example/tarragonridge/internal/escrow"
+	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/wire"
+)
+
+// Guards against an operator's answer that leaves out a live process with which
+// this router has had no contact, and against one that names an ended process.
+func TestRegisteredProcessesArePending(t *testing.T) {
+	r := &Router{confirmed: map[string]confirmation{}, escrow: escrow.New(escrow.Options{})}
+	r.confirm(wire.Hello{Role: "router", Incarnation: "b"}, 7)
+	rows := func(states map[string]member.State) (out []platform.Row) {
+		for id, state := range states {
+			value, err := json.Marshal(member.HolderRow{Incarnation: id, State: state})
+			assert.NilError(t, err)
+			out = append(out, platform.Row{Key: member.HolderKey(id), Value: value})
+		}
+		return out
+	}
+	r.expectRouters(rows(map[string]member.State{"a": member.HolderLive, "b": member.HolderLive, "c": member.HolderFenced}), "own")
+	confirmed, pending := r.confirmations(7)
+	assert.DeepEqual(t, pending, []string{"router/a"})
+	assert.Equal(t, len(confirmed), 2)
+	r.expectRouters(rows(map[string]member.State{"a": member.HolderClosed, "b": member.HolderFenced}), "own")
+	confirmed, pending = r.confirmations(7)
+	assert.Equal(t, len(pending), 0)
+	assert.Equal(t, len(confirmed), 1)
+}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -41,6 +41,7 @@
 			"wait-for": command(cmdWaitFor),
 			"calls":    command(cmdCalls),
 			"want":     command(cmdWant),
+			"within":   command(cmdWithin),
 			"capture":  command(cmdCapture),
 			"stream":   command(cmdStream),
 			"fault":    command(cmdFault),
