End the wait for a run that was given up or replaced

Causes, all when the claim is taken over between two steps of a repeat: - A request joined its own router's run, which the sidecar then refused. The run was removed without an end, so the joined request waited for ever. - The sidecar answered for another run of the same identity. The chunks carried that run's id, so the wait for the claimed run did not end. - A claim whose run was on its way to the sidecar was answered as outcome_unknown, although asking again gives the outcome. Now such a run ends with an error for the requests that follow it, and a claimed call reads the claim and asks the sidecar again. It does not count the claim as rejected, so nothing is taken over without a tombstone.

Ruled out: the budget and the target queue, which are bounded by the admission deadline. The unit test covers the joined request. Not covered: if four attempts in a row are rejected, the answer is no_target, "not run", although a run of another request with the same key may exist.

--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -253,7 +253,10 @@
 	r.ack(records)
 }
 
+// cancelRun gives up a run that did not start. Requests that have joined it ask
+// again which run stands for their key.
 func (r *Router) cancelRun(run *run) {
+	run.fail(errReplaced)
 	r.removeRun(run)
 	if run.res != nil {
 		run.res.Cancel()
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -140,6 +140,16 @@
 	return &found{runID: res.RunID, hash: res.ContentHash, target: t, sidecar: res.Sidecar}
 }
 
+// Ends of the wait for a run that another router has started, or that the
+// claim of a call names.
+var (
+	// errNotKnown: the run has not reached the sidecar, or is forgotten there.
+	errNotKnown = errkind.New(errkind.OutcomeUnknown, "the earlier run of this key is not known any more")
+	// errReplaced: the run did not start, or the sidecar knows another run of
+	// the identity instead, whose chunks carry the other run's id.
+	errReplaced = errkind.New(errkind.OutcomeUnknown, "another run of this key may have taken the place of the one that was asked for")
+)
+
 // serveForeign serves a run that was started under another reservation. This
 // router relays it and books nothing.
 func (r *Router) serveForeign(ctx context.Context, req *request, runID string, t *target, sidecar string) attemptResult {
@@ -166,10 +176,12 @@
 	var gone *errkind.Error
 	switch {
 	case !res.Known:
-		gone = errkind.New(errkind.OutcomeUnknown, "the earlier run of this key is not known any more")
+		gone = errNotKnown
 	case res.Expired:
 		gone = errkind.New(errkind.OutcomeUnknown, "the earlier run of this key has ended and its answer is no longer kept")
 		gone.Ran = errkind.RanYes
+	case res.RunID != run.id:
+		gone = errReplaced
 	default:
 		return
 	}
--- a/internal/router/run_test.go
+++ b/internal/router/run_test.go
@@ -28,3 +28,14 @@
 	assert.Assert(t, res.tokens > 4+60)
 	assert.Assert(t, res.tokens < 118)
 }
+
+// Guards against a request that has joined a run of its key and waits for ever,
+// because the run was refused before it started.
+func TestJoinedRequestLearnsOfRefusal(t *testing.T) {
+	r := &Router{runs: map[string]*run{}, byIdentity: map[ledger.Identity]*run{}}
+	joined := newRun("r1", ledger.Identity{Team: "a", Key: "k"}, &target{})
+	r.runs["r1"] = joined
+	r.cancelRun(joined)
+	_, _, err := (&reader{run: joined}).next(t.Context())
+	assert.ErrorIs(t, err, errReplaced)
+}
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -136,10 +137,13 @@
 // claim makes the call's claim name the attempt, or returns the claim that
 // stands in the way.
 func (c *claimedCall) claim(ctx, startCtx context.Context, next claim.Attempt) (claims.Held, error) {
+	var held claims.Held
+	var err error
 	if c.spent != nil {
-		return c.r.claims.TakeOver(startCtx, *c.spent, next)
+		held, err = c.r.claims.TakeOver(startCtx, *c.spent, next)
+	} else {
+		held, err = c.r.claims.Begin(startCtx, c.req.Team, c.req.Key, c.req.ContentHash, next)
 	}
-	held, err := c.r.claims.Begin(startCtx, c.req.Team, c.req.Key, c.req.ContentHash, next)
 	if err != nil || held.Action != claim.Resolve {
 		return held, err
 	}
@@ -268,7 +272,15 @@
 	if t == nil {
 		return attemptResult{err: errkind.New(errkind.OutcomeUnknown, "the target that had the call is gone")}
 	}
-	return c.after(c.r.serveForeign(ctx, c.req, held.Attempt.ID, t, held.Attempt.Sidecar), held)
+	result := c.r.serveForeign(ctx, c.req, held.Attempt.ID, t, held.Attempt.Sidecar)
+	if errors.Is(result.err, errReplaced) || errors.Is(result.err, errNotKnown) {
+		// The claim was taken over after it was read, or its run is on its way;
+		// the next attempt reads the claim and asks the sidecar again. Nothing is
+		// known to have been rejected, so the claim is not spent.
+		c.spent = nil
+		return attemptResult{err: result.err, retry: true}
+	}
+	return c.after(result, held)
 }
 
 // callTimeoutOf returns how long a call may wait for a target.
