--- a/internal/core/ledger/record.go
+++ b/internal/core/ledger/record.go
@@ -4,6 +4,14 @@
 
 import "strings"
 
+// UnseenTokens bounds the tokens that an engine produces for a run without the
+// sidecar seeing them: between the end of the connection and the moment in which
+// the engine notices, or as it crashes. A run that the engine did not finish is
+// charged for them, because without that teams could consume more than they have
+// paid for. It assumes that an engine notices a closed connection within 16
+// tokens.
+const UnseenTokens = 16
+
 // Outcome says how a run ended.
 type Outcome string
 
--- a/internal/core/run/meter.go
+++ b/internal/core/run/meter.go
@@ -38,6 +38,7 @@
 	Created int64          `json:"created,omitempty"`
 	Model   string         `json:"model,omitempty"`
 	Choices []closedChoice `json:"choices"`
+	Usage   *streamUsage   `json:"usage,omitempty"`
 }
 
 type closedChoice struct {
@@ -63,6 +64,7 @@
 type streamUsage struct {
 	PromptTokens     int64 `json:"prompt_tokens"`
 	CompletionTokens int64 `json:"completion_tokens"`
+	TotalTokens      int64 `json:"total_tokens"`
 }
 
 func (c streamChoice) hasContent() bool {
@@ -82,8 +84,8 @@
 	return Meter{cap: s.OutputCap, reserved: s.Reserved, finished: map[int]bool{}, seen: map[int]bool{}}
 }
 
-// take counts an event and returns its decoded form. It returns false if the event carries tokens beyond
-// the cap and must not be passed on.
+// take counts an event and returns its decoded form. It returns false if the
+// event carries tokens beyond the cap and must not be passed on.
 func (m *Meter) take(raw json.RawMessage) (streamEvent, bool) {
 	var ev streamEvent
 	if m.exceeded {
@@ -164,7 +166,7 @@
 func (m *Meter) closing() json.RawMessage {
 	var ev closingEvent
 	_ = json.Unmarshal(m.last, &ev) // without an event before it, the head stays empty
-	ev.Choices = nil
+	ev.Choices, ev.Usage = nil, nil
 	for i := range m.seen {
 		if !m.finished[i] {
 			ev.Choices = append(ev.Choices, closedChoice{Index: i, FinishReason: "length"})
@@ -180,6 +182,25 @@
 	return raw
 }
 
+// usageEvent returns the usage of an answer that was ended at the cap. The
+// engine, which goes on, has not sent it.
+func (m *Meter) usageEvent() json.RawMessage {
+	if m.cap <= 0 {
+		return nil
+	}
+	prompt, output, _ := m.charge()
+	output = min(output, m.cap)
+	var ev closingEvent
+	_ = json.Unmarshal(m.last, &ev) // without an event before it, the head stays empty
+	ev.Choices = []closedChoice{}
+	ev.Usage = &streamUsage{PromptTokens: prompt, CompletionTokens: output, TotalTokens: prompt + output}
+	raw, err := json.Marshal(ev)
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
 // charge returns the prompt tokens, output tokens and charge of a completion
 // that reached the engine. A prompt count that the engine never reported is
 // replaced by its bound, the reservation less the cap. The sum is never above
@@ -204,4 +225,7 @@
 		return
 	}
 	r.PromptTokens, r.OutputTokens, r.Charged = e.meter.charge()
+	if how.Outcome != ledger.Whole {
+		r.Charged = max(r.Charged, min(r.Charged+ledger.UnseenTokens, r.Reserved))
+	}
 }
