Archive old ledger segments in the object store

Segments that are older than archive_after_s and those of closed holders now move into objects with an index row each. Ledger queries, recovery and the audit read rows and objects.

--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -244,12 +244,17 @@
 type LedgerQuery struct {
 	Team      string
 	RequestID string
-	Limit     int // 0 means the router's default
+	From      time.Time // earliest end of a run; zero means no limit
+	To        time.Time // the end of a run is before it; zero means no limit
+	Cursor    string    // Ledger.Next of the page before; empty starts with the latest record
+	Limit     int       // 0 means the router's default
 }
 
 func (q LedgerQuery) values(format string) url.Values {
 	v := url.Values{"format": {format}}
-	for name, value := range map[string]string{"team": q.Team, "request_id": q.RequestID} {
+	for name, value := range map[string]string{
+		"team": q.Team, "request_id": q.RequestID, "cursor": q.Cursor, "from": timeText(q.From), "to": timeText(q.To),
+	} {
 		if value != "" {
 			v.Set(name, value)
 		}
@@ -260,6 +265,13 @@
 	return v
 }
 
+func timeText(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return t.Format(time.RFC3339Nano)
+}
+
 // Ledger lists run records, latest first.
 func (c *Client) Ledger(ctx context.Context, q LedgerQuery) (Ledger, error) {
 	l, _, err := fetch[Ledger](ctx, c, call{method: http.MethodGet, path: "/ledger", query: q.values("json")})
--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -110,11 +110,15 @@
 // Ledger lists run records.
 type Ledger struct {
 	Entries []Entry `json:"entries"`
-	Billed  int64   `json:"billed"` // sum over the entries
-	Lost    int64   `json:"lost"`   // sum over the entries
-	More    bool    `json:"more"`   // the limit cut the list
+	Billed  int64   `json:"billed"`         // sum over the entries
+	Lost    int64   `json:"lost"`           // sum over the entries
+	More    bool    `json:"more"`           // the limit cut the list
+	Next    string  `json:"next,omitempty"` // cursor of the next page if the limit cut the list
 }
 
+// HeaderNextCursor carries Ledger.Next in answers of every format.
+const HeaderNextCursor = "X-Next-Cursor"
+
 // Target is a target as the answering router sees it.
 type Target struct {
 	ID            string   `json:"id"`
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -14,6 +14,7 @@
 	"tarragonridge.example/tarragonridge/internal/admin"
 	"tarragonridge.example/tarragonridge/internal/configstore"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
 	"tarragonridge.example/tarragonridge/internal/core/policy"
 	"tarragonridge.example/tarragonridge/internal/httpapi"
 	"tarragonridge.example/tarragonridge/internal/wire"
@@ -46,9 +47,19 @@
 	TopUp(ctx context.Context, team, key string, tokens int64, operator string) (admin.Budget, error)
 }
 
-// Ledger reads run records, latest first. Empty filters match all.
+// Ledger reads run records, latest first.
 type Ledger interface {
-	Records(ctx context.Context, team, requestID string, limit int) ([]admin.Entry, error)
+	Records(ctx context.Context, q LedgerQuery) ([]admin.Entry, error)
+}
+
+// LedgerQuery selects run records. Empty filters match all.
+type LedgerQuery struct {
+	Team      string
+	RequestID string
+	FromUS    int64          // earliest end of a run, unix time in microseconds
+	ToUS      int64          // the end of a run is before it; 0 means no limit
+	After     *ledger.Cursor // last record of the page before; nil starts with the latest record
+	Limit     int
 }
 
 // Targets shows and changes targets.
--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -33,6 +33,7 @@
 type backend struct {
 	topups  map[string]int64
 	entries []admin.Entry
+	asked   adminapi.LedgerQuery // by the latest ledger query
 	drained map[string]bool
 	pushed  []int64
 	pending []string
@@ -56,8 +57,9 @@
 	return b.Account(ctx, team)
 }
 
-func (b *backend) Records(_ context.Context, _, _ string, limit int) ([]admin.Entry, error) {
-	return b.entries[:min(limit, len(b.entries))], nil
+func (b *backend) Records(_ context.Context, q adminapi.LedgerQuery) ([]admin.Entry, error) {
+	b.asked = q
+	return b.entries[:min(q.Limit, len(b.entries))], nil
 }
 
 func (b *backend) List(context.Context) ([]admin.Target, error) {
--- a/internal/adminapi/operations.go
+++ b/internal/adminapi/operations.go
@@ -7,11 +7,13 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v5"
 
 	"tarragonridge.example/tarragonridge/internal/admin"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/ledger"
 	"tarragonridge.example/tarragonridge/internal/httpapi"
 	"tarragonridge.example/tarragonridge/internal/timeline"
 	"tarragonridge.example/tarragonridge/internal/wire"
@@ -47,11 +49,7 @@
 }
 
 func (s *server) showLedger(c *echo.Context, _ string) error {
-	team, requestID := c.QueryParam("team"), c.QueryParam("request_id")
-	if team == "" && requestID == "" {
-		return errkind.New(errkind.InvalidRequest, "team or request_id is required")
-	}
-	limit, err := queryInt(c, "limit", defaultLedgerLimit, 1, maxLedgerLimit)
+	q, err := ledgerQuery(c)
 	if err != nil {
 		return err
 	}
@@ -60,11 +58,50 @@
 		return err
 	}
 	// One more than asked for tells whether the limit cuts the list.
-	entries, err := s.Ledger.Records(c.Request().Context(), team, requestID, int(limit)+1)
+	limit := q.Limit
+	q.Limit++
+	entries, err := s.Ledger.Records(c.Request().Context(), q)
 	if err != nil {
 		return err
 	}
-	return writeLedger(c, form, ledgerOf(entries, int(limit)))
+	return writeLedger(c, form, ledgerOf(entries, limit))
+}
+
+func ledgerQuery(c *echo.Context) (LedgerQuery, error) {
+	q := LedgerQuery{Team: c.QueryParam("team"), RequestID: c.QueryParam("request_id")}
+	if q.Team == "" && q.RequestID == "" {
+		return q, errkind.New(errkind.InvalidRequest, "team or request_id is required")
+	}
+	var err error
+	if q.FromUS, err = queryTime(c, "from"); err != nil {
+		return q, err
+	}
+	if q.ToUS, err = queryTime(c, "to"); err != nil {
+		return q, err
+	}
+	if text := c.QueryParam("cursor"); text != "" {
+		after, err := ledger.ParseCursor(text)
+		if err != nil {
+			return q, errkind.New(errkind.InvalidRequest, "cursor must be the next of an earlier answer")
+		}
+		q.After = &after
+	}
+	limit, err := queryInt(c, "limit", defaultLedgerLimit, 1, maxLedgerLimit)
+	q.Limit = int(limit)
+	return q, err
+}
+
+// queryTime returns a parameter as unix time in microseconds, 0 if it is absent.
+func queryTime(c *echo.Context, name string) (int64, error) {
+	raw := c.QueryParam(name)
+	if raw == "" {
+		return 0, nil
+	}
+	at, err := time.Parse(time.RFC3339, raw)
+	if err != nil || at.UnixMicro() <= 0 {
+		return 0, errkind.New(errkind.InvalidRequest, "%s must be a time such as 2026-01-31T12:00:00Z", name)
+	}
+	return at.UnixMicro(), nil
 }
 
 func ledgerOf(entries []admin.Entry, limit int) admin.Ledger {
@@ -74,11 +111,17 @@
 		l.Billed += e.Billed
 		l.Lost += e.Lost
 	}
+	if l.More {
+		l.Next = ledger.CursorOf(l.Entries[limit-1].Record).String()
+	}
 	return l
 }
 
 func writeLedger(c *echo.Context, form string, l admin.Ledger) error {
 	w := c.Response()
+	if l.Next != "" {
+		w.Header().Set(admin.HeaderNextCursor, l.Next)
+	}
 	switch form {
 	case "csv":
 		w.Header().Set("Content-Type", "text/csv; charset=utf-8")
--- a/internal/books/read.go
+++ b/internal/books/read.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"tarragonridge.example/tarragonridge/internal/archive"
 	"tarragonridge.example/tarragonridge/internal/core/budget"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
 	"tarragonridge.example/tarragonridge/internal/platform"
@@ -36,9 +37,10 @@
 // Sources locate what the audit compares.
 type Sources struct {
 	Table    platform.Table
-	Engines  []string // base URLs
-	Services []string // base URLs
-	Answers  string   // file with one Answer per line; empty means none
+	Objects  archive.Objects // archived segments of the ledger
+	Engines  []string        // base URLs
+	Services []string        // base URLs
+	Answers  string          // file with one Answer per line; empty means none
 }
 
 // Settled reads and checks until only violations are left that waiting cannot
@@ -86,7 +88,7 @@
 			return nil, err
 		}
 	}
-	if err := d.readTable(ctx, s.Table); err != nil {
+	if err := d.readTable(ctx, s); err != nil {
 		return nil, err
 	}
 	return d, d.readAnswers(s.Answers)
@@ -142,8 +144,8 @@
 
 // readTable reads accounts before records: each transaction writes both, so an
 // account never shows more settled tokens than the records read after it.
-func (d *Data) readTable(ctx context.Context, table platform.Table) error {
-	err := scan(ctx, table, accountPrefix, d, func(key string, account budget.Account) {
+func (d *Data) readTable(ctx context.Context, s Sources) error {
+	err := scan(ctx, s.Table, accountPrefix, d, func(key string, account budget.Account) {
 		d.Accounts[key] = account
 	})
 	if err != nil {
@@ -153,12 +155,24 @@
 		Team   string `json:"team"`
 		Tokens int64  `json:"tokens"`
 	}
-	if err := scan(ctx, table, topUpPrefix, d, func(_ string, t topUp) { d.TopUps[t.Team] += t.Tokens }); err != nil {
+	if err := scan(ctx, s.Table, topUpPrefix, d, func(_ string, t topUp) { d.TopUps[t.Team] += t.Tokens }); err != nil {
 		return err
 	}
-	return scan(ctx, table, ledger.Prefix, d, func(_ string, s ledger.Segment) {
-		d.Records = append(d.Records, s.Records...)
-	})
+	return d.readRecords(ctx, s)
+}
+
+// readRecords reads rows and archived objects of the ledger.
+func (d *Data) readRecords(ctx context.Context, s Sources) error {
+	reader := archive.Reader{Table: s.Table, Objects: s.Objects, Unreadable: func(name string, err error) {
+		d.Faults = append(d.Faults, Violation{Kind: UnreadableRow, Detail: name + ": " + err.Error()})
+	}}
+	for r, err := range reader.Records(ctx, ledger.Query{}) {
+		if err != nil {
+			return err
+		}
+		d.Records = append(d.Records, r)
+	}
+	return nil
 }
 
 // scan decodes all rows with the prefix and passes each with the rest of its
--- a/internal/cli/admin_operations.go
+++ b/internal/cli/admin_operations.go
@@ -11,15 +11,18 @@
 )
 
 type ledgerCmd struct {
-	Team    string `help:"Team."`
-	Request string `help:"Request id."`
-	Limit   int    `help:"Most records to print." default:"1000"`
-	Format  string `help:"table, csv or jsonl." enum:"table,csv,jsonl" default:"table"`
+	Team    string    `help:"Team."`
+	Request string    `help:"Request id."`
+	From    time.Time `help:"Only runs that ended at this time or later, such as 2026-01-31T12:00:00Z."`
+	To      time.Time `help:"Only runs that ended before this time."`
+	Cursor  string    `help:"Go on after the page that named this cursor."`
+	Limit   int       `help:"Most records to print." default:"1000"`
+	Format  string    `help:"table, csv or jsonl." enum:"table,csv,jsonl" default:"table"`
 }
 
 // Run prints run records, latest first.
 func (c ledgerCmd) Run(s *session, streams *Streams) error {
-	q := admin.LedgerQuery{Team: c.Team, RequestID: c.Request, Limit: c.Limit}
+	q := admin.LedgerQuery{Team: c.Team, RequestID: c.Request, From: c.From, To: c.To, Cursor: c.Cursor, Limit: c.Limit}
 	return s.run(streams, func() error {
 		if c.Format != "table" {
 			data, err := s.client.LedgerExport(s.ctx, q, c.Format)
@@ -45,7 +48,7 @@
 	}
 	row(w, "TOTAL", "", "", "", "", "", "", "", "", l.Billed, l.Lost)
 	if l.More {
-		row(w, "The limit cuts the list; the totals cover the records shown.")
+		row(w, "The limit cuts the list; the totals cover the records shown. Go on with --cursor="+l.Next)
 	}
 }
 
--- a/internal/cli/books.go
+++ b/internal/cli/books.go
@@ -30,7 +30,7 @@
 	client := platform.NewClient(platform.Options{BaseURL: c.Platform, Timeout: booksCallTimeout})
 	defer client.Close()
 	data, found, err := books.Settled(ctx, books.Sources{
-		Table: client, Engines: c.Engine, Services: c.Service, Answers: c.Answers,
+		Table: client, Objects: client, Engines: c.Engine, Services: c.Service, Answers: c.Answers,
 	}, c.SettleTimeout)
 	if err != nil {
 		return err
--- a/internal/cli/router.go
+++ b/internal/cli/router.go
@@ -43,6 +43,7 @@
 	r := router.New(router.Options{
 		Settings: cfg,
 		Table:    client,
+		Objects:  client,
 		Hosts:    client,
 		Logger:   log,
 		Clock:    clock,
--- a/internal/core/member/rows.go
+++ b/internal/core/member/rows.go
@@ -1,6 +1,8 @@
 // Package member holds the rows and views of routers and targets.
 package member
 
+import "time"
+
 // Key prefixes of the table rows.
 const (
 	HolderPrefix  = "holder/"
@@ -26,6 +28,20 @@
 	RPCAddr     string `json:"rpc_addr"`  // for other routers
 	HTTPAddr    string `json:"http_addr"` // for callers and operators
 	Renewed     int64  `json:"renewed"`   // unix time in microseconds, for display only
+	// Closed is the unix time in microseconds at which the row was closed, by
+	// the clock of the router that closed it; 0 if it is not.
+	Closed int64 `json:"closed,omitempty"`
+}
+
+// ClosedRetention is how long the row of a closed holder is kept. Keys of
+// requests, and with them repeats that name the holder, are kept for 24 h; one
+// more hour covers the difference between the clocks of two hosts.
+const ClosedRetention = 25 * time.Hour
+
+// Disposable reports whether the row of a closed holder without segment rows
+// may be deleted, because no message of the holder can still be under way.
+func (h HolderRow) Disposable(now time.Time) bool {
+	return h.State == HolderClosed && h.Closed > 0 && now.Sub(time.UnixMicro(h.Closed)) > ClosedRetention
 }
 
 // SidecarRow is the value of a row sidecar/<target>.
--- a/internal/dev/parts.go
+++ b/internal/dev/parts.go
@@ -113,6 +113,7 @@
 	r := router.New(router.Options{
 		Settings: cfg,
 		Table:    client,
+		Objects:  client,
 		Hosts:    client,
 		Logger:   f.log,
 		Clock:    clock,
--- a/internal/escrow/manager.go
+++ b/internal/escrow/manager.go
@@ -12,6 +12,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"tarragonridge.example/tarragonridge/internal/archive"
 	"tarragonridge.example/tarragonridge/internal/core/budget"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
@@ -77,6 +78,7 @@
 	Peers        Peers                 // nil: no router is asked
 	Durable      func([]ledger.Record) // called with records that are stored; may be nil
 	Fencer       Fencer                // nil: this router recovers no others
+	Objects      archive.Objects       // archived segments; may be nil if nothing is archived
 }
 
 func (o Options) withDefaults() Options {
@@ -173,6 +175,14 @@
 	return m.inc.id
 }
 
+// Stored returns the current incarnation and the number of its last segment
+// that is known to be stored.
+func (m *Manager) Stored() (holder string, lastSeq int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.inc.id, m.inc.segment
+}
+
 // Ready reports whether the incarnation is registered and serves.
 func (m *Manager) Ready() bool {
 	m.mu.Lock()
--- a/internal/escrow/recover.go
+++ b/internal/escrow/recover.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"tarragonridge.example/tarragonridge/internal/archive"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
 	"tarragonridge.example/tarragonridge/internal/core/member"
@@ -98,30 +99,83 @@
 // missing returns the records that are in none of the holder's segments, by
 // team.
 func (c *closing) missing(ctx context.Context) (map[string][]ledger.Record, error) {
+	open := map[string]ledger.Record{} // by run id
+	for _, r := range c.records {
+		if r.Holder == c.holder.Incarnation {
+			open[r.RunID] = r
+		}
+	}
+	if err := c.dropStored(ctx, open); err != nil {
+		return nil, err
+	}
+	if err := c.dropArchived(ctx, open); err != nil {
+		return nil, err
+	}
+	missing := map[string][]ledger.Record{}
+	for _, id := range slices.Sorted(maps.Keys(open)) {
+		r := open[id]
+		missing[r.Team] = append(missing[r.Team], r)
+	}
+	return missing, nil
+}
+
+// dropStored removes the records that are in a row.
+func (c *closing) dropStored(ctx context.Context, open map[string]ledger.Record) error {
 	rows, err := platform.ScanAll(ctx, c.m.opt.Table, ledger.HolderPrefix(c.holder.Incarnation))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	known := map[string]bool{}
 	for _, row := range rows {
 		var s ledger.Segment
 		if err := decode(row, &s); err != nil {
-			return nil, err
+			return err
 		}
 		c.lastSeq = max(c.lastSeq, s.Seq)
 		for _, r := range s.Records {
-			known[r.RunID] = true
+			delete(open, r.RunID)
 		}
 	}
-	missing := map[string][]ledger.Record{}
-	for _, r := range c.records {
-		if known[r.RunID] || r.Holder != c.holder.Incarnation {
+	return nil
+}
+
+// dropArchived removes the records that are in an object. The index is read
+// after the rows, because a paused router that resumes may still archive its
+// segments. Objects are selected by team and not by time, so that no difference
+// between clocks can book a run twice. Without the object store the recovery
+// waits, unless no record is left to look for.
+func (c *closing) dropArchived(ctx context.Context, open map[string]ledger.Record) error {
+	reader := archive.Reader{Table: c.m.opt.Table, Objects: c.m.opt.Objects}
+	var newest []ledger.Archive
+	for index, err := range reader.Index(ctx, c.holder.Incarnation) {
+		if err != nil {
+			return err
+		}
+		c.lastSeq = max(c.lastSeq, index.Last)
+		newest = append(newest, index)
+	}
+	slices.Reverse(newest)
+	for _, index := range newest {
+		if !mayHold(index, open) {
 			continue
 		}
-		known[r.RunID] = true
-		missing[r.Team] = append(missing[r.Team], r)
+		for id, err := range reader.RunIDs(ctx, index) {
+			if err != nil {
+				return err
+			}
+			delete(open, id)
+		}
 	}
-	return missing, nil
+	return nil
+}
+
+// mayHold reports whether the object can hold one of the records.
+func mayHold(index ledger.Archive, open map[string]ledger.Record) bool {
+	for _, r := range open {
+		if index.Teams[r.Team].Records > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // closePart closes the grants of one transaction and removes their records
@@ -181,6 +235,7 @@
 func (c *closing) closeRow(ctx context.Context) error {
 	key := holderKey(c.holder.Incarnation)
 	c.holder.State = member.HolderClosed
+	c.holder.Closed = c.m.opt.Clock().UnixMicro()
 	return c.commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: key, Version: c.version}},
 		Puts:       []platform.Put{{Key: key, Value: encode(c.holder)}},
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -14,9 +13,9 @@
 
 	"tarragonridge.example/tarragonridge/internal/admin"
 	"tarragonridge.example/tarragonridge/internal/adminapi"
+	"tarragonridge.example/tarragonridge/internal/archive"
 	"tarragonridge.example/tarragonridge/internal/core/budget"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
-	"tarragonridge.example/tarragonridge/internal/core/ledger"
 	"tarragonridge.example/tarragonridge/internal/core/member"
 	"tarragonridge.example/tarragonridge/internal/core/policy"
 	"tarragonridge.example/tarragonridge/internal/escrow"
@@ -30,7 +29,7 @@
 	adminapi.Register(e, adminapi.Deps{
 		Config:        r.config,
 		Budgets:       budgetAdmin{r.escrow},
-		Ledger:        ledgerAdmin{r.table},
+		Ledger:        ledgerAdmin{archive.Reader{Table: r.table, Objects: r.opts.Objects}},
 		Targets:       targetAdmin{r},
 		Timeline:      timelineAdmin{r},
 		Confirmations: r.confirmations,
@@ -61,51 +60,6 @@
 	return admin.Budget{ToppedUp: a.ToppedUp, Settled: a.Settled(), Held: a.Held(), Left: a.Left()}
 }
 
-// ledgerAdmin implements adminapi.Ledger.
-type ledgerAdmin struct{ table platform.Table }
-
-// Records implements adminapi.Ledger.
-func (l ledgerAdmin) Records(ctx context.Context, team, requestID string, limit int) ([]admin.Entry, error) {
-	rows, err := platform.ScanAll(ctx, l.table, ledgerPrefix)
-	if err != nil {
-		return nil, err
-	}
-	var records []ledger.Record
-	for _, row := range rows {
-		var seg ledger.Segment
-		if err := json.Unmarshal(row.Value, &seg); err != nil {
-			return nil, errkind.Wrap(err, errkind.Internal, "segment %s is not readable", row.Key)
-		}
-		records = append(records, seg.Records...)
-	}
-	entries := entriesOf(records, team, requestID)
-	slices.SortFunc(entries, func(a, b admin.Entry) int { return cmp.Compare(b.EndedUS, a.EndedUS) })
-	return entries[:min(limit, len(entries))], nil
-}
-
-// entriesOf splits the charge of each record into what is billed and what is
-// lost.
-func entriesOf(records []ledger.Record, team, requestID string) []admin.Entry {
-	billed := map[string]bool{}
-	for _, b := range ledger.Fold(records).Bills {
-		billed[b.RunID] = true
-	}
-	var entries []admin.Entry
-	for _, rec := range records {
-		if (team != "" && rec.Team != team) || (requestID != "" && rec.RequestID != requestID) {
-			continue
-		}
-		entry := admin.Entry{Record: rec, Lost: rec.Charged}
-		if billed[rec.RunID] {
-			entry.Billed, entry.Lost = rec.Charged, 0
-		}
-		entries = append(entries, entry)
-	}
-	return entries
-}
-
-const ledgerPrefix = "ledger/"
-
 // targetAdmin implements adminapi.Targets.
 type targetAdmin struct{ r *Router }
 
--- a/internal/router/process.go
+++ b/internal/router/process.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"tarragonridge.example/tarragonridge/internal/archive"
 	"tarragonridge.example/tarragonridge/internal/claims"
 	"tarragonridge.example/tarragonridge/internal/configstore"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
@@ -87,6 +88,7 @@
 	group.Go(func() error { r.watchMembers(groupCtx); return nil })
 	group.Go(func() error { r.refreshOnHint(groupCtx); return nil })
 	group.Go(func() error { r.keepVerdicts(groupCtx); return nil })
+	group.Go(func() error { r.archiveLedger(groupCtx); return nil })
 	group.Go(func() error { return serveHTTP(srv, r.limited(r.listeners.Callers)) })
 	group.Go(func() error { r.adoptFromPeers(groupCtx); return nil })
 	if r.listeners.Metrics != nil {
@@ -131,9 +133,21 @@
 		Peers:   r.peers,
 		Durable: r.recordsDurable,
 		Fencer:  fencer{r},
+		Objects: r.opts.Objects,
 	}
 }
 
+// archiveLedger moves old segments to the object store.
+func (r *Router) archiveLedger(ctx context.Context) {
+	if r.opts.Objects == nil {
+		return
+	}
+	archive.New(archive.Options{
+		Table: r.table, Objects: r.opts.Objects, Own: r.escrow.Stored,
+		Age: r.opts.Settings.ArchiveAfter(), Logger: r.opts.Logger,
+	}).Run(ctx)
+}
+
 // stopTimeout bounds a graceful stop. It exceeds the longest answers, so that
 // only a caller that has stopped reading is cut off.
 const stopTimeout = 10 * time.Minute
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/archive"
 	"tarragonridge.example/tarragonridge/internal/claims"
 	"tarragonridge.example/tarragonridge/internal/configstore"
 	"tarragonridge.example/tarragonridge/internal/core/admit"
@@ -35,8 +36,9 @@
 // Options configures a router.
 type Options struct {
 	Settings settings.Router
-	Table    platform.Table // direct path to the platform's table
-	Hosts    HostLister     // nil disables the host list
+	Table    platform.Table  // direct path to the platform's table
+	Objects  archive.Objects // archived ledger segments; nil disables archiving
+	Hosts    HostLister      // nil disables the host list
 	Logger   *slog.Logger
 	Timeline *timeline.Ring
 	Clock    *hlc.Clock
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -17,6 +17,7 @@
 	maxBytes         = 1 << 30
 	maxCount         = 1 << 20
 	maxRetainS       = 7 * 24 * 3600
+	maxArchiveAfterS = 24 * 3600
 	maxNameLength    = 64
 	wantListen       = `IP:port, such as "127.0.0.1:8080"`
 	wantPeer         = "IP:port with a port from 1 to 65535"
@@ -74,6 +75,7 @@
 		r.peer(fmt.Sprintf("peers[%d]", i), p)
 	}
 	r.checkOperators(s.Operators)
+	r.within("archive_after_s", s.ArchiveAfterS, 1, maxArchiveAfterS)
 	r.checkRouterLimits(s.Limits)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,9 +36,13 @@
 	Peers         []string     `json:"peers"`                      // rpc addresses of routers to contact first
 	Operators     []Operator   `json:"operators" check:"required"` // written into version 1 of an empty table only
 	Limits        RouterLimits `json:"limits"`
-	LogLevel      string       `json:"log_level"` // debug, info, warn or error; default info
+	ArchiveAfterS int64        `json:"archive_after_s"` // age at which ledger segments move to the object store; default 600
+	LogLevel      string       `json:"log_level"`       // debug, info, warn or error; default info
 }
 
+// ArchiveAfter returns the age at which ledger segments are archived.
+func (r Router) ArchiveAfter() time.Duration { return time.Duration(r.ArchiveAfterS) * time.Second }
+
 // RouterListen holds the addresses of a router. Port 0 picks a free port.
 type RouterListen struct {
 	Callers string `json:"callers" check:"required"` // HTTP for callers and operators
@@ -117,7 +121,8 @@
 			BodyBytes: 4 << 20, HeaderBytes: 32 << 10, Connections: 4096,
 			ReadHeaderTimeoutMS: 5000, ReadTimeoutMS: 30000, IdleTimeoutMS: 120000,
 		},
-		LogLevel: "info",
+		ArchiveAfterS: 600,
+		LogLevel:      "info",
 	}
 }
 
