--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -51,6 +51,7 @@
 // Several archivers may work at once.
 type Archiver struct {
 	opt    Options
+	most   int             // segments of an object
 	done   map[string]bool // closed holders without a segment row
 	budget int             // objects that the current round may still write
 }
@@ -66,7 +67,7 @@
 	if opt.Logger == nil {
 		opt.Logger = slog.Default()
 	}
-	return &Archiver{opt: opt, done: map[string]bool{}}
+	return &Archiver{opt: opt, most: maxSegments, done: map[string]bool{}}
 }
 
 // Run archives until the context ends.
@@ -107,7 +108,7 @@
 func (a *Archiver) rule(holder string, last, endedBefore int64) ledger.PackRule {
 	return ledger.PackRule{
 		Holder: holder, LastSeq: last, EndedBefore: endedBefore,
-		MaxSegments: maxSegments, MaxBytes: maxObjectLines,
+		MaxSegments: a.most, MaxBytes: maxObjectLines,
 	}
 }
 
--- a/internal/archive/object.go
+++ b/internal/archive/object.go
@@ -30,7 +30,8 @@
 // every object that is written, because a row has at most 16 MiB.
 const maxObjectBytes = 32 << 20
 
-// encoder writes one line of JSON per segment.
+// encoder writes one line of JSON per segment. Its compressor is made with the
+// first line, because it takes much memory and most rounds find nothing to do.
 type encoder struct {
 	buf    bytes.Buffer
 	zip    *gzip.Writer
@@ -38,12 +39,13 @@
 }
 
 func newEncoder() *encoder {
-	e := &encoder{digest: sha256.New()}
-	e.zip = gzip.NewWriter(&e.buf)
-	return e
+	return &encoder{digest: sha256.New()}
 }
 
 func (e *encoder) add(line []byte) error {
+	if e.zip == nil {
+		e.zip = gzip.NewWriter(&e.buf)
+	}
 	out := io.MultiWriter(e.zip, e.digest)
 	if _, err := out.Write(line); err != nil {
 		return err
@@ -52,7 +54,7 @@
 	return err
 }
 
-// finish returns the object and the digest of its lines.
+// finish returns the object of at least one line and the digest of its lines.
 func (e *encoder) finish() (data []byte, digest string, err error) {
 	if err := e.zip.Close(); err != nil {
 		return nil, "", err
