--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -273,7 +273,9 @@
 	record := func(key string) ledger.Record {
 		return ledger.Record{Identity: ledger.Identity{Team: "a", Key: key}, Charged: 5}
 	}
-	f.entries = []admin.Entry{{Record: record("=1+1"), Billed: 5}, {Record: record("k2"), Lost: 5}}
+	first := record("=1+1")
+	first.RunID = "run1"
+	f.entries = []admin.Entry{{Record: first, Billed: 5}, {Record: record("k2"), Lost: 5}}
 	l, err := f.client.Ledger(t.Context(), admin.LedgerQuery{Team: "a"})
 	assert.NilError(t, err)
 	assert.Assert(t, l.Billed == 5 && l.Lost == 5 && !l.More)
@@ -281,6 +283,17 @@
 	cut, err := f.client.Ledger(t.Context(), admin.LedgerQuery{Team: "a", Limit: 1})
 	assert.NilError(t, err)
 	assert.Assert(t, cut.More && len(cut.Entries) == 1)
+	from := time.Date(2026, 1, 31, 12, 0, 0, 1000, time.UTC)
+	_, err = f.client.Ledger(t.Context(), admin.LedgerQuery{Team: "a", From: from, To: from.Add(time.Hour), Cursor: cut.Next, Limit: 1})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, f.asked, adminapi.LedgerQuery{
+		Team: "a", FromUS: from.UnixMicro(), ToUS: from.Add(time.Hour).UnixMicro(), Limit: 2,
+		After: &ledger.Cursor{RunID: "run1"},
+	})
+	for _, bad := range []string{"from=yesterday", "to=1", "cursor=x"} {
+		status, _ := f.do(t, http.MethodGet, admin.BasePath+"/ledger?team=a&"+bad, operatorKey, "")
+		assert.Equal(t, status, 400, bad)
+	}
 	data, err := f.client.LedgerExport(t.Context(), admin.LedgerQuery{Team: "a"}, "csv")
 	assert.NilError(t, err)
 	rows, err := csv.NewReader(strings.NewReader(string(data))).ReadAll()
--- a/internal/escrow/faults_test.go
+++ b/internal/escrow/faults_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"tarragonridge.example/tarragonridge/internal/archive"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
 	"tarragonridge.example/tarragonridge/internal/core/member"
@@ -80,6 +81,43 @@
 	c.audit()
 }
 
+// Guards against a recovery that stores an archived record again, uses a
+// segment number again, or closes the holder without having read the archive.
+func TestRecoveryAfterArchiving(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2)
+	c.topUp(1000)
+	dead := c.nodes[0]
+	id := dead.Incarnation()
+	assert.NilError(t, c.run(dead, 50, 10, time.Second))
+	c.eventually("durable", func() bool { return c.keptRecords() == 0 })
+	dead.table.LoseAndFailOn(ledger.Prefix)
+	assert.NilError(t, c.run(dead, 50, 20, time.Second))
+	c.eventually("outage", dead.table.Down)
+	assert.NilError(t, c.run(dead, 50, 30, time.Second), "never flushed")
+	archiver := archive.New(archive.Options{
+		Table: c.memory, Objects: c.objects, Own: func() (string, int64) { return id, 2 }, Age: time.Nanosecond,
+	})
+	assert.NilError(t, archiver.Round(t.Context()))
+	rows, err := platform.ScanAll(t.Context(), c.memory, ledger.HolderPrefix(id))
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 0)
+	c.objects.down.Store(true)
+	dead.kill()
+	c.eventually("fenced", func() bool { return c.holder(id).State == member.HolderFenced })
+	time.Sleep(2 * testLease)
+	assert.Equal(t, c.holder(id).State, member.HolderFenced)
+	assert.Equal(t, c.keptRecords(), 2)
+	c.objects.down.Store(false)
+	c.eventually("closed", func() bool { return c.holder(id).State == member.HolderClosed })
+	assert.Assert(t, c.holder(id).Closed > 0)
+	rows, err = platform.ScanAll(t.Context(), c.memory, ledger.HolderPrefix(id))
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 1)
+	assert.Equal(t, rows[0].Key, ledger.Segment{Holder: id, Seq: 3}.Key())
+	c.audit()
+}
+
 // Guards against a draw of a fenced holder, whose grant nobody would recover.
 func TestFencedHolderCannotDraw(t *testing.T) {
 	t.Parallel()
--- a/internal/escrow/helpers_test.go
+++ b/internal/escrow/helpers_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"tarragonridge.example/tarragonridge/internal/archive"
 	"tarragonridge.example/tarragonridge/internal/core/budget"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
@@ -95,11 +97,46 @@
 	return p, nil
 }
 
+// fakeObjects is an object store with outages.
+type fakeObjects struct {
+	data sync.Map
+	down atomic.Bool
+}
+
+func (o *fakeObjects) check() error {
+	if o.down.Load() {
+		return errkind.New(errkind.PlatformUnavailable, "object store is down")
+	}
+	return nil
+}
+
+// PutObject implements archive.Objects.
+func (o *fakeObjects) PutObject(_ context.Context, key string, data []byte) error {
+	if err := o.check(); err != nil {
+		return err
+	}
+	o.data.Store(key, data)
+	return nil
+}
+
+// GetObject implements archive.Objects.
+func (o *fakeObjects) GetObject(_ context.Context, key string) ([]byte, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	data, ok := o.data.Load(key)
+	if !ok {
+		return nil, errkind.New(errkind.NotFound, "object %s", key)
+	}
+	return data.([]byte), nil
+}
+
 // cluster is a set of routers over one table and one sidecar.
 type cluster struct {
 	t       *testing.T
 	memory  *platform.Memory
 	sidecar *fakeSidecar
+	objects *fakeObjects
 	mu      sync.Mutex
 	nodes   []*node
 }
@@ -112,7 +149,7 @@
 }
 
 func newCluster(t *testing.T, routers int) *cluster {
-	c := &cluster{t: t, memory: platform.NewMemory(), sidecar: newSidecar()}
+	c := &cluster{t: t, memory: platform.NewMemory(), sidecar: newSidecar(), objects: &fakeObjects{}}
 	for i := range routers {
 		c.add(uint64(i + 1))
 	}
@@ -125,7 +162,7 @@
 		Table: n.table, Registration: Registration{Host: fmt.Sprint("host", seed)},
 		Logger:     slog.New(slog.NewTextHandler(io.Discard, nil)),
 		FlushEvery: testFlush, LeaseTimeout: testLease,
-		Peers: c, Durable: c.sidecar.durable, Fencer: c.sidecar,
+		Peers: c, Durable: c.sidecar.durable, Fencer: c.sidecar, Objects: c.objects,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -186,13 +223,11 @@
 // audit checks that the ledger, the account and the sidecar agree.
 func (c *cluster) audit() {
 	c.t.Helper()
-	rows, err := platform.ScanAll(context.Background(), c.memory, ledger.Prefix)
-	assert.NilError(c.t, err)
 	var records []ledger.Record
-	for _, row := range rows {
-		var s ledger.Segment
-		assert.NilError(c.t, decode(row, &s))
-		records = append(records, s.Records...)
+	reader := archive.Reader{Table: c.memory, Objects: c.objects}
+	for r, err := range reader.Records(context.Background(), ledger.Query{}) {
+		assert.NilError(c.t, err)
+		records = append(records, r)
 	}
 	account := c.account()
 	book := ledger.Fold(records)
