Read the newest objects first for a page of the ledger

It now stops at the objects that ended before the page, and looks for earlier attempts of requests without a key in 15 min instead of 25 h.

--- a/internal/archive/reader.go
+++ b/internal/archive/reader.go
@@ -1,9 +1,11 @@
 package archive
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"iter"
+	"slices"
 
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
 	"tarragonridge.example/tarragonridge/internal/platform"
@@ -29,8 +31,12 @@
 // seen as a row, or its index row was written before the index is read. The
 // keys of the rows seen tell which segments of an object were already yielded.
 func (r Reader) Records(ctx context.Context, q ledger.Query) iter.Seq2[ledger.Record, error] {
+	return r.records(ctx, q, nil)
+}
+
+func (r Reader) records(ctx context.Context, q ledger.Query, floor func() int64) iter.Seq2[ledger.Record, error] {
 	return func(yield func(ledger.Record, error) bool) {
-		for s, err := range r.segments(ctx, q) {
+		for s, err := range r.segments(ctx, q, floor) {
 			if err != nil {
 				yield(ledger.Record{}, err)
 				return
@@ -44,7 +50,14 @@
 	}
 }
 
-func (r Reader) segments(ctx context.Context, q ledger.Query) iter.Seq2[ledger.Segment, error] {
+// Latest yields the selected records like Records, but reads the objects whose
+// records ended last first, and none whose records ended before floor, which
+// may rise meanwhile.
+func (r Reader) Latest(ctx context.Context, q ledger.Query, floor func() int64) iter.Seq2[ledger.Record, error] {
+	return r.records(ctx, q, floor)
+}
+
+func (r Reader) segments(ctx context.Context, q ledger.Query, floor func() int64) iter.Seq2[ledger.Segment, error] {
 	return func(yield func(ledger.Segment, error) bool) {
 		seen := map[string]bool{}
 		for row, err := range scan(ctx, r.Table, rowPrefix(q)) {
@@ -58,12 +71,38 @@
 				return
 			}
 		}
-		for index, err := range r.index(ctx, indexPrefix(q)) {
+		for index, err := range r.matching(ctx, q, floor) {
 			if err != nil {
 				yield(ledger.Segment{}, err)
 				return
 			}
-			if q.MayHold(index) && !r.object(ctx, index, seen, yield) {
+			if !r.object(ctx, index, seen, yield) {
+				return
+			}
+		}
+	}
+}
+
+// matching yields the index rows whose objects may hold a selected record, in
+// key order without a floor.
+func (r Reader) matching(ctx context.Context, q ledger.Query, floor func() int64) iter.Seq2[ledger.Archive, error] {
+	return func(yield func(ledger.Archive, error) bool) {
+		var found []ledger.Archive
+		for index, err := range r.index(ctx, indexPrefix(q)) {
+			switch {
+			case err != nil:
+				yield(index, err)
+				return
+			case !q.MayHold(index):
+			case floor != nil:
+				found = append(found, index)
+			case !yield(index, nil):
+				return
+			}
+		}
+		slices.SortFunc(found, func(a, b ledger.Archive) int { return cmp.Compare(b.LastUS, a.LastUS) })
+		for _, index := range found {
+			if index.LastUS < floor() || !yield(index, nil) {
 				return
 			}
 		}
--- a/internal/core/ledger/page.go
+++ b/internal/core/ledger/page.go
@@ -9,13 +9,25 @@
 	"time"
 )
 
-// RepeatWindow is how long after a billable run another run of the same
-// identity counts as its repeat, whose charge is lost. Keys are kept for 24 h;
-// one more hour covers the difference between clocks. With a bounded window,
-// the bill of a run depends on no record that ended much earlier, so a query
-// for a period need not read all records before it.
+// RepeatWindow is how long after a billable run another run of the same key
+// counts as its repeat, whose charge is lost. Keys are kept for 24 h; one more
+// hour covers the difference between clocks. With a bounded window, the bill of
+// a run depends on no record that ended much earlier, so a query for a period
+// need not read all records before it.
 const RepeatWindow = 25 * time.Hour
 
+// AttemptWindow is the same for a request without a key. Its runs are attempts
+// for one caller, whose answer takes less than 10 min.
+const AttemptWindow = 15 * time.Minute
+
+// repeatWindow returns the window of a run in microseconds.
+func repeatWindow(r Record) int64 {
+	if r.Key == r.RequestID {
+		return AttemptWindow.Microseconds()
+	}
+	return RepeatWindow.Microseconds()
+}
+
 // Cursor is the position of a record in the order latest first.
 type Cursor struct {
 	EndedUS int64
@@ -77,8 +89,19 @@
 	return p.records
 }
 
+// Floor returns the earliest end of a run that can still enter the page, in
+// unix microseconds. It rises while records are added.
+func (p *Page) Floor() int64 {
+	p.cut()
+	if len(p.records) < p.size {
+		return 0
+	}
+	return p.records[p.size-1].EndedUS
+}
+
 // Bills decides which of some runs are billed. A billable run is billed unless
-// an earlier billable run of its identity ended within RepeatWindow before it.
+// an earlier billable run of its identity ended within RepeatWindow, or for a
+// request without a key within AttemptWindow, before it.
 type Bills struct {
 	byIdentity map[Identity][]Record
 	repeats    map[string]bool // by run id
@@ -105,8 +128,8 @@
 			q.Teams = append(q.Teams, id.Team)
 		}
 		for _, r := range runs {
-			if !ok || r.EndedUS < first {
-				first = r.EndedUS
+			if from := r.EndedUS - repeatWindow(r); !ok || from < first {
+				first = from
 			}
 			if !ok || r.EndedUS > last {
 				last = r.EndedUS
@@ -114,7 +137,7 @@
 			ok = true
 		}
 	}
-	q.FromUS = max(0, first-RepeatWindow.Microseconds())
+	q.FromUS = max(0, first)
 	q.ToUS = last + 1
 	return q, ok
 }
@@ -125,7 +148,7 @@
 		return
 	}
 	for _, run := range b.byIdentity[r.Identity] {
-		if compareRuns(r, run) < 0 && run.EndedUS-r.EndedUS < RepeatWindow.Microseconds() {
+		if compareRuns(r, run) < 0 && run.EndedUS-r.EndedUS < repeatWindow(run) {
 			b.repeats[run.RunID] = true
 		}
 	}
--- a/internal/router/admin_ledger.go
+++ b/internal/router/admin_ledger.go
@@ -20,7 +20,7 @@
 // records that decide which runs of the page are billed.
 func (l ledgerAdmin) Records(ctx context.Context, q adminapi.LedgerQuery) ([]admin.Entry, error) {
 	page := ledger.NewPage(q.Limit, q.After)
-	for r, err := range l.reader.Records(ctx, recordQuery(q)) {
+	for r, err := range l.reader.Latest(ctx, recordQuery(q), page.Floor) {
 		if err != nil {
 			return nil, err
 		}
