Fill the standing share up with each flush

A router's standing share was taken with a draw only, so an outage that began after a few requests found it used up (pairs-outage-router: 503 for the first request of the outage). The flush that stores a run's record now also restores the share, in the same transaction, so it costs no commit.

--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -227,6 +227,22 @@
 	assert.Equal(t, h.WantReturn(now.Add(StandingPeriod+1)), int64(300))
 }
 
+// Guards against an outage of the table that begins when the standing share has
+// been used up.
+func TestStandingShareIsFilledUp(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h Holder
+	assert.Equal(t, h.WantRefill(now, 100_000), int64(0), "no request so far")
+	h.Demand(now, 100)
+	h.Begin(h.WantDraw(now, 100, 100_000), 0)
+	h.Confirm()
+	assert.Assert(t, h.Reserve(300))
+	h.Settle(300, 300)
+	assert.Equal(t, h.WantRefill(now.Add(time.Second), 100_000), int64(300))
+	assert.Equal(t, h.WantRefill(now.Add(time.Second), 3200), int64(0), "the budget is small")
+	assert.Equal(t, h.WantRefill(now.Add(StandingPeriod+1), 100_000), int64(0))
+}
+
 // Guards against operations that an account must reject.
 func TestAccountRejects(t *testing.T) {
 	a, err := Account{}.TopUp(100)
--- a/internal/core/budget/holder.go
+++ b/internal/core/budget/holder.go
@@ -168,11 +168,27 @@
 	if need > left {
 		return 0
 	}
-	h.standing = min(standingRequests*h.largest, left/standingDivisor)
+	h.standing = h.standingShare(left)
 	ahead := min(h.target(now)-h.Available(), left/leftDivisor)
 	return max(need, ahead, h.standing-h.Available(), 0)
 }
 
+// WantRefill returns the tokens that the standing share lacks, given the
+// account's Left.
+func (h *Holder) WantRefill(now time.Time, left int64) int64 {
+	if now.Sub(h.demandSeen) > StandingPeriod {
+		return 0
+	}
+	h.standing = h.standingShare(left)
+	return max(0, h.standing-h.Available())
+}
+
+// standingShare is the share to keep for outages of the table. Of a small budget
+// it is little, because the routers' shares add up.
+func (h *Holder) standingShare(left int64) int64 {
+	return min(standingRequests*h.largest, left/standingDivisor)
+}
+
 // WantReturn returns the idle share to give back: everything beyond the
 // standing share if there was no demand for IdlePeriod, otherwise what has
 // exceeded the share to keep for that long, so that small changes in demand
--- a/internal/escrow/flush.go
+++ b/internal/escrow/flush.go
@@ -191,7 +191,7 @@
 		Puts:       []platform.Put{own, {Key: f.segment.Key(), Value: encode(f.segment)}},
 	}
 	for _, t := range f.teams {
-		next := t.holder.Begin(-t.idleShare(m.opt.Clock()), f.settle[t.name])
+		next := t.holder.Begin(t.flushDelta(m.opt.Clock()), f.settle[t.name])
 		account, err := t.cached.account.SetGrant(inc.id, next.Seq, next.Granted, next.Settled)
 		if err != nil {
 			return platform.Txn{}, err
@@ -203,14 +203,19 @@
 	return txn, nil
 }
 
-// idleShare returns what a flush gives back of a team's share. For a team with
-// few requests the end of a run is also the end of the demand, and the return
-// in the same transaction saves a write per request. m.mu is held.
-func (t *team) idleShare(now time.Time) int64 {
+// flushDelta returns the change of a team's grant that a flush takes along. It
+// gives idle share back: for a team with few requests the end of a run is also
+// the end of the demand, and the return in the same transaction saves a write per
+// request. Or it fills the standing share up again, which the run has used. m.mu
+// is held.
+func (t *team) flushDelta(now time.Time) int64 {
 	if len(t.waiters) > 0 {
 		return 0
 	}
-	return t.holder.WantReturn(now)
+	if idle := t.holder.WantReturn(now); idle > 0 {
+		return -idle
+	}
+	return t.holder.WantRefill(now, t.cached.account.Left())
 }
 
 // fill reads the account of a team unless it is cached.
