--- a/internal/router/submit_test.go
+++ b/internal/router/submit_test.go
@@ -52,3 +52,15 @@
 		assert.Equal(t, errkind.Of(last), c.want, "%v", c.attempts)
 	}
 }
+
+// Guards against a refusal although the only target is idle: a run that was lost
+// with its connection must not rule the target out.
+func TestLostRunDoesNotRuleItsTargetOut(t *testing.T) {
+	for kind, want := range map[errkind.Kind]bool{
+		errkind.Tombstoned: true, errkind.Fenced: true, errkind.StaleConfig: true,
+		errkind.TargetCrashed: false, errkind.TargetFailed: false, errkind.NoTarget: false, errkind.Draining: false,
+	} {
+		assert.Equal(t, blameless(attemptResult{err: errkind.New(kind, "refused"), retry: true}), want, "%s", kind)
+	}
+	assert.Assert(t, blameless(attemptResult{err: errkind.New(errkind.Overloaded, "full"), full: true}))
+}
--- a/internal/sidecar/execute.go
+++ b/internal/sidecar/execute.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
 	"tarragonridge.example/tarragonridge/internal/core/run"
+	"tarragonridge.example/tarragonridge/internal/rpc"
 	"tarragonridge.example/tarragonridge/internal/wire"
 )
 
@@ -28,6 +31,10 @@
 // of three runs.
 const capGrace = 5 * time.Millisecond
 
+// crashGrace lets the other runs of a crashed target read what it had sent them
+// before the crash ends them: tokens that are not read are not charged.
+const crashGrace = 50 * time.Millisecond
+
 // maxErrorBody bounds the error body of an engine that is passed on, in bytes.
 const maxErrorBody = 64 << 10
 
@@ -214,6 +221,7 @@
 		return failed(errkind.Wrap(err, errkind.TargetFailed, "engine sent an event above the limit"))
 	}
 	if !x.s.target.alive() {
+		sleep(context.Background(), crashGrace)
 		x.s.crash()
 	}
 	return run.Ending{Outcome: ledger.Crashed, Kind: x.lossKind(errkind.TargetCrashed), Detail: "connection to the target broke"}
@@ -278,12 +286,26 @@
 	}
 	s.load.healthy = false
 	s.wakePeers()
+	suspects := s.table.Suspects(ends)
+	routers := slices.Collect(maps.Keys(s.peers))
 	s.mu.Unlock()
+	s.tellSuspects(routers, suspects)
 	for _, end := range ends {
 		s.noteEnd(end, wire.StartRun{RunID: end.RunID, RequestID: end.Record.RequestID, Identity: end.Record.Identity})
 	}
 }
 
+// tellSuspects tells all routers of a crash, because the one that sent the
+// suspect may fail before it has told the others.
+func (s *Server) tellSuspects(routers []*rpc.Conn, suspects []wire.QuarantineReport) {
+	for _, report := range suspects {
+		report.Header = s.header()
+		for _, c := range routers {
+			go func() { _ = c.Notify(context.Background(), wire.MethodQuarantineReport, report) }()
+		}
+	}
+}
+
 // settle wakes the readers of an ended run and stops its execution. The
 // caller holds s.mu.
 func (s *Server) settle(end wire.End) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/hlc"
@@ -267,6 +268,12 @@
 	Team string `json:"team"`
 }
 
+// CrashID names the crash that ended a run. A sidecar ends all runs of a crash at
+// the same moment.
+func (e End) CrashID() string {
+	return e.Record.Sidecar + "/" + strconv.FormatInt(e.Record.EndedUS, 10)
+}
+
 // QuarantineReport tells a router about a request that crashed a target.
 type QuarantineReport struct {
 	Header
@@ -274,7 +281,9 @@
 	ContentHash string `json:"content_hash"`
 	RunID       string `json:"run_id"`
 	Target      string `json:"target"`
+	CrashID     string `json:"crash_id"` // the same for all runs that a crash ended
 	Alone       bool   `json:"alone"`
+	Cleared     bool   `json:"cleared,omitempty"` // the request has run well and is no suspect any more
 }
 
 // TimelineQuery asks for events of a process.
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -46,6 +46,11 @@
 			"stream":   command(cmdStream),
 			"fault":    command(cmdFault),
 			"books":    command(cmdBooks),
+
+			"traffic":     command(cmdTraffic),
+			"traffic-end": command(cmdTrafficEnd),
+
+			"broken-stream": command(cmdBrokenStream),
 		},
 	})
 }
@@ -59,6 +64,7 @@
 	waiting   map[string]*call  // calls in the background
 	last      *answer
 	answers   answerLog
+	traffic   map[string]*traffic // loads in the background
 }
 
 type worldKey struct{}
@@ -73,6 +79,7 @@
 		keys:      map[string]string{},
 		waiting:   map[string]*call{},
 		answers:   answerLog{path: env.WorkDir + "/answers.jsonl"},
+		traffic:   map[string]*traffic{},
 	}
 	env.Values[worldKey{}] = w
 	t := env.T()
