Add a tool that compares policies in series of runs

Policies could only be compared by starting processes by hand for each run. load experiment starts a fleet per cell on loopback, warms up its prefix caches, sends the same arrivals to each policy, and adds the engines' own counts and the findings of the audit to the result. dev takes the size of the fleet for it.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -16,9 +16,10 @@
 
 // loadCmd generates load and compares results.
 type loadCmd struct {
-	Send     loadSendCmd     `cmd:"" default:"withargs" help:"Send load and write its figures."`
-	Report   loadReportCmd   `cmd:"" help:"Compare results in a table and a plot."`
-	Overhead loadOverheadCmd `cmd:"" help:"Measure what router and sidecar add to a direct connection."`
+	Send       loadSendCmd       `cmd:"" default:"withargs" help:"Send load and write its figures."`
+	Report     loadReportCmd     `cmd:"" help:"Compare results in a table and a plot."`
+	Experiment loadExperimentCmd `cmd:"" help:"Compare policies in a series of runs on loopback."`
+	Overhead   loadOverheadCmd   `cmd:"" help:"Measure what router and sidecar add to a direct connection."`
 }
 
 // loadSendCmd is one run of the load generator.
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -1,8 +1,10 @@
 package dev
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -25,8 +27,10 @@
 // Fleet is the running process.
 type Fleet struct {
 	log     *slog.Logger
-	addr    string // of the router for callers
-	table   string // base URL of the platform
+	opts    Options
+	callers []string // addresses of the routers for callers
+	peers   []string // rpc addresses of the routers
+	table   string   // base URL of the platform
 	engines []*engine.Server
 	targets []target
 	stops   []func() error // run in reverse order
@@ -35,8 +39,10 @@
 
 // target is a stand-in that gets a sidecar.
 type target struct {
-	id  string
-	url string
+	id     string
+	url    string
+	domain string
+	relay  string // base URL of the forwarder's control; empty without one
 	// One of the two is set.
 	model   string
 	service string
@@ -48,30 +54,23 @@
 	if err := opts.Validate(); err != nil {
 		return nil, err
 	}
-	f := &Fleet{log: opts.Logger, failed: make(chan error, 1)}
-	if err := f.start(ctx, opts); err != nil {
+	f := &Fleet{log: opts.Logger, opts: opts, failed: make(chan error, 1)}
+	if err := f.start(ctx); err != nil {
 		return nil, errors.Join(err, f.Stop())
 	}
 	return f, nil
 }
 
-func (f *Fleet) start(ctx context.Context, opts Options) error {
+func (f *Fleet) start(ctx context.Context) error {
 	// The callers' address comes first, because it is the one that may be taken.
-	callers, err := net.Listen("tcp", opts.Listen)
+	callers, err := net.Listen("tcp", f.opts.Listen)
 	if err != nil {
 		return err
 	}
-	f.addr = callers.Addr().String()
-	if err := f.startStandins(); err != nil {
+	if err := f.startTargets(ctx); err != nil {
 		return errors.Join(err, callers.Close())
 	}
-	if err := f.configure(ctx); err != nil {
-		return errors.Join(err, callers.Close())
-	}
-	if err := f.startSidecars(); err != nil {
-		return errors.Join(err, callers.Close())
-	}
-	if err := f.startRouter(callers); err != nil {
+	if err := f.startRouters(callers); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
@@ -82,8 +81,53 @@
 	return f.topUp(ctx)
 }
 
-// URL returns the base URL for callers and operators.
-func (f *Fleet) URL() string { return "http://" + f.addr }
+func (f *Fleet) startTargets(ctx context.Context) error {
+	if err := f.startStandins(); err != nil {
+		return err
+	}
+	if err := f.configure(ctx); err != nil {
+		return err
+	}
+	return f.startSidecars()
+}
+
+// URL returns the base URL of the first router for callers and operators.
+func (f *Fleet) URL() string { return f.URLs()[0] }
+
+// URLs returns the base URLs of all routers.
+func (f *Fleet) URLs() []string {
+	var out []string
+	for _, addr := range f.callers {
+		out = append(out, "http://"+addr)
+	}
+	return out
+}
+
+// PlatformURL returns the base URL of the platform.
+func (f *Fleet) PlatformURL() string { return f.table }
+
+// ServiceURLs returns the base URLs of the services' own endpoints.
+func (f *Fleet) ServiceURLs() []string {
+	var out []string
+	for _, t := range f.targets {
+		if t.service != "" {
+			out = append(out, t.url)
+		}
+	}
+	return out
+}
+
+// RelayURLs returns the control URLs of the forwarders in front of a failure
+// domain's sidecars, or of all sidecars if the domain is empty.
+func (f *Fleet) RelayURLs(domain string) []string {
+	var out []string
+	for _, t := range f.targets {
+		if (domain == "" || t.domain == domain) && t.relay != "" {
+			out = append(out, t.relay)
+		}
+	}
+	return out
+}
 
 // EngineURLs returns the base URLs of the engines' own endpoints.
 func (f *Fleet) EngineURLs() []string {
@@ -143,24 +187,26 @@
 	if f.table, err = f.serve(server); err != nil {
 		return err
 	}
-	for i, id := range []string{"engine-1", "engine-2"} {
-		if err := f.startEngine(id, uint64(i+1)); err != nil {
+	for i, opts := range f.opts.Engines {
+		if err := f.startEngine(fmt.Sprintf("engine-%d", i+1), opts); err != nil {
 			return err
 		}
 	}
-	url, err := f.serve(service.New(f.log))
-	if err != nil {
-		return err
+	for _, name := range f.opts.Services {
+		url, err := f.serve(service.New(f.log))
+		if err != nil {
+			return err
+		}
+		f.targets = append(f.targets, target{id: name + "-1", url: url, domain: domain, service: name})
 	}
-	f.targets = append(f.targets, target{id: "submissions-1", url: url, service: Service})
 	return nil
 }
 
-func (f *Fleet) startEngine(id string, seed uint64) error {
-	config := engine.DefaultConfig()
+func (f *Fleet) startEngine(id string, opts EngineOptions) error {
+	config := opts.Config
+	config.Listen = anyPort
 	config.Model = Model
 	config.Logger = f.log
-	config.Sim.Seed = seed
 	server, err := engine.Start(config)
 	if err != nil {
 		return err
@@ -171,7 +217,7 @@
 		return server.Shutdown(ctx)
 	})
 	f.engines = append(f.engines, server)
-	f.targets = append(f.targets, target{id: id, url: server.URL(), model: Model})
+	f.targets = append(f.targets, target{id: id, url: server.URL(), domain: cmp.Or(opts.Domain, domain), model: Model})
 	return nil
 }
 
--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,291 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tarragonridge.example/tarragonridge/internal/books"
+	"tarragonridge.example/tarragonridge/internal/core/policy"
+	"tarragonridge.example/tarragonridge/internal/dev"
+	"tarragonridge.example/tarragonridge/internal/load"
+	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/standin/engine"
+)
+
+const (
+	settleLimit     = 10 * time.Second // until the records of ended runs are stored
+	defaultPriority = 6
+	timeoutMS       = 120_000
+	warmUpSeed      = 1 << 32 // added to the seed, so that warm-up and measured requests differ
+)
+
+// mixServices are the services that a mix calls.
+var mixServices = map[string][]string{
+	load.MixAssay: {"submissions"},
+	load.MixLeaf:  {"auction"},
+}
+
+// Shard selects every Of-th cell of a series from the Index-th on, so that
+// several processes can share a series.
+type Shard struct {
+	Index int // from 0
+	Of    int // at least 1
+}
+
+// Run measures the cells of the shard and saves each result in dir. It returns
+// them in order, with the errors of cells that failed. Notes of the progress go
+// to out.
+func Run(ctx context.Context, s *Spec, shard Shard, dir string, out io.Writer) ([]*Result, error) {
+	if shard.Of < 1 || shard.Index < 0 || shard.Index >= shard.Of {
+		return nil, eris.Errorf("experiment: there is no shard %d of %d", shard.Index, shard.Of)
+	}
+	capacity, err := s.capacity(ctx, out)
+	if err != nil {
+		return nil, err
+	}
+	var results []*Result
+	var errs []error
+	for i, c := range s.cells() {
+		if i%shard.Of != shard.Index || ctx.Err() != nil {
+			continue
+		}
+		result, err := s.measure(ctx, c, capacity)
+		if err == nil {
+			err = result.Save(dir)
+		}
+		if err != nil {
+			fmt.Fprintf(out, "%s failed: %v\n", c.name(s.Name), err)
+			errs = append(errs, eris.Wrapf(err, "cell %s", c.name(s.Name)))
+			continue
+		}
+		fmt.Fprintln(out, result.line())
+		results = append(results, result)
+	}
+	return results, errors.Join(errs...)
+}
+
+func (c cell) name(series string) string {
+	return fmt.Sprintf("%s-%s-%s-%g-%d", series, c.situation.Name, c.policy.Name, c.level, c.seed)
+}
+
+// capacity halves the interval until the steps are used up and returns the
+// highest rate that has met the limit.
+func (s *Spec) capacity(ctx context.Context, out io.Writer) (float64, error) {
+	if s.Capacity.PerSecond > 0 {
+		return s.Capacity.PerSecond, nil
+	}
+	low, high := s.Capacity.Low, s.Capacity.High
+	met := false
+	for range s.Capacity.Steps {
+		rate := math.Sqrt(low * high)
+		c := cell{policy: s.Capacity.Policy, level: 1, situation: Situation{Name: "capacity"}, seed: s.Seeds[0]}
+		result, err := s.measure(ctx, c, rate)
+		if err != nil {
+			return 0, eris.Wrap(err, "capacity")
+		}
+		p95 := result.All.FirstToken.P95MS
+		fmt.Fprintf(out, "capacity rate=%.1f ttft_p95_ms=%.0f refused=%d\n", rate, p95, result.All.Counts.Refused)
+		if p95 <= s.Capacity.LimitMS && result.All.Counts.Refused == 0 {
+			low, met = rate, true
+		} else {
+			high = rate
+		}
+	}
+	if !met {
+		return 0, eris.Errorf("no rate from %g per second on meets the limit", s.Capacity.Low)
+	}
+	fmt.Fprintf(out, "capacity per_second=%.1f\n", low)
+	return low, nil
+}
+
+// measure starts a fleet, warms it up, measures, and stops it.
+func (s *Spec) measure(ctx context.Context, c cell, capacity float64) (result *Result, err error) {
+	fleet, err := dev.Start(ctx, s.options(c))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, fleet.Stop()) }()
+	if err := s.warmUp(ctx, fleet, c, capacity); err != nil {
+		return nil, err
+	}
+	before, err := readCounts(ctx, fleet)
+	if err != nil {
+		return nil, err
+	}
+	config, err := s.loadConfig(fleet, c, capacity)
+	if err != nil {
+		return nil, err
+	}
+	figures, err := load.Run(ctx, config)
+	if err != nil {
+		return nil, err
+	}
+	if err := repair(ctx, fleet); err != nil {
+		return nil, err
+	}
+	result = &Result{
+		Name: c.name(s.Name), Policy: c.policy.Name, Situation: c.situation.Name,
+		Level: c.level, Capacity: capacity, Result: figures,
+	}
+	return result, s.audit(ctx, fleet, before, result)
+}
+
+func (s *Spec) options(c cell) dev.Options {
+	opts := dev.Options{
+		Listen:  "127.0.0.1:0",
+		Logger:  slog.New(slog.DiscardHandler),
+		Routers: s.Fleet.Routers,
+		Relayed: c.situation.relayed(),
+	}
+	parameters := s.Fleet.Engine
+	if c.situation.LoadLagMS > 0 {
+		parameters.LoadLagMS = c.situation.LoadLagMS
+	}
+	for i := range s.Fleet.Engines {
+		config := engine.DefaultConfig()
+		config.Sim = parameters.sim(uint64(i + 1))
+		domain := fmt.Sprintf("domain-%d", i%s.Fleet.Domains+1)
+		opts.Engines = append(opts.Engines, dev.EngineOptions{Domain: domain, Config: config})
+	}
+	opts.Services = s.Fleet.Services
+	if opts.Services == nil {
+		opts.Services = mixServices[s.Load.Mix]
+	}
+	for _, t := range s.credentials() {
+		opts.Teams = append(opts.Teams, dev.TeamOptions{Name: t.Team, Key: t.Key, Budget: s.Fleet.Budget})
+	}
+	opts.Configure = func(d *policy.Document) { s.configure(d, c.policy) }
+	return opts
+}
+
+// configure gives each kind of the mix its workload. The policy was checked when
+// the series was read.
+func (s *Spec) configure(d *policy.Document, p Policy) {
+	for _, kind := range load.Kinds(s.Load.Mix) {
+		priority, given := s.Fleet.Priorities[kind]
+		if !given {
+			priority = defaultPriority
+		}
+		d.Workloads[kind] = policy.Workload{Priority: priority, TimeoutMS: timeoutMS}
+	}
+	_ = p.apply(d)
+}
+
+func (s *Spec) credentials() []load.Credential {
+	var teams []load.Credential
+	for i := range s.Fleet.Teams {
+		name := fmt.Sprintf("team-%02d", i+1)
+		teams = append(teams, load.Credential{Team: name, Key: "key-" + name})
+	}
+	return teams
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// baseLoad is the part of the load that warm-up and measured time share.
+func (s *Spec) baseLoad(fleet *dev.Fleet, c cell) load.Config {
+	config := load.DefaultConfig()
+	config.Targets = fleet.URLs()
+	config.Model = dev.Model
+	config.Mix = s.Load.Mix
+	config.Teams = s.credentials()
+	config.Seed = c.seed
+	config.Drain = seconds(s.Load.DrainS)
+	config.Timeout = seconds(s.Load.TimeoutS)
+	if s.Load.Prefixes > 0 {
+		config.Prefixes = s.Load.Prefixes
+	}
+	if s.Load.MaxRetries != nil {
+		config.MaxRetries = *s.Load.MaxRetries
+	}
+	return config
+}
+
+func (s *Spec) warmUp(ctx context.Context, fleet *dev.Fleet, c cell, capacity float64) error {
+	if s.Load.WarmUpS == 0 {
+		return nil
+	}
+	config := s.baseLoad(fleet, c)
+	config.Seed += warmUpSeed
+	config.Rate = capacity * s.Load.WarmUpLevel
+	config.Duration = seconds(s.Load.WarmUpS)
+	_, err := load.Run(ctx, config)
+	return err
+}
+
+func (s *Spec) loadConfig(fleet *dev.Fleet, c cell, capacity float64) (load.Config, error) {
+	config := s.baseLoad(fleet, c)
+	config.Rate = capacity * c.level
+	config.Duration = seconds(s.Load.DurationS)
+	surge := c.situation.Surge
+	config.Surge = load.Surge{
+		Team:   surge.Team,
+		Rate:   surge.Level * capacity,
+		Start:  seconds(surge.StartS),
+		Length: seconds(surge.LengthS),
+	}
+	for _, f := range c.situation.Faults {
+		urls := controlURLs(fleet, f.Part)
+		if len(urls) == 0 {
+			return config, eris.Errorf("the fleet has no %s", f.Part)
+		}
+		for _, url := range urls {
+			config.Faults = append(config.Faults, load.Fault{AtSeconds: f.AtS, URL: url, Body: f.Body})
+		}
+	}
+	return config, nil
+}
+
+// relayed reports whether connections have to pass through forwarders.
+func (s Situation) relayed() bool {
+	for _, f := range s.Faults {
+		if strings.HasPrefix(f.Part, "domain-") {
+			return true
+		}
+	}
+	return false
+}
+
+func controlURLs(fleet *dev.Fleet, part string) []string {
+	if part == "platform" {
+		return []string{fleet.PlatformURL() + "/control/fault"}
+	}
+	var n int
+	if _, err := fmt.Sscanf(part, "engine-%d", &n); err == nil {
+		if engines := fleet.EngineURLs(); n <= len(engines) {
+			return []string{engines[n-1] + "/control/fault"}
+		}
+		return nil
+	}
+	var urls []string
+	for _, url := range fleet.RelayURLs(part) {
+		urls = append(urls, url+"/control/mode")
+	}
+	return urls
+}
+
+// audit adds the counts of the engines and the findings of the books.
+func (s *Spec) audit(ctx context.Context, fleet *dev.Fleet, before counts, result *Result) error {
+	client := platform.NewClient(platform.Options{BaseURL: fleet.PlatformURL(), Timeout: settleLimit})
+	defer client.Close()
+	sources := books.Sources{Table: client, Engines: fleet.EngineURLs(), Services: fleet.ServiceURLs()}
+	_, found, err := books.Settled(ctx, sources, settleLimit)
+	if err != nil {
+		return err
+	}
+	result.Books = booksOf(found)
+	after, err := readCounts(ctx, fleet)
+	if err != nil {
+		return err
+	}
+	result.Engines = after.since(before, result.All.Counts.Tokens)
+	return nil
+}
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -85,7 +85,7 @@
 func (c *client) end(call *call, o outcome) {
 	waited := time.Since(call.intended)
 	if o.verdict == expired && call.kind.form == streamed && call.reached == 0 {
-		c.stats.firstToken(call.kind, waited)
+		c.stats.firstToken(call, waited)
 	}
 	c.stats.ended(call.kind, o, waited)
 }
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -48,10 +48,19 @@
 	ExactLength   bool          // send ignore_eos and expect max_tokens tokens; default true
 	ServicePrefix string        // path before the service name; default /services
 	Faults        []Fault       // schedule of orders to stand-ins
+	Surge         Surge         // additional arrivals of one team; default none
 	Progress      io.Writer     // receives a line per ProgressEvery; nil for none
 	ProgressEvery time.Duration // default 1 s
 }
 
+// Surge is a time in which one team sends additional requests.
+type Surge struct {
+	Team   int           // index into Config.Teams
+	Rate   float64       // mean additional arrivals per second; 0 means no surge
+	Start  time.Duration // since the start of the run
+	Length time.Duration
+}
+
 // DefaultConfig returns the defaults. Targets and Teams have none.
 func DefaultConfig() Config {
 	return Config{
@@ -94,6 +103,9 @@
 		{c.KeyShare >= 0 && c.KeyShare <= 1, "key share must be between 0 and 1"},
 		{c.MaxRetries >= 0, "max retries must not be negative"},
 		{c.MaxInFlight > 0 && c.MaxInFlight <= maxInFlight, "max in flight must be between 1 and 20000"},
+		{c.Surge.Rate >= 0 && c.Surge.Rate <= maxRate, "surge rate must be between 0 and 20000"},
+		{c.Surge.Team >= 0 && c.Surge.Team < max(1, len(c.Teams)), "surge team must be one of the teams"},
+		{c.Surge.Start >= 0 && c.Surge.Length >= 0, "surge times must not be negative"},
 		{len(c.Faults) <= maxFaults, "at most 1000 faults can be scheduled"},
 		{c.ProgressEvery > 0, "progress interval must be positive"},
 	}
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -52,6 +52,15 @@
 	},
 }
 
+// Kinds returns the names of the kinds of a mix, which are also their workloads.
+func Kinds(mix string) []string {
+	var names []string
+	for _, k := range mixes[mix] {
+		names = append(names, k.name)
+	}
+	return names
+}
+
 // arrival is a planned request.
 type arrival struct {
 	at        time.Duration // since the start
@@ -64,21 +73,66 @@
 	word      string // unique in the run; the answer has to repeat it
 }
 
-// planner draws arrivals. The same configuration gives the same arrivals.
+// planner draws arrivals. The same configuration gives the same arrivals; a
+// surge adds arrivals and leaves the others as they are.
 type planner struct {
+	regular *process
+	surge   *process
+	waiting [2]*arrival // next of each process; nil after its end
+	number  int64
+	seed    uint64
+}
+
+func newPlanner(c Config) *planner {
+	p := &planner{
+		regular: newProcess(c, c.Rate, 1),
+		surge:   newProcess(c, c.Surge.Rate, 2),
+		seed:    c.Seed,
+	}
+	p.regular.end = c.Duration
+	p.surge.clock = c.Surge.Start
+	p.surge.end = min(c.Duration, c.Surge.Start+c.Surge.Length)
+	p.surge.team = &c.Surge.Team
+	p.waiting[0] = p.regular.next()
+	p.waiting[1] = p.surge.next()
+	return p
+}
+
+// next returns the next arrival of both processes; false after the end.
+func (p *planner) next() (arrival, bool) {
+	from := 0
+	if p.waiting[0] == nil || p.waiting[1] != nil && p.waiting[1].at < p.waiting[0].at {
+		from = 1
+	}
+	if p.waiting[from] == nil {
+		return arrival{}, false
+	}
+	a := *p.waiting[from]
+	p.waiting[from] = []*process{p.regular, p.surge}[from].next()
+	a.number = p.number
+	a.word = fmt.Sprintf("s%dn%d", p.seed, p.number)
+	p.number++
+	return a, true
+}
+
+// process is a Poisson process of arrivals.
+type process struct {
 	config   Config
+	rate     float64
 	kinds    []kind
 	random   *rand.Rand
 	teams    *rand.Zipf
 	prefixes *rand.Zipf
+	team     *int // the only team; nil draws one
 	clock    time.Duration
-	number   int64
+	end      time.Duration
 }
 
-func newPlanner(c Config) *planner {
-	random := rand.New(rand.NewPCG(c.Seed, 1))
-	return &planner{
+func newProcess(c Config, perSecond float64, stream uint64) *process {
+	random := rand.New(rand.NewPCG(c.Seed, stream))
+	return &process{
 		config:   c,
+		rate:     perSecond,
 		kinds:    mixes[c.Mix],
 		random:   random,
 		teams:    rand.NewZipf(random, c.TeamSkew, 1, uint64(len(c.Teams)-1)),
@@ -86,29 +140,32 @@
 	}
 }
 
-// next returns the next arrival of a Poisson process; false after the end.
-func (p *planner) next() (arrival, bool) {
-	gap := p.random.ExpFloat64() / p.config.Rate
+// next returns the next arrival, without number and word, or nil after the end.
+func (p *process) next() *arrival {
+	if p.rate <= 0 {
+		return nil
+	}
+	gap := p.random.ExpFloat64() / p.rate
 	p.clock += time.Duration(gap * float64(time.Second))
-	if p.clock >= p.config.Duration {
-		return arrival{}, false
+	if p.clock >= p.end {
+		return nil
 	}
 	k := p.draw()
-	a := arrival{
+	a := &arrival{
 		at:        p.clock,
-		number:    p.number,
 		kind:      k,
 		team:      int(p.teams.Uint64()),
 		prefix:    int(p.prefixes.Uint64()),
 		maxTokens: k.minTokens + p.random.IntN(k.maxTokens-k.minTokens+1),
 		keyed:     p.random.Float64() < p.config.KeyShare || k.form == submit,
-		word:      fmt.Sprintf("s%dn%d", p.config.Seed, p.number),
 	}
-	p.number++
-	return a, true
+	if p.team != nil {
+		a.team = *p.team
+	}
+	return a
 }
 
-func (p *planner) draw() *kind {
+func (p *process) draw() *kind {
 	at := p.random.IntN(100)
 	for i := range p.kinds {
 		at -= p.kinds[i].share
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -41,9 +41,10 @@
 	Targets        []string           `json:"targets"`
 	All            Figures            `json:"all"`
 	Kinds          map[string]Figures `json:"kinds"`
-	Refusals       map[string]int64   `json:"refusals"`        // final, by kind/ran
-	RefusalAnswers map[string]int64   `json:"refusal_answers"` // including those that were retried
-	SendLag        Latency            `json:"send_lag"`        // planned to actual send time; large values void the run
+	TeamFirstToken map[string]Latency `json:"team_first_token"` // by team
+	Refusals       map[string]int64   `json:"refusals"`         // final, by kind/ran
+	RefusalAnswers map[string]int64   `json:"refusal_answers"`  // including those that were retried
+	SendLag        Latency            `json:"send_lag"`         // planned to actual send time; large values void the run
 	Faults         []FaultResult      `json:"faults"`
 }
 
@@ -59,6 +60,7 @@
 		Teams:          len(r.config.Teams),
 		Targets:        r.config.Targets,
 		Kinds:          make(map[string]Figures),
+		TeamFirstToken: make(map[string]Latency),
 		Refusals:       r.stats.refusals,
 		RefusalAnswers: r.stats.answers,
 		Faults:         faults,
@@ -70,6 +72,11 @@
 	if result.SendLag, err = latency(r.stats.sendLag); err != nil {
 		return nil, err
 	}
+	for i, h := range r.stats.teams {
+		if result.TeamFirstToken[r.config.Teams[i].Team], err = latency(h); err != nil {
+			return nil, err
+		}
+	}
 	for name, g := range r.stats.kinds {
 		if result.Kinds[name], err = g.figures(); err != nil {
 			return nil, err
--- a/internal/load/stats.go
+++ b/internal/load/stats.go
@@ -13,6 +13,7 @@
 	histogramMax    = int64(10 * time.Minute / time.Microsecond)
 	histogramDigits = 3
 	maxRefusalKinds = 64 // more kinds are counted as "other"
+	maxTeamFigures  = 64 // histograms by team; later teams have none
 )
 
 // Counts are the outcomes of requests.
@@ -52,6 +53,7 @@
 	mu       sync.Mutex
 	all      *group
 	kinds    map[string]*group
+	teams    map[int]*hdr.Histogram // time to first token by index of the team
 	sendLag  *hdr.Histogram
 	refusals map[string]int64 // final refusals by "kind/ran"
 	answers  map[string]int64 // all refusals, including those that were retried
@@ -61,6 +63,7 @@
 	s := &stats{
 		all:      newGroup(),
 		kinds:    make(map[string]*group),
+		teams:    make(map[int]*hdr.Histogram),
 		sendLag:  newHistogram(),
 		refusals: make(map[string]int64),
 		answers:  make(map[string]int64),
@@ -95,8 +98,16 @@
 	record(s.sendLag, lag)
 }
 
-func (s *stats) firstToken(k *kind, d time.Duration) {
-	s.each(k, func(g *group) { record(g.first, d) })
+func (s *stats) firstToken(call *call, d time.Duration) {
+	s.each(call.kind, func(g *group) { record(g.first, d) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.teams[call.team] == nil && len(s.teams) < maxTeamFigures {
+		s.teams[call.team] = newHistogram()
+	}
+	if h := s.teams[call.team]; h != nil {
+		record(h, d)
+	}
 }
 
 func (s *stats) tokenGap(k *kind, d time.Duration) {
--- a/internal/load/stream.go
+++ b/internal/load/stream.go
@@ -120,7 +120,7 @@
 		return
 	}
 	if call.reached == 0 {
-		r.client.stats.firstToken(call.kind, now.Sub(call.intended))
+		r.client.stats.firstToken(call, now.Sub(call.intended))
 	} else {
 		r.client.stats.tokenGap(call.kind, now.Sub(call.lastAt))
 	}
