--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -62,14 +62,18 @@
 
 // LoadSpec describes the load of each cell.
 type LoadSpec struct {
-	Mix         string  `json:"mix"`         // default assay
-	WarmUpS     float64 `json:"warm_up_s"`   // load before the measured time, to fill the caches; default 5
-	DurationS   float64 `json:"duration_s"`  // default 12
-	DrainS      float64 `json:"drain_s"`     // default 15
-	TimeoutS    float64 `json:"timeout_s"`   // of a request; default 20
-	Prefixes    int     `json:"prefixes"`    // default that of the load tool
-	MaxRetries  *int    `json:"max_retries"` // default that of the load tool
-	WarmUpLevel float64 `json:"warm_up_level"`
+	Mix         string  `json:"mix"`           // default assay
+	WarmUpS     float64 `json:"warm_up_s"`     // load before the measured time, to fill the caches; default 5
+	DurationS   float64 `json:"duration_s"`    // default 12
+	DrainS      float64 `json:"drain_s"`       // default 15
+	TimeoutS    float64 `json:"timeout_s"`     // of a request; default 20
+	Prefixes    int     `json:"prefixes"`      // default that of the load tool
+	MaxRetries  *int    `json:"max_retries"`   // default that of the load tool
+	WarmUpLevel float64 `json:"warm_up_level"` // rate of the warm-up as a share of the capacity; default 0.7
+	// MaxSendLagMS bounds p99 of the time by which requests are sent late; a
+	// cell beyond it is repeated, up to Repeats times. Defaults 10 and 2.
+	MaxSendLagMS float64 `json:"max_send_lag_ms"`
+	Repeats      int     `json:"repeats"`
 }
 
 // Capacity is the rate that the levels refer to. If PerSecond is 0, it is
@@ -145,7 +149,7 @@
 func defaults() *Spec {
 	return &Spec{
 		Fleet: FleetSpec{Routers: 3, Engines: 8, Domains: 3, Teams: 10, Budget: 1_000_000_000},
-		Load:  LoadSpec{Mix: "assay", WarmUpS: 5, WarmUpLevel: 0.7, DurationS: 12, DrainS: 15, TimeoutS: 20},
+		Load:  LoadSpec{Mix: "assay", WarmUpS: 5, WarmUpLevel: 0.7, DurationS: 12, DrainS: 15, TimeoutS: 20, MaxSendLagMS: 10, Repeats: 2},
 		Capacity: Capacity{
 			Steps:   5,
 			LimitMS: 330,
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -34,6 +34,7 @@
 	Situation    string       `json:"situation"`
 	Level        float64      `json:"level"` // rate as a share of the capacity
 	Capacity     float64      `json:"capacity_per_s"`
+	Repeats      int          `json:"repeats"` // earlier measurements of the cell that were disturbed
 	Engines      EngineCounts `json:"engines"`
 	Books        Books        `json:"books"`
 }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -57,7 +57,7 @@
 		if i%shard.Of != shard.Index || ctx.Err() != nil {
 			continue
 		}
-		result, err := s.measure(ctx, c, capacity)
+		result, err := s.undisturbed(ctx, c, capacity, out)
 		if err == nil {
 			err = result.Save(dir)
 		}
@@ -106,6 +106,23 @@
 	return low, nil
 }
 
+// undisturbed measures a cell again if the load tool sent late, because then the
+// machine was too busy for the figures to describe the policy. The last
+// measurement counts; its SendLag shows whether it was disturbed too.
+func (s *Spec) undisturbed(ctx context.Context, c cell, capacity float64, out io.Writer) (*Result, error) {
+	for repeats := 0; ; repeats++ {
+		result, err := s.measure(ctx, c, capacity)
+		if err != nil {
+			return nil, err
+		}
+		result.Repeats = repeats
+		if result.SendLag.P99MS <= s.Load.MaxSendLagMS || repeats >= s.Load.Repeats {
+			return result, nil
+		}
+		fmt.Fprintf(out, "disturbed %s\n", result.line())
+	}
+}
+
 // measure starts a fleet, warms it up, measures, and stops it.
 func (s *Spec) measure(ctx context.Context, c cell, capacity float64) (result *Result, err error) {
 	fleet, err := dev.Start(ctx, s.options(c))
