Lower the load bound of the ordinary preset to 1.1

With a bound of 1.5 a popular prefix fills one engine beyond its batch of 16 at a mean load of about 12, and its requests then wait in the engine's queue. Ruled out: the larger bounds, whose additional cache hits do not pay for the queueing.

--- a/internal/core/policy/default.go
+++ b/internal/core/policy/default.go
@@ -25,7 +25,7 @@
 func ordinaryPreset() Preset {
 	return Preset{
 		TargetChoice:        Affinity,
-		AffinityLoadBound:   1.5,
+		AffinityLoadBound:   1.1,
 		MaxRunsPerTarget:    32,
 		QueueLimit:          512,
 		AdmissionTimeoutMS:  10_000,
