--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,70 @@
+package experiment
+
+import (
+	"io"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/load"
+)
+
+const series = `{
+	"name": "t", // a comment
+	"fleet": {"routers": 2, "engines": 2, "domains": 2, "engine": {"max_batch": 4}},
+	"load": {"warm_up_s": 0.3, "duration_s": 0.7, "repeats": 0},
+	"capacity": {"per_second": 20},
+	"policies": [{"name": "rr", "set": {"target_choice": "round_robin"}}],
+	"levels": [1],
+	"situations": [{"name": "cut", "faults": [
+		{"at_s": 0.1, "part": "domain-2", "body": {"mode": "delay", "delay_ms": 5}},
+		{"at_s": 0.1, "part": "engine-1", "body": {"mode": "slow"}},
+		{"at_s": 0.1, "part": "platform", "body": {"mode": "slow", "delay_ms": 5}},
+	]}],
+}`
+
+// Guards against a cell whose orders do not reach their parts, whose counts
+// contradict each other, or whose books do not agree.
+func TestMeasuresCell(t *testing.T) {
+	s, err := parse([]byte(series))
+	assert.NilError(t, err)
+	dir := t.TempDir()
+	results, err := Run(t.Context(), s, Shard{Of: 1}, dir, io.Discard)
+	assert.NilError(t, err)
+	r := results[0]
+	assert.Equal(t, len(r.Faults), 3)
+	for _, f := range r.Faults {
+		assert.Equal(t, f.Status/100, 2, "%+v", f)
+	}
+	assert.Assert(t, r.All.Counts.Complete > 0)
+	assert.Equal(t, r.All.Counts.Complete, r.All.Counts.Sent)
+	assert.Equal(t, r.Engines.UndeliveredTokens, int64(0))
+	assert.Equal(t, r.Engines.OutputTokens, r.All.Counts.Tokens)
+	assert.Equal(t, len(r.Books.Violations), 0, "%v", r.Books.Details)
+	read, err := load.Open(filepath.Join(dir, r.Name+".json"))
+	assert.NilError(t, err)
+	assert.Equal(t, read.All.Counts, r.All.Counts)
+}
+
+// Guards against a series that runs with a misspelt key or without a policy in
+// force.
+func TestRejectsFaultySeries(t *testing.T) {
+	for _, text := range []string{
+		`{"name": "t", "capacity": {"per_second": 1}, "polices": []}`,
+		`{"name": "t", "capacity": {"per_second": 1}, "policies": [{"name": "a", "set": {"target": "x"}}]}`,
+		`{"name": "t", "capacity": {"low": 5, "high": 4}}`,
+		`{"name": "t", "capacity": {"per_second": 1}, "situations": [{"name": "a", "faults": [{"part": "rack-1", "body": {}}]}]}`,
+	} {
+		_, err := parse([]byte(text))
+		assert.Assert(t, err != nil, text)
+	}
+}
+
+// Guards against teams with a handful of requests deciding the ratio.
+func TestUnfairnessNeedsValues(t *testing.T) {
+	r := Result{Result: &load.Result{TeamFirstToken: map[string]load.Latency{
+		"a": {Count: 100, P95MS: 100}, "b": {Count: 30, P95MS: 150}, "c": {Count: 2, P95MS: 900},
+	}}}
+	assert.Equal(t, r.unfairness(), 1.5)
+}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -131,6 +131,28 @@
 	}
 }
 
+// Guards against a surge that changes the other arrivals, which would make
+// results with and without it incomparable.
+func TestSurgeOnlyAddsArrivals(t *testing.T) {
+	c := testConfig("http://127.0.0.1")
+	c.Rate, c.Duration = 50, 4*time.Second
+	plain := newPlanner(c)
+	c.Surge = Surge{Team: 1, Rate: 200, Start: time.Second, Length: time.Second}
+	surging := newPlanner(c)
+	extra := 0
+	want, more := plain.next()
+	for x, ok := surging.next(); ok; x, ok = surging.next() {
+		if more && x.at == want.at {
+			assert.Equal(t, x.team, want.team)
+			want, more = plain.next()
+			continue
+		}
+		extra++
+		assert.Assert(t, x.team == 1 && x.at >= time.Second && x.at < 2*time.Second)
+	}
+	assert.Assert(t, !more && extra > 140 && extra < 260, "%d extra arrivals", extra)
+}
+
 // Guards against a repeat that comes before Retry-After, under another key, or
 // after a refusal that names no time.
 func TestRetryHonoursRetryAfter(t *testing.T) {
