Deliver answers whose run ended during a partition

When a connection returns, the sidecar hands over the records of ended runs before it resends their answers. The router removed such a run as soon as it had booked the record, dropped the chunks and the End that followed, and the caller waited until it gave up. The run now stays known until its End has arrived or its answer is said to be dropped, which ends it for the caller. Ruled out: the redial (the connection was back 1.6 s after the partition) and the sidecar's reader.

--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -187,6 +187,12 @@
 	if err := c.Call(ctx, wire.MethodRunAttach, req, &res); err != nil {
 		return
 	}
+	if res.Expired {
+		if run.fail(errAnswerGone) && run.isSettled() {
+			r.removeRun(run)
+		}
+		return
+	}
 	if res.Known {
 		run.resumed()
 		return
@@ -230,7 +236,9 @@
 }
 
 // settleRecord books a record that a sidecar handed over outside the run's own
-// stream. Records of other holders are left to the recovery of that holder.
+// stream. Records of other holders are left to the recovery of that holder. A
+// run whose answer has not arrived stays known: its chunks and its End follow
+// once it is attached again, and without them its caller would wait for ever.
 func (r *Router) settleRecord(rec ledger.Record) {
 	if r.durable.has(rec.RunID) || r.holderClosed(rec.Holder) {
 		r.ack([]ledger.Record{rec}) // an earlier acknowledgement was lost
@@ -240,8 +248,10 @@
 	if run == nil || run.res == nil || rec.Holder != run.res.Holder() {
 		return
 	}
-	r.removeRun(run)
 	run.res.Settle(rec)
+	if run.settle() {
+		r.removeRun(run)
+	}
 }
 
 func (r *Router) holderClosed(holder string) bool {
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -38,6 +38,7 @@
 	prompt    int64 // exact prompt tokens, 0 until known
 	end       *wire.End
 	err       error     // final failure without an End
+	settled   bool      // a record that came outside the run's stream is booked
 	lostSince time.Time // connection lost and not yet resumed; zero if connected
 	wake      chan struct{}
 }
@@ -102,6 +103,21 @@
 	return true
 }
 
+// settle notes that the run's record is booked. It returns whether the run has
+// ended for its readers too.
+func (r *run) settle() (finished bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settled = true
+	return r.finished()
+}
+
+func (r *run) isSettled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.settled
+}
+
 // lost notes that the connection that carried the run has ended.
 func (r *run) lost(now time.Time) {
 	r.mu.Lock()
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -20,6 +20,7 @@
 // Outcomes of a run that no target has seen or whose sidecar is gone.
 var (
 	errNotRun      = errkind.New(errkind.Tombstoned, "the sidecar did not receive the run")
+	errAnswerGone  = errkind.New(errkind.TargetCrashed, "the sidecar no longer keeps the answer")
 	errSidecarGone = errkind.New(errkind.TargetCrashed, "the sidecar was replaced during the run")
 )
 
