Send the workload's priority to the engine

The sidecar did not set the engine's priority field, so workloads were ordered in the router's queue only, and a caller could raise its request by the field of its own body. With 32 runs per target and router the queue forms at the engine.

--- a/internal/sidecar/body.go
+++ b/internal/sidecar/body.go
@@ -21,8 +21,10 @@
 }
 
 // completionBody makes a request stream with usage and stay within the output
-// cap, which is shared by its choices.
-func completionBody(body []byte, outputCap int64) (engineBody, error) {
+// cap, which is shared by its choices. It sets the priority of the workload, so
+// that the engine's queue keeps the order of the router's and callers cannot
+// raise their own.
+func completionBody(body []byte, outputCap int64, priority int) (engineBody, error) {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
 		return engineBody{}, errkind.New(errkind.InvalidRequest, "body is not a JSON object")
@@ -35,6 +37,7 @@
 			capField(fields, "max_completion_tokens", max(1, perChoice))
 		}
 	}
+	fields["priority"], _ = json.Marshal(priority) // an integer always marshals
 	fields["stream"] = json.RawMessage("true")
 	fields["stream_options"] = json.RawMessage(`{"include_usage":true,"continuous_usage_stats":true}`)
 	raw, err := json.Marshal(fields)
--- a/internal/sidecar/completion_test.go
+++ b/internal/sidecar/completion_test.go
@@ -16,8 +16,8 @@
 	"tarragonridge.example/tarragonridge/internal/wire"
 )
 
-// Guards against a request that the engine may answer without usage or beyond
-// the cap, and against a wrong bill of a whole answer.
+// Guards against a request that the engine may answer without usage, beyond the
+// cap or at a priority of the caller's choice, and against a wrong bill of a whole answer.
 func TestWholeAnswer(t *testing.T) {
 	bodies := make(chan map[string]any, 1)
 	headers := make(chan http.Header, 1)
@@ -39,6 +39,7 @@
 	body := receive(t, bodies)
 	assert.Equal(t, body["stream"], true)
 	assert.Equal(t, body["max_tokens"], 10.0)
+	assert.Equal(t, body["priority"], 4.0)
 	assert.Equal(t, body["stream_options"].(map[string]any)["include_usage"], true)
 	got := receive(t, headers)
 	assert.Equal(t, got.Get("X-Team"), "team")
--- a/internal/sidecar/execute.go
+++ b/internal/sidecar/execute.go
@@ -60,7 +60,7 @@
 	body := engineBody{raw: x.m.Body}
 	if x.m.Kind == wire.Completion {
 		var err error
-		if body, err = completionBody(x.m.Body, x.m.OutputCap); err != nil {
+		if body, err = completionBody(x.m.Body, x.m.OutputCap, x.m.Priority); err != nil {
 			return notRun(err)
 		}
 	}
