--- a/internal/core/policy/default.go
+++ b/internal/core/policy/default.go
@@ -36,8 +36,8 @@
 }
 
 // peakPreset keeps cache hits, which leave engines more time for output, asks
-// for short answers, refuses the lowest
-// priorities, and keeps retries from adding to the load.
+// for short answers, refuses the lowest priorities, and keeps retries from
+// adding to the load.
 func peakPreset() Preset {
 	return Preset{
 		TargetChoice:        Affinity,
