--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -501,7 +501,7 @@
 // a crash are bounded by the quarantine; the rest is a share of the requests.
 func (r *Router) mayRetry(req *request, err error) bool {
 	switch errkind.Of(err) {
-	case errkind.Draining, errkind.Fenced, errkind.Tombstoned, errkind.StaleConfig:
+	case errkind.Draining, errkind.Fenced, errkind.Tombstoned, errkind.StaleConfig, errkind.TargetCrashed:
 		return true
 	}
 	return r.suspected(req) || r.takeRetry()
