Accept options of dev that leave the number of routers out

The command validates its options before defaults are filled in, so dev ended with a usage error since the size of the fleet became an option. The test of the command found it.

--- a/internal/dev/options.go
+++ b/internal/dev/options.go
@@ -57,7 +57,8 @@
 	Budget int64
 }
 
-// Validate reports a callers' address that is not on loopback. The keys are
+// Validate reports a fleet that is too large or a callers' address that is not
+// on loopback. The keys are
 // published, so other hosts must not reach the process.
 func (o Options) Validate() error {
 	addr, err := netip.ParseAddrPort(o.Listen)
@@ -67,8 +68,8 @@
 	if !addr.Addr().IsLoopback() {
 		return errkind.New(errkind.InvalidRequest, "listen address %s is not a loopback address; dev has published keys and serves this host only", o.Listen)
 	}
-	if o.Routers < 1 || o.Routers > maxRouters {
-		return errkind.New(errkind.InvalidRequest, "%d routers; from 1 to %d are possible", o.Routers, maxRouters)
+	if o.Routers < 0 || o.Routers > maxRouters {
+		return errkind.New(errkind.InvalidRequest, "%d routers; at most %d are possible", o.Routers, maxRouters)
 	}
 	if len(o.Engines) > maxEngines {
 		return errkind.New(errkind.InvalidRequest, "%d engines; at most %d are possible", len(o.Engines), maxEngines)
