--- a/internal/dev/options.go
+++ b/internal/dev/options.go
@@ -58,8 +58,8 @@
 }
 
 // Validate reports a fleet that is too large or a callers' address that is not
-// on loopback. The keys are
-// published, so other hosts must not reach the process.
+// on loopback. The keys are published, so other hosts must not reach the
+// process.
 func (o Options) Validate() error {
 	addr, err := netip.ParseAddrPort(o.Listen)
 	if err != nil {
