Introduce a router anew after it has registered again

A router that gave up its incarnation kept its connections, whose hellos name the old one. Ruled out: the period of the list (the entry stayed for over 5 s) and the push (the router had the version).

--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -31,7 +31,9 @@
 	ticker := time.NewTicker(memberPoll)
 	defer ticker.Stop()
 	var seen memberScan
+	introduced := ""
 	for {
+		introduced = r.introduce(introduced)
 		r.refreshMembers(ctx, &seen)
 		select {
 		case <-ticker.C:
@@ -43,6 +45,29 @@
 	}
 }
 
+// introduce closes all connections once the router has registered under another
+// incarnation than the one it introduced itself with; they are opened again with
+// a new hello. Peers ask an incarnation for idle share and for its configuration
+// version, and sidecars hand records over to it, by the name in the hello.
+func (r *Router) introduce(introduced string) string {
+	now := r.escrow.Incarnation()
+	switch {
+	case introduced == "":
+		return now
+	case now == introduced || !r.escrow.Ready():
+		return introduced
+	}
+	for _, c := range r.peers.all() {
+		_ = c.Close()
+	}
+	for _, t := range r.sched.list(func(*target) bool { return true }) {
+		if c := t.link.Conn(); c != nil {
+			_ = c.Close()
+		}
+	}
+	return now
+}
+
 // memberScan is the last complete scan of the registrations.
 type memberScan struct {
 	version int64 // of the row member.VersionKey, read before the scan
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +25,7 @@
 	ctx   context.Context
 	mu    sync.Mutex
 	links map[string]*peerLink // by address
+	open  map[*rpc.Conn]bool   // in both directions
 }
 
 type peerLink struct {
@@ -33,7 +36,7 @@
 }
 
 func newPeerSet(ctx context.Context, r *Router) *peerSet {
-	return &peerSet{r: r, ctx: ctx, links: map[string]*peerLink{}}
+	return &peerSet{r: r, ctx: ctx, links: map[string]*peerLink{}, open: map[*rpc.Conn]bool{}}
 }
 
 // connect opens a link to addr unless there is one.
@@ -91,6 +94,13 @@
 	return out
 }
 
+// all returns the open connections in both directions.
+func (p *peerSet) all() []*rpc.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.open))
+}
+
 // relayPeers returns the connections for the table relay.
 func (p *peerSet) relayPeers() []platform.Peer {
 	var out []platform.Peer
@@ -133,15 +143,23 @@
 
 // Opened implements rpc.Handler.
 func (h peerHandler) Opened(c *rpc.Conn) {
+	h.r.peers.mu.Lock()
+	h.r.peers.open[c] = true
+	h.r.peers.mu.Unlock()
 	hello := c.Peer()
 	h.r.observe(hello.Header)
+	h.r.confirm(hello, hello.ConfigVersion)
 	if hello.ConfigVersion < h.r.config.Version() {
 		go h.r.pushConfig(c)
 	}
 }
 
 // Closed implements rpc.Handler.
-func (h peerHandler) Closed(*rpc.Conn, error) {}
+func (h peerHandler) Closed(c *rpc.Conn, _ error) {
+	h.r.peers.mu.Lock()
+	defer h.r.peers.mu.Unlock()
+	delete(h.r.peers.open, c)
+}
 
 // Notify implements rpc.Handler.
 func (h peerHandler) Notify(c *rpc.Conn, method string, params json.RawMessage) {
