Do not count attempts that another request's crash has ended

Three of the four crashes were explained by a known suspect. Such attempts no longer count, up to 6, and do not exclude the target, which restarts. Ruled out: more attempts for all requests, because an unexplained crash may be the request's own doing. A start that met three newer configurations in a row waited for a run that nobody had started; it is tried again now. The answer after a crash names the tokens charged instead of 0.

--- a/internal/core/run/finish.go
+++ b/internal/core/run/finish.go
@@ -19,6 +19,7 @@
 	Detail      string
 	NotCharged  bool // the target did no work for the run
 	Suspect     bool
+	Explained   bool
 	Alone       bool
 }
 
@@ -84,6 +85,7 @@
 		Detail:      how.Detail,
 		Record:      r,
 		Suspect:     how.Suspect,
+		Explained:   how.Explained,
 		Alone:       how.Alone,
 	}
 }
@@ -135,8 +137,8 @@
 			Outcome: ledger.Crashed,
 			Kind:    kind,
 			Detail:  detail,
-			Suspect: suspect,
-			Alone:   suspect && (len(ids) == 1 || earlier == 1),
+			Suspect: suspect, Explained: !suspect,
+			Alone: suspect && (len(ids) == 1 || earlier == 1),
 		})
 		if err == nil {
 			ends = append(ends, end)
--- a/internal/core/run/table_test.go
+++ b/internal/core/run/table_test.go
@@ -294,6 +294,7 @@
 	ends := table.Crash(now, "gone")
 	for _, end := range ends {
 		assert.Equal(t, end.Suspect, end.RunID == "r1")
+		assert.Equal(t, end.Explained, end.RunID != "r1")
 		assert.Equal(t, end.Alone, end.RunID == "r1")
 	}
 	suspects := table.Suspects(ends)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -43,14 +43,15 @@
 }
 
 // blameless reports whether an attempt says nothing against its target: the run
-// was lost with the connection, or the refusal concerns the router or the moment.
+// was lost with the connection, another request has crashed the target, or the
+// refusal concerns the router or the moment.
 // The next attempt may go to the same target, which may be the only one.
 func blameless(res attemptResult) bool {
 	switch errkind.Of(res.err) {
 	case errkind.Tombstoned, errkind.Fenced, errkind.StaleConfig:
 		return true
 	}
-	return res.full
+	return res.full || res.explained
 }
 
 func (r *Router) newAttempt(req *request, runID string, sl *slot, res Reservation) *run {
@@ -101,7 +102,7 @@
 		result, err := r.callStart(sl, msg)
 		if err != nil {
 			r.resolveStart(run, sl)
-			break
+			return r.serve(ctx, req, run)
 		}
 		r.observe(result.Header)
 		r.sched.update(sl.target, func(t *target) { t.noteActive(result.Active) })
@@ -115,7 +116,8 @@
 		r.cancelRun(run)
 		return r.refused(sl, msg.Holder, result.Refusal)
 	}
-	return r.serve(ctx, req, run)
+	r.cancelRun(run)
+	return attemptResult{err: errkind.New(errkind.StaleConfig, "the configuration changed during the start"), retry: true}
 }
 
 func (r *Router) callStart(sl *slot, msg wire.StartRun) (wire.StartResult, error) {
--- a/internal/router/outcome.go
+++ b/internal/router/outcome.go
@@ -80,8 +80,8 @@
 	if !req.idempotent {
 		return attemptResult{err: errkind.New(errkind.OutcomeUnknown, "target crashed during the call")}
 	}
-	err := &errkind.Error{Kind: errkind.TargetCrashed, Detail: "target crashed during the answer", Billed: 0}
-	return attemptResult{err: err, retry: !req.sink.started()}
+	err := &errkind.Error{Kind: errkind.TargetCrashed, Detail: "target crashed during the answer", Billed: end.Record.Charged}
+	return attemptResult{err: err, retry: !req.sink.started(), explained: end.Explained}
 }
 
 // finish completes the caller's answer. An error without a kind comes from the
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -21,6 +21,11 @@
 // maxAttempts bounds the targets that one request tries.
 const maxAttempts = 4
 
+// maxExplained bounds the attempts that do not count because the crash of
+// another request ended them. It covers two such requests, which crash at most 3
+// targets each.
+const maxExplained = 6
+
 // suspectWait is the distance of a suspect's attempts while each target runs
 // another suspect. Such a refusal is no attempt: it has cost the target nothing.
 const suspectWait = 20 * time.Millisecond
@@ -57,6 +62,9 @@
 	retry bool  // another target may be tried
 	paid  bool  // the retry has been taken from the share already
 	full  bool  // the sidecar has no room for the run at the moment
+	// explained says that the target crashed because of another request, which is
+	// a suspect already.
+	explained bool
 }
 
 // submit runs a request and passes its answer to its sink. The error, if any,
@@ -70,6 +78,7 @@
 	avoid := map[string]bool{}
 	r.countRequest()
 	var errs attemptErrors
+	explained := 0
 	for tries := 0; tries < maxAttempts; tries++ {
 		res := r.attempt(ctx, startCtx, req, avoid)
 		if res.err == nil {
@@ -87,6 +96,11 @@
 		if r.quarantined(req) {
 			return &errkind.Error{Kind: errkind.RequestQuarantined, Detail: "the request crashed the targets that ran it", Ran: errkind.RanYes}
 		}
+		if res.explained && explained < maxExplained {
+			explained++
+			tries--
+			continue
+		}
 		if !res.paid && !r.mayRetry(req, res.err) {
 			break
 		}
--- a/internal/router/submit_test.go
+++ b/internal/router/submit_test.go
@@ -112,4 +112,5 @@
 		assert.Equal(t, blameless(attemptResult{err: errkind.New(kind, "refused"), retry: true}), want, "%s", kind)
 	}
 	assert.Assert(t, blameless(attemptResult{err: errkind.New(errkind.Overloaded, "full"), full: true}))
+	assert.Assert(t, blameless(attemptResult{err: errkind.New(errkind.TargetCrashed, "another request"), explained: true}))
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -137,9 +137,10 @@
 	Kind        errkind.Kind  `json:"kind,omitempty"` // unless the answer is complete; no_target means that the target received nothing
 	Detail      string        `json:"detail,omitempty"`
 	Record      ledger.Record `json:"record"`
-	Suspect     bool          `json:"suspect,omitempty"` // in flight when the target crashed, and no run that was a suspect before can explain it
-	Active      int           `json:"active"`            // runs still in progress at the target
-	Alone       bool          `json:"alone,omitempty"`   // nothing else in flight can explain the crash
+	Suspect     bool          `json:"suspect,omitempty"`   // in flight when the target crashed, and no run that was a suspect before can explain it
+	Active      int           `json:"active"`              // runs still in progress at the target
+	Explained   bool          `json:"explained,omitempty"` // in flight when the target crashed, and an earlier suspect explains it
+	Alone       bool          `json:"alone,omitempty"`     // nothing else in flight can explain the crash
 }
 
 // Attach asks for the run of an identity. If Tombstone names a run that the
