--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,6 @@
 	$(GO) run ./cmd/tarragonridge dev
 
 lint:
-	gofmt -l cmd internal
+	gofmt -l cmd internal scenarios
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
