Share the checks of permissions, the notifications and the writing of results

Router and policy document each had a check of permitted names, both handlers of the router decoded pings and crash reports, and two commands wrote their result in the same way.

--- a/internal/cli/load_overhead.go
+++ b/internal/cli/load_overhead.go
@@ -4,8 +4,6 @@
 	"os"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"tarragonridge.example/tarragonridge/internal/load"
 )
 
@@ -57,16 +55,5 @@
 	if err != nil {
 		return err
 	}
-	if c.Out == "" {
-		return result.Write(s.Out)
-	}
-	f, err := os.Create(c.Out)
-	if err != nil {
-		return eris.Wrap(err, "result")
-	}
-	if err := result.Write(f); err != nil {
-		_ = f.Close()
-		return err
-	}
-	return eris.Wrap(f.Close(), "result")
+	return writeResult(s, c.Out, result.Write)
 }
--- a/internal/core/policy/access.go
+++ b/internal/core/policy/access.go
@@ -18,9 +18,12 @@
 // MayUse reports whether the team may use the model under the workload. An
 // empty list of the team permits all.
 func (t Team) MayUse(workload, model string) bool {
-	return !t.Disabled && permits(t.Workloads, workload) && permits(t.Models, model)
+	return t.MayUseWorkload(workload) && t.PermitsModel(model)
 }
 
+// PermitsModel reports whether the team's list of models holds the model.
+func (t Team) PermitsModel(model string) bool { return permits(t.Models, model) }
+
 // MayUseWorkload reports whether the team may draw on its budget under the
 // workload.
 func (t Team) MayUseWorkload(workload string) bool {
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/labstack/echo/v5"
@@ -159,7 +158,7 @@
 	if !ok {
 		return workload, errkind.New(errkind.Forbidden, "workload %q does not exist", cl.workload)
 	}
-	if len(cl.team.Workloads) > 0 && !slices.Contains(cl.team.Workloads, cl.workload) {
+	if !cl.team.MayUseWorkload(cl.workload) {
 		return workload, errkind.New(errkind.Forbidden, "the team may not use workload %q", cl.workload)
 	}
 	if workload.Priority < doc.Active().MinPriority {
@@ -176,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	if !permits(cl.team.Models, model) || !permits(workload.Models, model) {
+	if !cl.team.PermitsModel(model) || !workload.PermitsModel(model) {
 		return errkind.New(errkind.Forbidden, "team and workload do not permit model %q", model)
 	}
 	return nil
@@ -190,18 +189,12 @@
 	if err != nil {
 		return err
 	}
-	if !permits(workload.Services, service) {
+	if !workload.PermitsService(service) {
 		return errkind.New(errkind.Forbidden, "workload %q does not permit service %q", cl.workload, service)
 	}
 	return nil
 }
 
-// permits reports whether a list of names permits one; an empty list permits
-// all.
-func permits(list []string, name string) bool {
-	return len(list) == 0 || slices.Contains(list, name)
-}
-
 // readBody reads the body up to the limit.
 func (r *Router) readBody(c *echo.Context) ([]byte, error) {
 	limit := r.opts.Settings.Limits.BodyBytes
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -134,7 +134,7 @@
 	defer caller.done()
 	list := modelList{Object: "list", Data: []modelItem{}}
 	for name := range r.config.Current().Models {
-		if permits(caller.team.Models, name) {
+		if caller.team.PermitsModel(name) {
 			list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: "tarragonridge"})
 		}
 	}
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -66,18 +66,26 @@
 		h.end(params)
 	case wire.MethodLoadReport:
 		h.load(c, params)
+	default:
+		h.r.notified(c, method, params)
+	}
+}
+
+// notified takes the notifications that sidecars and routers send alike.
+func (r *Router) notified(c *rpc.Conn, method string, params json.RawMessage) {
+	switch method {
 	case wire.MethodQuarantineReport:
 		var rep wire.QuarantineReport
 		if json.Unmarshal(params, &rep) == nil {
-			h.r.observe(rep.Header)
-			h.r.reportCrash(rep, false)
+			r.observe(rep.Header)
+			r.reportCrash(rep, false)
 		}
 	case wire.MethodPing:
 		var ping wire.Ping
 		if json.Unmarshal(params, &ping) == nil {
-			h.r.observe(ping.Header)
-			h.r.confirm(c.Peer(), ping.ConfigVersion)
-			h.r.pushIfBehind(c, ping.ConfigVersion)
+			r.observe(ping.Header)
+			r.confirm(c.Peer(), ping.ConfigVersion)
+			r.pushIfBehind(c, ping.ConfigVersion)
 		}
 	}
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -163,21 +163,7 @@
 
 // Notify implements rpc.Handler.
 func (h peerHandler) Notify(c *rpc.Conn, method string, params json.RawMessage) {
-	switch method {
-	case wire.MethodQuarantineReport:
-		var rep wire.QuarantineReport
-		if json.Unmarshal(params, &rep) == nil {
-			h.r.observe(rep.Header)
-			h.r.reportCrash(rep, false)
-		}
-	case wire.MethodPing:
-		var ping wire.Ping
-		if json.Unmarshal(params, &ping) == nil {
-			h.r.observe(ping.Header)
-			h.r.confirm(c.Peer(), ping.ConfigVersion)
-			h.r.pushIfBehind(c, ping.ConfigVersion)
-		}
-	}
+	h.r.notified(c, method, params)
 }
 
 // Call implements rpc.Handler.
