Remove code that nothing uses

The ledger package had writers of bills as CSV and JSON lines beside those of the admin API, which export run records and keep a spreadsheet from running a key as a formula; only their own test called them, and it goes with them (the exports are tested in adminapi). A message field that was never set and a method of the quarantine tracker without a caller go as well.

--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"bytes"
 	"fmt"
 	"testing"
 
@@ -70,17 +69,3 @@
 	r.Charged = 6
 	assert.Equal(t, len(CheckRecords([]Record{r})), 1)
 }
-
-// Guards against columns that do not match the header.
-func TestWriters(t *testing.T) {
-	book := Fold([]Record{{Identity: Identity{"a", "k,1"}, RunID: "r", Charged: 5, Outcome: Whole, EndedUS: 9}})
-	var text bytes.Buffer
-	assert.NilError(t, WriteCSV(&text, book.Bills))
-	assert.Equal(t, text.String(), "team,key,run_id,request_id,target,model,service,workload,"+
-		"prompt_tokens,output_tokens,outcome,billed,lost,runs,ended_us\n"+
-		"a,\"k,1\",r,,,,,,0,0,whole,5,0,1,9\n")
-	text.Reset()
-	assert.NilError(t, WriteJSONLines(&text, book.Bills))
-	assert.Equal(t, text.String(), `{"team":"a","key":"k,1","run_id":"r","prompt_tokens":0,`+
-		`"output_tokens":0,"outcome":"whole","billed":5,"lost":0,"runs":1,"ended_us":9}`+"\n")
-}
--- a/internal/core/ledger/page.go
+++ b/internal/core/ledger/page.go
@@ -39,7 +39,7 @@
 
 // String returns an opaque text that ParseCursor reads.
 func (c Cursor) String() string {
-	return base64.RawURLEncoding.EncodeToString([]byte(decimal(c.EndedUS) + " " + c.RunID))
+	return base64.RawURLEncoding.EncodeToString([]byte(strconv.FormatInt(c.EndedUS, 10) + " " + c.RunID))
 }
 
 // ParseCursor reads the text of a cursor.
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -72,9 +72,6 @@
 	e.last = now
 }
 
-// Release removes a verdict on an operator's order.
-func (t *Tracker) Release(k Key) { delete(t.entries, k) }
-
 // Quarantined reports whether the request is refused.
 func (t *Tracker) Quarantined(now time.Time, k Key) bool {
 	e := t.current(now, k)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -85,7 +85,6 @@
 	ledger.Identity
 	RunID       string  `json:"run_id"`
 	RequestID   string  `json:"request_id"`
-	Attempt     int     `json:"attempt"` // from 1
 	Holder      string  `json:"holder"`
 	Kind        RunKind `json:"kind"`
 	Model       string  `json:"model,omitempty"`
