Serve HTTP routes on the users' platform

Cause: the product could serve its own OpenAI and service interfaces only; the users' platform routes by host and path prefix, holds the configuration and the list of targets itself, and has no process beside plain services.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,7 @@
 type commands struct {
 	Router  routerCmd  `cmd:"" help:"Run a router."`
 	Sidecar sidecarCmd `cmd:"" help:"Run the sidecar of a target."`
+	Gateway gatewayCmd `cmd:"" help:"Run a router for HTTP routes on the users' platform."`
 	Dev     devCmd     `cmd:"" help:"Run everything in one process on loopback, with stand-ins."`
 	Standin standinCmd `cmd:"" help:"Run a stand-in of an outside system."`
 	Load    loadCmd    `cmd:"" help:"Generate load and compare results."`
--- /dev/null
+++ b/internal/cli/gateway.go
@@ -0,0 +1,154 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"tarragonridge.example/tarragonridge/internal/core/retry"
+	"tarragonridge.example/tarragonridge/internal/gateway"
+	"tarragonridge.example/tarragonridge/internal/prepaid"
+	"tarragonridge.example/tarragonridge/internal/settings"
+	adapter "tarragonridge.example/tarragonridge/platform"
+)
+
+// gatewayCmd runs a gateway until SIGTERM or SIGINT.
+type gatewayCmd struct {
+	settingsFlags
+}
+
+const (
+	// memoryShare is the part of the platform's memory limit that the runtime
+	// may use. The rest is for bytes in sockets and the binary itself.
+	memoryShare = 0.6
+	// closeTimeout bounds the hand-over of the budgets at the end.
+	closeTimeout = 600 * time.Millisecond
+)
+
+// Run runs the gateway.
+func (c *gatewayCmd) Run(s *Streams) error {
+	cfg, err := c.load()
+	if err != nil {
+		return err
+	}
+	level := &slog.LevelVar{}
+	setLevel(level, cfg.LogLevel)
+	log := slog.New(slog.NewTextHandler(s.Err, &slog.HandlerOptions{Level: level}))
+	if cfg.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB<<20)))
+	}
+	ctx, stop := signalContext()
+	defer stop()
+	go c.reloadOnHangup(ctx, log, level)
+	return runGateway(ctx, *cfg, log)
+}
+
+func (c *gatewayCmd) load() (*settings.Gateway, error) {
+	overrides, err := c.overrides()
+	if err != nil {
+		return nil, err
+	}
+	return settings.LoadGateway(c.Config, overrides...)
+}
+
+func setLevel(v *slog.LevelVar, name string) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(name)); err == nil { // the check of the settings admits known names only
+		v.Set(l)
+	}
+}
+
+// reloadOnHangup reads the settings again at SIGHUP. The log level is taken
+// over at once; addresses and limits need a restart.
+func (c *gatewayCmd) reloadOnHangup(ctx context.Context, log *slog.Logger, level *slog.LevelVar) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		}
+		cfg, err := c.load()
+		if err != nil {
+			log.Error("settings not reloaded", "err", err)
+			continue
+		}
+		setLevel(level, cfg.LogLevel)
+		log.Info("settings reloaded")
+	}
+}
+
+func runGateway(ctx context.Context, cfg settings.Gateway, log *slog.Logger) error {
+	store := adapter.NewStore(cfg.Store.Address)
+	budgets := prepaid.New(prepaid.Options{
+		Table: store, Host: cfg.Host, Incarnation: ulid.Make().String(), Logger: log, Clock: time.Now,
+	})
+	metrics := gateway.NewMetrics()
+	g := gateway.New(gateway.Options{
+		Codec: adapter.Headers{}, Budgets: budgets, Logger: log, Metrics: metrics, Grace: cfg.Grace(),
+		Retries: retry.Limits{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window()},
+	})
+	callers, err := net.Listen("tcp", cfg.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	sides := []side{{cfg.Listen.Ready, http.HandlerFunc(g.ServeReady)}}
+	if cfg.Listen.Metrics != "" {
+		sides = append(sides, side{cfg.Listen.Metrics, promhttp.HandlerFor(metrics.Registry, promhttp.HandlerOpts{})})
+	}
+	for _, s := range sides {
+		if err := s.serve(log); err != nil {
+			return err
+		}
+	}
+	work, stopWork := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { g.WatchConfig(work, store) })
+	tasks.Go(func() { g.WatchTargets(work, store) })
+	tasks.Go(func() { budgets.Run(work) })
+	log.Info("started", "host", cfg.Host, "callers", cfg.Listen.Callers)
+	err = g.Serve(ctx, callers)
+	stopWork()
+	tasks.Wait()
+	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	budgets.Close(closing)
+	log.Info("stopped")
+	return err
+}
+
+// side is a listener beside the callers'.
+type side struct {
+	address string
+	handler http.Handler
+}
+
+// sideTimeout bounds the reading of a header on a side listener.
+const sideTimeout = 5 * time.Second
+
+func (s side) serve(log *slog.Logger) error {
+	ln, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: sideTimeout}
+	go func() {
+		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			log.Error("side listener ended", "address", s.address, "err", err)
+		}
+	}()
+	return nil
+}
--- a/internal/core/budget/account.go
+++ b/internal/core/budget/account.go
@@ -26,6 +26,9 @@
 	ToppedUp      int64            `json:"topped_up"`
 	ClosedSettled int64            `json:"closed_settled"` // settled by holders whose grant is closed
 	Grants        map[string]Grant `json:"grants,omitempty"`
+	// Lost is the part of ClosedSettled that holders may have spent when they
+	// ended, with no account of it.
+	Lost int64 `json:"lost,omitempty"`
 }
 
 // Settled returns the tokens consumed according to stored records.
@@ -120,6 +123,27 @@
 	return a, nil
 }
 
+// WriteOff removes the grant of a holder that has ended without an account of
+// what it spent since its last operation. All it held counts as spent.
+func (a Account) WriteOff(incarnation string) Account {
+	g, ok := a.Grants[incarnation]
+	if !ok {
+		return a
+	}
+	a.Grants = cloneGrants(a.Grants)
+	delete(a.Grants, incarnation)
+	a.ClosedSettled += g.Granted
+	a.Lost += g.Held()
+	return a
+}
+
+// Raise sets the prepaid total if it exceeds the stored one. Totals never fall,
+// so that routers on different versions of the configuration agree.
+func (a Account) Raise(prepaid int64) Account {
+	a.ToppedUp = max(a.ToppedUp, prepaid)
+	return a
+}
+
 func cloneGrants(grants map[string]Grant) map[string]Grant {
 	if grants == nil {
 		return map[string]Grant{}
--- /dev/null
+++ b/internal/prepaid/manager.go
@@ -0,0 +1,383 @@
+// Package prepaid keeps a router's shares of the teams' prepaid budgets on a
+// platform whose table is the only witness of what was spent. A router spends
+// only from shares that the table has set aside for it. What a router held when
+// it ended without settling counts as spent.
+package prepaid
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/budget"
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/platform"
+)
+
+// Times of the exchange with the table.
+const (
+	// settleEvery is the pause between two rounds without a waiting request.
+	settleEvery = time.Second
+	// callTimeout bounds one call to the table, which answers in about 10 ms.
+	callTimeout = 700 * time.Millisecond
+	// conflictRetries bounds the attempts of one round after lost races.
+	conflictRetries = 6
+	// settleLeast is the least consumption that is worth a write of its own.
+	settleLeast = 2000
+	// closeRounds leaves room for an operation of unknown result and a lost race.
+	closeRounds = 4
+)
+
+// accountPrefix is the prefix of the rows that hold accounts.
+const accountPrefix = "account/"
+
+// Options configures a Manager.
+type Options struct {
+	Table platform.Table
+	// Host names the place of this process. One process runs there at a time, so
+	// a new one may close what an earlier one has held.
+	Host        string
+	Incarnation string // of this process; unique
+	Logger      *slog.Logger
+	Clock       func() time.Time
+}
+
+// Manager holds the shares. It is safe for concurrent use.
+type Manager struct {
+	opt  Options
+	id   string
+	kick chan struct{}
+
+	mu       sync.Mutex
+	prepaid  map[string]int64
+	teams    map[string]*team
+	loaded   bool
+	reached  bool // the last call to the table succeeded
+	stopping bool
+	pending  *operation
+	holders  int
+}
+
+// team is one team's share.
+type team struct {
+	name    string
+	holder  budget.Holder
+	account budget.Account
+	version int64
+	waiters []*waiter
+}
+
+// operation is a transaction whose result may be unknown.
+type operation struct {
+	txn       platform.Txn
+	teams     []*team
+	after     map[string]budget.Account
+	uncertain bool
+}
+
+type waiter struct {
+	tokens int64
+	done   chan error
+	seen   bool // a round has taken it into account
+}
+
+// New returns a manager that holds nothing. Run must be running for
+// reservations to succeed.
+func New(o Options) *Manager {
+	return &Manager{
+		opt: o, id: o.Host + "/" + o.Incarnation, kick: make(chan struct{}, 1),
+		prepaid: map[string]int64{}, teams: map[string]*team{}, holders: 1,
+	}
+}
+
+// SetPrepaid takes over the prepaid totals of a configuration.
+func (m *Manager) SetPrepaid(totals map[string]int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, total := range totals {
+		m.prepaid[name] = max(m.prepaid[name], total)
+	}
+	m.wake()
+}
+
+// Holders returns the number of routers that hold a share of any budget.
+func (m *Manager) Holders() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.holders
+}
+
+func (m *Manager) wake() {
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run exchanges shares with the table until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	ticker := time.NewTicker(settleEvery)
+	defer ticker.Stop()
+	for {
+		tick := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.kick:
+		case <-ticker.C:
+			tick = true
+		}
+		m.round(ctx, tick)
+	}
+}
+
+// Close settles what was spent and gives the rest back. No reservation may be
+// open.
+func (m *Manager) Close(ctx context.Context) {
+	m.mu.Lock()
+	m.stopping = true
+	m.mu.Unlock()
+	for range closeRounds {
+		m.round(ctx, true)
+		m.mu.Lock()
+		open := slices.ContainsFunc(slices.Collect(maps.Values(m.teams)), func(t *team) bool {
+			return t.account.Grants[m.id].Seq > 0
+		})
+		m.mu.Unlock()
+		if !open {
+			return
+		}
+	}
+	m.opt.Logger.Warn("shares not returned; they count as spent")
+}
+
+// round resolves an operation of unknown result, then makes the changes that
+// the shares need.
+func (m *Manager) round(ctx context.Context, tick bool) {
+	m.mu.Lock()
+	for _, t := range m.teams {
+		for _, w := range t.waiters {
+			w.seen = true
+		}
+	}
+	m.mu.Unlock()
+	for range conflictRetries {
+		if !m.load(ctx) {
+			break
+		}
+		m.mu.Lock()
+		if m.pending == nil {
+			m.pending = m.plan(tick)
+		}
+		op := m.pending
+		m.mu.Unlock()
+		if op == nil {
+			break
+		}
+		if !m.commit(ctx, op) {
+			break
+		}
+	}
+	m.answerWaiters()
+}
+
+// load reads the accounts once.
+func (m *Manager) load(ctx context.Context) bool {
+	m.mu.Lock()
+	done := m.loaded
+	m.mu.Unlock()
+	if done {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, err := platform.ScanAll(ctx, m.opt.Table, accountPrefix)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reached = err == nil
+	if err != nil {
+		m.opt.Logger.Warn("accounts not read", "err", err)
+		return false
+	}
+	for _, row := range rows {
+		m.take(row)
+	}
+	m.loaded = true
+	return true
+}
+
+// take adopts a stored account. m.mu is held.
+func (m *Manager) take(row platform.Row) *team {
+	t := m.team(strings.TrimPrefix(row.Key, accountPrefix))
+	var a budget.Account
+	if err := json.Unmarshal(row.Value, &a); err != nil {
+		m.opt.Logger.Error("account not readable", "team", t.name, "err", err)
+		return t
+	}
+	t.account, t.version = a, row.Version
+	m.holders = max(1, len(a.Grants))
+	return t
+}
+
+func (m *Manager) team(name string) *team {
+	t := m.teams[name]
+	if t == nil {
+		t = &team{name: name}
+		m.teams[name] = t
+	}
+	return t
+}
+
+// plan collects the changes of all teams in one transaction, nil if there are
+// none. m.mu is held.
+func (m *Manager) plan(tick bool) *operation {
+	now := m.opt.Clock()
+	op := &operation{after: map[string]budget.Account{}}
+	for name, total := range m.prepaid {
+		t := m.team(name)
+		account := m.closePredecessors(t).Raise(total)
+		delta, settle := m.change(t, account, now, tick)
+		closing := m.stopping && account.Grants[m.id].Seq > 0
+		if delta == 0 && settle == 0 && !closing && len(account.Grants) == len(t.account.Grants) {
+			continue
+		}
+		var err error
+		if closing {
+			// Open reservations end with the process and count as spent.
+			account, err = account.CloseGrant(m.id, t.holder.Consumed()+t.holder.Reserved()-t.holder.Stored().Settled)
+		} else {
+			g := t.holder.Begin(delta, settle)
+			account, err = account.SetGrant(m.id, g.Seq, g.Granted, g.Settled)
+		}
+		if err != nil {
+			m.opt.Logger.Error("share not changed", "team", name, "err", err)
+			t.holder.Drop()
+			continue
+		}
+		value, err := json.Marshal(account)
+		if err != nil {
+			m.opt.Logger.Error("account not encoded", "team", name, "err", err)
+			t.holder.Drop()
+			continue
+		}
+		key := accountPrefix + name
+		op.txn.Conditions = append(op.txn.Conditions, platform.Condition{Key: key, Version: t.version})
+		op.txn.Puts = append(op.txn.Puts, platform.Put{Key: key, Value: value})
+		op.teams = append(op.teams, t)
+		op.after[name] = account
+	}
+	if len(op.teams) == 0 {
+		return nil
+	}
+	return op
+}
+
+// closePredecessors writes off what earlier processes of this host have held.
+func (m *Manager) closePredecessors(t *team) budget.Account {
+	account := t.account
+	for holder := range t.account.Grants {
+		if holder != m.id && strings.HasPrefix(holder, m.opt.Host+"/") {
+			account = account.WriteOff(holder)
+		}
+	}
+	return account
+}
+
+// change returns the change of the grant and the consumption to settle.
+func (m *Manager) change(t *team, account budget.Account, now time.Time, tick bool) (delta, settle int64) {
+	if m.stopping {
+		return 0, 0
+	}
+	var need int64
+	if len(t.waiters) > 0 {
+		for _, w := range t.waiters {
+			need += w.tokens
+		}
+		need -= max(t.holder.Available(), 0)
+		if left := account.Left(); need > left && t.waiters[0].tokens-t.holder.Available() <= left {
+			need = t.waiters[0].tokens - t.holder.Available()
+		}
+		need = max(need, 0)
+	}
+	delta = t.holder.ShareChange(now, need, account.Left())
+	settle = t.holder.Consumed() - t.holder.Stored().Settled
+	if delta == 0 && (!tick || settle < settleLeast && account.Left() > 0) {
+		return 0, 0
+	}
+	return delta, settle
+}
+
+// commit sends the operation and reports whether another round may follow.
+func (m *Manager) commit(ctx context.Context, op *operation) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	res, err := m.opt.Table.Commit(ctx, op.txn)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reached = err == nil
+	if err != nil {
+		m.failed(op, err)
+		return false
+	}
+	m.pending = nil
+	if res.Committed {
+		for _, t := range op.teams {
+			t.holder.Confirm()
+			t.account = op.after[t.name]
+			t.version = res.Versions[accountPrefix+t.name]
+			m.holders = max(1, len(t.account.Grants))
+			t.admit()
+		}
+		return false
+	}
+	m.resolve(op, res.Current)
+	return true
+}
+
+// failed keeps an operation whose result is unknown and gives up one that is
+// known not to have taken effect. m.mu is held.
+func (m *Manager) failed(op *operation, err error) {
+	m.opt.Logger.Warn("shares not stored", "teams", len(op.teams), "err", err)
+	op.uncertain = op.uncertain || !errkind.Is(err, errkind.PlatformUnavailable)
+	if op.uncertain {
+		return
+	}
+	m.pending = nil
+	for _, t := range op.teams {
+		t.holder.Drop()
+	}
+}
+
+// resolve adopts the rows that were changed meanwhile. An operation of unknown
+// result that was applied shows in all of its rows, because it is atomic.
+// m.mu is held.
+func (m *Manager) resolve(op *operation, current []platform.Row) {
+	for _, row := range current {
+		m.take(row)
+	}
+	for _, t := range op.teams {
+		pending, open := t.holder.Pending()
+		if !open {
+			continue
+		}
+		if op.uncertain && t.account.Grants[m.id] == pending {
+			t.holder.Confirm()
+			t.admit()
+			continue
+		}
+		t.holder.Drop()
+	}
+}
+
+// admit grants waiters in order as long as the share covers the first.
+func (t *team) admit() {
+	for len(t.waiters) > 0 && t.holder.Reserve(t.waiters[0].tokens) {
+		t.waiters[0].done <- nil
+		t.waiters = t.waiters[1:]
+	}
+}
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -39,12 +39,18 @@
 		return nil, r.faults
 	}
 	var settings any
-	if found == RoleRouter {
+	switch found {
+	case RoleRouter:
 		s := DefaultRouter()
 		r.object(root, reflect.ValueOf(&s).Elem(), "")
 		r.checkRouter(&s)
 		settings = &s
-	} else {
+	case RoleGateway:
+		s := defaultGateway()
+		r.object(root, reflect.ValueOf(&s).Elem(), "")
+		r.checkGateway(&s)
+		settings = &s
+	default:
 		s := defaultSidecar()
 		r.object(root, reflect.ValueOf(&s).Elem(), "")
 		r.checkSidecar(&s)
@@ -57,7 +63,7 @@
 // role returns the role whose rules apply. A file of another role than the
 // wanted one is a fault.
 func (r *reader) role(root hujson.Value, o *hujson.Object, want string) (string, bool) {
-	expected := `"router" or "sidecar"`
+	expected := `"router", "sidecar" or "gateway"`
 	if want != "" {
 		expected = strconv.Quote(want)
 	}
@@ -70,7 +76,7 @@
 		if lit.Kind() == '"' {
 			got = lit.String()
 		}
-		known := got == RoleRouter || got == RoleSidecar
+		known := slices.Contains([]string{RoleRouter, RoleSidecar, RoleGateway}, got)
 		if known && (want == "" || got == want) {
 			return got, true
 		}
@@ -152,6 +158,13 @@
 			return
 		}
 		dst.SetInt(n)
+	case reflect.Float64:
+		f, err := strconv.ParseFloat(string(lit), 64)
+		if err != nil {
+			r.wrongType(v, key, "a number")
+			return
+		}
+		dst.SetFloat(f)
 	}
 }
 
@@ -248,6 +261,8 @@
 		return "an array"
 	case reflect.Int64:
 		return "an integer"
+	case reflect.Float64:
+		return "a number"
 	case reflect.Bool:
 		return "true or false"
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 const (
 	RoleRouter  = "router"
 	RoleSidecar = "sidecar"
+	RoleGateway = "gateway"
 )
 
 // Target kinds.
@@ -193,6 +194,16 @@
 	return s.(*Sidecar), nil
 }
 
+// LoadGateway reads the settings of a gateway. A faulty file yields a
+// *FaultsError with all faults.
+func LoadGateway(path string, overrides ...Override) (*Gateway, error) {
+	s, faults := load(path, RoleGateway, overrides...)
+	if len(faults) > 0 {
+		return nil, &FaultsError{Faults: faults}
+	}
+	return s.(*Gateway), nil
+}
+
 // Check returns all faults of a settings file of any role, in file order.
 func Check(path string) []Fault {
 	_, faults := load(path, "")
