Reach the store through relays beside engines; size shares by average demand

Change: a relay role on the engines' hosts, a selector of the path of each call, shares for 8 s of average demand, refusals at once while the table is known to be out of reach.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -42,12 +43,8 @@
 	if err != nil {
 		return err
 	}
-	level := &slog.LevelVar{}
-	setLevel(level, cfg.LogLevel)
-	log := slog.New(slog.NewTextHandler(s.Err, &slog.HandlerOptions{Level: level}))
-	if cfg.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB<<20)))
-	}
+	log, level := newLeveledLogger(s.Err, cfg.LogLevel)
+	limitMemory(cfg.Limits.MemoryMB)
 	ctx, stop := signalContext()
 	defer stop()
 	go c.reloadOnHangup(ctx, log, level)
@@ -62,6 +59,21 @@
 	return settings.LoadGateway(c.Config, overrides...)
 }
 
+// newLeveledLogger writes one line of key=value pairs per event. The level can
+// change.
+func newLeveledLogger(w io.Writer, name string) (*slog.Logger, *slog.LevelVar) {
+	level := &slog.LevelVar{}
+	setLevel(level, name)
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})), level
+}
+
+// limitMemory keeps the runtime below the platform's limit.
+func limitMemory(megabytes int64) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes<<20)))
+	}
+}
+
 func setLevel(v *slog.LevelVar, name string) {
 	var l slog.Level
 	if err := l.UnmarshalText([]byte(name)); err == nil { // the check of the settings admits known names only
@@ -92,13 +104,14 @@
 }
 
 func runGateway(ctx context.Context, cfg settings.Gateway, log *slog.Logger) error {
-	store := adapter.NewStore(cfg.Store.Address)
+	paths := gateway.NewStorePaths(cfg.Store.Address, cfg.Store.RelayPort, log)
+	store := adapter.NewStore(paths)
 	budgets := prepaid.New(prepaid.Options{
 		Table: store, Host: cfg.Host, Incarnation: ulid.Make().String(), Logger: log, Clock: time.Now,
 	})
 	metrics := gateway.NewMetrics()
 	g := gateway.New(gateway.Options{
-		Codec: adapter.Headers{}, Budgets: budgets, Logger: log, Metrics: metrics, Grace: cfg.Grace(),
+		Codec: adapter.Headers{}, Budgets: budgets, Paths: paths, Logger: log, Metrics: metrics, Grace: cfg.Grace(),
 		Retries: retry.Limits{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window()},
 	})
 	callers, err := net.Listen("tcp", cfg.Listen.Callers)
--- a/internal/core/budget/holder.go
+++ b/internal/core/budget/holder.go
@@ -157,11 +157,6 @@
 	return demandFactor * sum
 }
 
-// Rate returns the tokens per second that requests have asked for lately.
-func (h *Holder) Rate(now time.Time) float64 {
-	return float64(h.target(now)) / demandFactor / IdlePeriod.Seconds()
-}
-
 // Idle reports whether there was no demand for IdlePeriod and no request is in
 // progress.
 func (h *Holder) Idle(now time.Time) bool { return h.reserved == 0 && h.target(now) == 0 }
--- a/internal/core/budget/share.go
+++ b/internal/core/budget/share.go
@@ -5,33 +5,80 @@
 // Bounds of the share that a router keeps of a budget when it alone decides
 // what may be spent of it, with no process beside the targets.
 const (
-	// shareHorizon is the demand that a share covers. Entry hosts lose the
-	// platform's table for up to 9 s on ordinary days.
-	shareHorizon = 12 * time.Second
+	// shareHorizon is the demand that a share covers. The platform's table is
+	// down for up to 6.5 s on ordinary days.
+	shareHorizon = 8 * time.Second
 	// shareDivisor bounds a share to this part of what nobody else holds, so
 	// that the shares shrink as a budget runs out.
 	shareDivisor = 8
+	// shareLeastDivisor is the part that a router with any demand holds, because
+	// a demand that has just begun says little.
+	shareLeastDivisor = 40
+	// rateWeight is the weight of a new second in the average demand, which then
+	// looks back about 6 s.
+	rateWeight = 0.16
 )
 
-// ShareTarget returns the share that a router aims to hold, given the account's
-// Left.
-func (h *Holder) ShareTarget(now time.Time, left int64) int64 {
+// Average follows the demand of a team over several seconds.
+type Average struct {
+	perSecond float64
+	second    float64 // tokens asked for in the present second
+	started   time.Time
+}
+
+// Add counts tokens that a request has asked for.
+func (a *Average) Add(now time.Time, tokens int64) {
+	a.roll(now)
+	a.second += float64(tokens)
+}
+
+// PerSecond returns the average demand.
+func (a *Average) PerSecond(now time.Time) float64 {
+	a.roll(now)
+	return a.perSecond
+}
+
+func (a *Average) roll(now time.Time) {
+	if a.started.IsZero() {
+		a.started = now
+	}
+	for range 60 {
+		if now.Sub(a.started) < time.Second {
+			return
+		}
+		if a.perSecond == 0 {
+			a.perSecond = a.second
+		} else {
+			a.perSecond += rateWeight * (a.second - a.perSecond)
+		}
+		a.second = 0
+		a.started = a.started.Add(time.Second)
+	}
+	*a = Average{started: now} // idle for a minute
+}
+
+// ShareTarget returns the share that a router aims to hold, given its average
+// demand and the account's Left.
+func (h *Holder) ShareTarget(perSecond float64, left int64) int64 {
+	if perSecond == 0 {
+		return 0
+	}
 	free := left + max(h.Available(), 0)
-	return min(int64(h.Rate(now)*shareHorizon.Seconds()), free/shareDivisor)
+	return min(max(int64(perSecond*shareHorizon.Seconds()), free/shareLeastDivisor), free/shareDivisor)
 }
 
 // ShareChange returns by how much the grant should grow, or shrink if it is
-// negative. need is what the waiting requests lack. Changes of less than half
-// of the target are left out, so that a steady demand writes rarely.
-func (h *Holder) ShareChange(now time.Time, need, left int64) int64 {
-	target := h.ShareTarget(now, left)
+// negative. need is what the waiting requests lack. Small changes are left out,
+// so that a steady demand writes rarely.
+func (h *Holder) ShareChange(perSecond float64, need, left int64) int64 {
+	target := h.ShareTarget(perSecond, left)
 	available := h.Available()
 	switch {
 	case need > 0 && need > left:
 		return 0
 	case need > 0:
 		return max(need, min(target-available, left))
-	case available < target/2:
+	case available < target-target/4:
 		return min(target-available, left)
 	case available > 2*target && available > 0:
 		return target - available
--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -102,6 +102,17 @@
 	return out
 }
 
+// Addresses returns the addresses of the targets of the selected services.
+func (v *View) Addresses(selects func(service string) bool) []string {
+	var out []string
+	for _, t := range v.byID {
+		if selects(t.Service) {
+			out = append(out, t.Address)
+		}
+	}
+	return out
+}
+
 // Count returns the number of targets of a service that take work.
 func (v *View) Count(service string) int {
 	n := 0
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -95,14 +95,16 @@
 		g.opt.Logger.Info("registration gone", "target", id)
 		g.MissingTarget(id)
 	}
-	if !c.Whole {
-		return
-	}
-	for _, id := range g.TargetIDs() {
-		if !present[id] {
-			g.MissingTarget(id)
+	if c.Whole {
+		for _, id := range g.TargetIDs() {
+			if !present[id] {
+				g.MissingTarget(id)
+			}
 		}
 	}
+	if g.opt.Paths != nil && len(c.Present) > 0 {
+		g.opt.Paths.setTargets(g.engineAddresses())
+	}
 }
 
 // watch calls step until ctx ends and logs the loss and return of the source.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 type Options struct {
 	Codec    Codec
 	Budgets  *prepaid.Manager
+	Paths    *StorePaths // to the store; nil if its path is fixed
 	Retries  retry.Limits
 	Logger   *slog.Logger
 	Metrics  *Metrics
@@ -156,6 +157,15 @@
 	return g.view.IDs()
 }
 
+// engineAddresses returns the addresses of the targets that are engines. Only
+// their hosts run a process of the system.
+func (g *Gateway) engineAddresses() []string {
+	doc := g.config.Load()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.view.Addresses(func(service string) bool { return doc == nil || doc.Services[service].Slots > 0 })
+}
+
 // Ready reports whether the gateway takes new connections.
 func (g *Gateway) Ready() bool { return g.phase.Load() == phaseServing && g.config.Load() != nil }
 
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -23,8 +23,11 @@
 const (
 	// settleEvery is the pause between two rounds without a waiting request.
 	settleEvery = time.Second
-	// callTimeout bounds one call to the table, which answers in about 10 ms.
-	callTimeout = 700 * time.Millisecond
+	// probeEvery is the pause between two calls while the table is out of reach.
+	probeEvery = 300 * time.Millisecond
+	// callTimeout bounds one call to the table.
+	// A table that is 80 times slower than usual still answers within it.
+	callTimeout = 900 * time.Millisecond
 	// conflictRetries bounds the attempts of one round after lost races.
 	conflictRetries = 6
 	// settleLeast is the least consumption that is worth a write of its own.
@@ -67,6 +70,7 @@
 type team struct {
 	name    string
 	holder  budget.Holder
+	demand  budget.Average
 	account budget.Account
 	version int64
 	waiters []*waiter
@@ -121,21 +125,36 @@
 
 // Run exchanges shares with the table until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
-	ticker := time.NewTicker(settleEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(settleEvery)
+	defer timer.Stop()
 	for {
 		tick := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-m.kick:
-		case <-ticker.C:
+		case <-timer.C:
 			tick = true
 		}
 		m.round(ctx, tick)
+		if !tick {
+			continue
+		}
+		pause := settleEvery
+		if !m.Reached() {
+			pause = probeEvery
+		}
+		timer.Reset(pause)
 	}
 }
 
+// Reached reports whether the last call to the table succeeded.
+func (m *Manager) Reached() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reached
+}
+
 // Close settles what was spent and gives the rest back. No reservation may be
 // open.
 func (m *Manager) Close(ctx context.Context) {
@@ -304,7 +323,7 @@
 		}
 		need = max(need, 0)
 	}
-	delta = t.holder.ShareChange(now, need, account.Left())
+	delta = t.holder.ShareChange(t.demand.PerSecond(now), need, account.Left())
 	settle = t.holder.Consumed() - t.holder.Stored().Settled
 	if delta == 0 && (!tick || settle < settleLeast && account.Left() > 0) {
 		return 0, 0
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -11,6 +11,10 @@
 // maxWaiters bounds the requests that wait for one team's share.
 const maxWaiters = 200
 
+// maxWait bounds the wait of a request for an exchange with the table. It is
+// half of the shortest latency objective of an engine's route.
+const maxWait = 400 * time.Millisecond
+
 // busyRetryAfter is the time in which the shares that other routers do not use
 // come back to the account.
 const busyRetryAfter = 400 * time.Millisecond
@@ -34,7 +38,7 @@
 		return &Reservation{m: m}, nil
 	}
 	t := m.team(name)
-	t.holder.Demand(m.opt.Clock(), tokens)
+	t.demand.Add(m.opt.Clock(), tokens)
 	if len(t.waiters) == 0 && t.holder.Reserve(tokens) {
 		m.mu.Unlock()
 		return &Reservation{m: m, team: t, tokens: tokens}, nil
@@ -43,10 +47,18 @@
 		m.mu.Unlock()
 		return nil, busy("too many requests wait for the budget")
 	}
+	if m.loaded && !m.reached {
+		// The next call may take its whole timeout; the answer is known now.
+		err := m.refusal(t, tokens)
+		m.mu.Unlock()
+		return nil, err
+	}
 	w := &waiter{tokens: tokens, done: make(chan error, 1)}
 	t.waiters = append(t.waiters, w)
 	m.wake()
 	m.mu.Unlock()
+	limit := time.NewTimer(maxWait)
+	defer limit.Stop()
 	select {
 	case err := <-w.done:
 		if err != nil {
@@ -54,11 +66,18 @@
 		}
 		return &Reservation{m: m, team: t, tokens: tokens}, nil
 	case <-ctx.Done():
-		return nil, m.abandon(t, w)
+		m.abandon(t, w)
+		e := errkind.New(errkind.Canceled, "ended while waiting for budget")
+		e.Ran = errkind.RanNo
+		return nil, e
+	case <-limit.C:
+		m.abandon(t, w)
+		return nil, unreached()
 	}
 }
 
-func (m *Manager) abandon(t *team, w *waiter) error {
+// abandon takes a waiter out of the queue.
+func (m *Manager) abandon(t *team, w *waiter) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if at := slices.Index(t.waiters, w); at >= 0 {
@@ -66,8 +85,11 @@
 	} else if err := <-w.done; err == nil {
 		t.holder.Cancel(w.tokens) // granted at the same moment
 	}
-	e := errkind.New(errkind.Canceled, "ended while waiting for budget")
-	e.Ran = errkind.RanNo
+}
+
+func unreached() error {
+	e := errkind.New(errkind.PlatformUnavailable, "the share is short and the table does not answer")
+	e.RetryAfter = busyRetryAfter
 	return e
 }
 
@@ -100,9 +122,7 @@
 // refusal says why a request gets no tokens. m.mu is held.
 func (m *Manager) refusal(t *team, tokens int64) error {
 	if !m.reached || !m.loaded {
-		e := errkind.New(errkind.PlatformUnavailable, "the share is short and the table cannot be reached")
-		e.RetryAfter = busyRetryAfter
-		return e
+		return unreached()
 	}
 	// What ended routers may have spent is not known to be spent: a refusal for
 	// good needs proof.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -31,7 +31,36 @@
 
 // Store locates the platform's store.
 type Store struct {
-	Address string `json:"address" check:"required"` // IP address and port
+	Address   string `json:"address" check:"required"` // IP address and port
+	RelayPort int64  `json:"relay_port"`               // of the relays on the engines' hosts; 0 if there are none
+}
+
+// Relay holds the settings of a relay to the platform's store.
+type Relay struct {
+	Role          string      `json:"role" check:"required"`
+	Host          string      `json:"host" check:"required"`
+	FailureDomain string      `json:"failure_domain" check:"required"`
+	Listen        RelayListen `json:"listen" check:"required"`
+	Store         Store       `json:"store" check:"required"`
+	Limits        RelayLimits `json:"limits"`
+	LogLevel      string      `json:"log_level"` // debug, info, warn or error; default info
+}
+
+// RelayListen holds the address of a relay.
+type RelayListen struct {
+	Routers string `json:"routers" check:"required"` // TCP for routers
+}
+
+// RelayLimits bounds what the process uses.
+type RelayLimits struct {
+	MemoryMB int64 `json:"memory_mb"` // the platform ends a process above it; 0 means no limit
+}
+
+func (r *reader) checkRelay(s *Relay) {
+	r.checkIdentity(s.Host, s.FailureDomain, s.LogLevel)
+	r.listen("listen.routers", s.Listen.Routers, true)
+	r.peer("store.address", s.Store.Address)
+	r.within("limits.memory_mb", s.Limits.MemoryMB, 0, maxCount)
 }
 
 // GatewayRetries bounds the attempts beyond the first of all requests to one
@@ -65,6 +94,7 @@
 	minGraceS  = 4 // the balancer needs 2 s to turn away
 	maxGraceS  = 600
 	minWindowS = 1
+	maxPort    = 65535
 	maxWindowS = 600
 )
 
@@ -76,6 +106,7 @@
 	r.distinct([]string{"listen.callers", "listen.ready", "listen.metrics"},
 		[]string{s.Listen.Callers, s.Listen.Ready, s.Listen.Metrics})
 	r.peer("store.address", s.Store.Address)
+	r.within("store.relay_port", s.Store.RelayPort, 0, maxPort)
 	r.between("retries.ratio", s.Retries.Ratio, 0, 1)
 	r.between("retries.slack", s.Retries.Slack, 0, maxCount)
 	r.between("retries.window_s", s.Retries.WindowS, minWindowS, maxWindowS)
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -50,6 +50,11 @@
 		r.object(root, reflect.ValueOf(&s).Elem(), "")
 		r.checkGateway(&s)
 		settings = &s
+	case RoleRelay:
+		s := Relay{LogLevel: "info"}
+		r.object(root, reflect.ValueOf(&s).Elem(), "")
+		r.checkRelay(&s)
+		settings = &s
 	default:
 		s := defaultSidecar()
 		r.object(root, reflect.ValueOf(&s).Elem(), "")
@@ -63,7 +68,7 @@
 // role returns the role whose rules apply. A file of another role than the
 // wanted one is a fault.
 func (r *reader) role(root hujson.Value, o *hujson.Object, want string) (string, bool) {
-	expected := `"router", "sidecar" or "gateway"`
+	expected := `"router", "sidecar", "gateway" or "relay"`
 	if want != "" {
 		expected = strconv.Quote(want)
 	}
@@ -76,7 +81,7 @@
 		if lit.Kind() == '"' {
 			got = lit.String()
 		}
-		known := slices.Contains([]string{RoleRouter, RoleSidecar, RoleGateway}, got)
+		known := slices.Contains([]string{RoleRouter, RoleSidecar, RoleGateway, RoleRelay}, got)
 		if known && (want == "" || got == want) {
 			return got, true
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,7 @@
 	RoleRouter  = "router"
 	RoleSidecar = "sidecar"
 	RoleGateway = "gateway"
+	RoleRelay   = "relay"
 )
 
 // Target kinds.
@@ -204,6 +205,16 @@
 	return s.(*Gateway), nil
 }
 
+// LoadRelay reads the settings of a relay. A faulty file yields a *FaultsError
+// with all faults.
+func LoadRelay(path string, overrides ...Override) (*Relay, error) {
+	s, faults := load(path, RoleRelay, overrides...)
+	if len(faults) > 0 {
+		return nil, &FaultsError{Faults: faults}
+	}
+	return s.(*Relay), nil
+}
+
 // Check returns all faults of a settings file of any role, in file order.
 func Check(path string) []Fault {
 	_, faults := load(path, "")
