Bound what an ended router may have spent by its pledge; refuse late requests on stop

Targets that were replaced at their address were tried again.

Change: each operation on a share carries a pledge of the most that is spent until the next one; requests that cannot end within the grace are refused as not run; an address taken by another target counts as a failure.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -104,10 +104,12 @@
 }
 
 func runGateway(ctx context.Context, cfg settings.Gateway, log *slog.Logger) error {
+	started := time.Now()
 	paths := gateway.NewStorePaths(cfg.Store.Address, cfg.Store.RelayPort, log)
 	store := adapter.NewStore(paths)
 	budgets := prepaid.New(prepaid.Options{
 		Table: store, Host: cfg.Host, Incarnation: ulid.Make().String(), Logger: log, Clock: time.Now,
+		TableClock: store, Started: started,
 	})
 	metrics := gateway.NewMetrics()
 	g := gateway.New(gateway.Options{
--- a/internal/core/budget/account.go
+++ b/internal/core/budget/account.go
@@ -12,9 +12,26 @@
 // Grant is the part of an account that one holder incarnation may spend.
 // Granted and Settled are cumulative, so that a write can be repeated.
 type Grant struct {
-	Seq     int64 `json:"seq"` // number of the last operation, from 1
-	Granted int64 `json:"granted"`
-	Settled int64 `json:"settled"`
+	Seq     int64  `json:"seq"` // number of the last operation, from 1
+	Granted int64  `json:"granted"`
+	Settled int64  `json:"settled"`
+	Pledge  Pledge `json:"pledge,omitzero"`
+}
+
+// Pledge bounds what a holder spends until its next operation: at most Base plus
+// PerSecond for each second since AtMS. It is cumulative like Settled. A holder
+// without one may spend all that is granted.
+type Pledge struct {
+	Base      int64 `json:"base"`
+	PerSecond int64 `json:"per_second"`
+	AtMS      int64 `json:"at_ms"` // on the table's steady clock, not after the pledge was made
+}
+
+// Limit returns the most that the holder has spent at a moment of the table's
+// clock, without regard to what is granted.
+func (p Pledge) Limit(nowMS int64) int64 {
+	const msPerSecond = 1000
+	return p.Base + p.PerSecond*max(nowMS-p.AtMS, 0)/msPerSecond
 }
 
 // Held returns the tokens that are granted and not settled.
@@ -86,18 +103,22 @@
 // than the next, BudgetExhausted if Left cannot cover the draw, and Internal
 // for values that cannot follow the stored ones.
 func (a Account) SetGrant(incarnation string, seq, granted, settled int64) (Account, error) {
-	next := Grant{Seq: seq, Granted: granted, Settled: settled}
+	return a.Store(incarnation, Grant{Seq: seq, Granted: granted, Settled: settled})
+}
+
+// Store is SetGrant for a grant with a pledge.
+func (a Account) Store(incarnation string, next Grant) (Account, error) {
 	old := a.Grants[incarnation]
-	if old == next && seq > 0 {
+	if old == next && next.Seq > 0 {
 		return a, nil
 	}
-	if seq != old.Seq+1 {
-		return a, errkind.New(errkind.Conflict, "operation %d of %s does not follow %d", seq, incarnation, old.Seq)
+	if next.Seq != old.Seq+1 {
+		return a, errkind.New(errkind.Conflict, "operation %d of %s does not follow %d", next.Seq, incarnation, old.Seq)
 	}
-	if settled < old.Settled || granted < settled {
+	if next.Settled < old.Settled || next.Granted < next.Settled {
 		return a, errkind.New(errkind.Internal, "grant %+v of %s cannot follow %+v", next, incarnation, old)
 	}
-	if granted-old.Granted > a.Left() {
+	if next.Granted-old.Granted > a.Left() {
 		return a, errkind.New(errkind.BudgetExhausted, "%d tokens left", a.Left())
 	}
 	a.Grants = cloneGrants(a.Grants)
@@ -123,17 +144,22 @@
 	return a, nil
 }
 
-// WriteOff removes the grant of a holder that has ended without an account of
-// what it spent since its last operation. All it held counts as spent.
-func (a Account) WriteOff(incarnation string) Account {
+// WriteOff removes the grant of a holder that ended without an account of what
+// it spent since its last operation. The most that it can have spent by diedMS,
+// on the table's clock, counts as spent.
+func (a Account) WriteOff(incarnation string, diedMS int64) Account {
 	g, ok := a.Grants[incarnation]
 	if !ok {
 		return a
 	}
+	spent := g.Granted
+	if g.Pledge != (Pledge{}) {
+		spent = min(spent, max(g.Pledge.Limit(diedMS), g.Settled))
+	}
 	a.Grants = cloneGrants(a.Grants)
 	delete(a.Grants, incarnation)
-	a.ClosedSettled += g.Granted
-	a.Lost += g.Held()
+	a.ClosedSettled += spent
+	a.Lost += spent - g.Settled
 	return a
 }
 
--- a/internal/core/budget/holder.go
+++ b/internal/core/budget/holder.go
@@ -102,6 +102,15 @@
 	return h.pending
 }
 
+// BeginPledged is Begin for an operation that carries a pledge.
+func (h *Holder) BeginPledged(delta, settle int64, p Pledge) Grant {
+	if h.pending.Seq == 0 {
+		h.Begin(delta, settle)
+		h.pending.Pledge = p
+	}
+	return h.pending
+}
+
 // Pending returns the operation in flight, if any.
 func (h *Holder) Pending() (Grant, bool) { return h.pending, h.pending.Seq != 0 }
 
--- a/internal/core/budget/share.go
+++ b/internal/core/budget/share.go
@@ -7,7 +7,7 @@
 const (
 	// shareHorizon is the demand that a share covers. The platform's table is
 	// down for up to 6.5 s on ordinary days.
-	shareHorizon = 8 * time.Second
+	shareHorizon = 12 * time.Second
 	// shareDivisor bounds a share to this part of what nobody else holds, so
 	// that the shares shrink as a budget runs out.
 	shareDivisor = 8
@@ -80,8 +80,40 @@
 		return max(need, min(target-available, left))
 	case available < target-target/4:
 		return min(target-available, left)
-	case available > 2*target && available > 0:
+	case available > target+target/2 && available > 0:
 		return target - available
 	}
 	return 0
 }
+
+// Bounds of what a router pledges to spend at most between two operations.
+const (
+	// pledgeFactor is the pledged rate in multiples of the average demand. A
+	// team's demand rises to 2.4 times its usual on ordinary days; the pledge is
+	// renewed within a second while the table answers.
+	pledgeFactor = 1.5
+	// pledgeBurst is the demand that may come at once.
+	pledgeBurst = time.Second
+)
+
+// NewPledge returns the pledge for an operation, given the average demand, the
+// largest request that waits and the table's clock.
+func (h *Holder) NewPledge(perSecond float64, need, nowMS int64) Pledge {
+	return Pledge{
+		Base:      h.consumed + h.reserved + need + int64(perSecond*pledgeBurst.Seconds()),
+		PerSecond: int64(perSecond * pledgeFactor),
+		AtMS:      nowMS,
+	}
+}
+
+// Within reports whether a reservation keeps the pledges, both the stored one
+// and that of an operation in flight.
+func (h *Holder) Within(tokens, nowMS int64) bool {
+	after := h.consumed + h.reserved + tokens
+	for _, p := range []Pledge{h.stored.Pledge, h.pending.Pledge} {
+		if p != (Pledge{}) && after > p.Limit(nowMS) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -145,7 +145,7 @@
 		t.Succeeded()
 	case errors.Is(cause, upstream.ErrConnLimit), result == abandoned, errors.Is(cause, errFailedRun):
 		t.Undecided()
-	case result == rejected:
+	case result == rejected && !errors.Is(cause, errReplaced):
 		t.Undecided()
 	default:
 		t.Failed(time.Now())
@@ -186,6 +186,9 @@
 	defer answer.Close()
 	if verdict.NotRun {
 		drainBody(answer)
+		if answer.StatusCode == http.StatusMisdirectedRequest {
+			return rejected, errReplaced
+		}
 		return rejected, errkind.New(errkind.Overloaded, "target answered %d, not run", answer.StatusCode)
 	}
 	x.runs++
@@ -201,6 +204,7 @@
 
 var (
 	errForeign   = errors.New("answer is not the target's")
+	errReplaced  = errors.New("another target has taken the address")
 	errFailedRun = errors.New("target answered with a failure")
 )
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -224,6 +224,14 @@
 	return nil
 }
 
+// tooLate reports whether a stopping gateway cannot finish a request of a route.
+func (g *Gateway) tooLate(route *httproute.Route, now time.Time) bool {
+	if g.phase.Load() != phaseDraining || now.Sub(g.since) < acceptAfterStop {
+		return false
+	}
+	return now.Add(route.Timeout).After(g.since.Add(g.opt.Grace - reserveOfGrace))
+}
+
 // drain takes requests until the balancer has turned away, then waits for those
 // in progress.
 func (g *Gateway) drain(server *http.Server, callers net.Listener) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -50,7 +50,7 @@
 		return broken, errFailedRun
 	}
 	g.writeHead(w, x, a)
-	if len(body) <= wholeBytes {
+	if len(body) <= wholeBytes && framed(a) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.status = a.StatusCode
@@ -76,11 +76,21 @@
 	if h.Get("Content-Type") == "" {
 		h["Content-Type"] = nil // keeps the server from guessing
 	}
+	if !framed(a) {
+		// Only the end of the connection ends this answer, for the caller too:
+		// nobody can tell whether it is complete.
+		h.Set("Transfer-Encoding", "identity")
+	}
 	if g.phase.Load() != phaseServing {
 		h.Set("Connection", "close")
 	}
 }
 
+// framed reports whether the answer says where it ends.
+func framed(a *upstream.Answer) bool {
+	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0
+}
+
 // cut classifies an answer that broke off.
 func (g *Gateway) cut(ctx context.Context, x *request, err error) (outcome, error) {
 	if ctx.Err() != nil || !time.Now().Before(x.deadline) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -109,6 +109,11 @@
 	if x.team, ok = doc.Authenticate(x.route, x.meta.Key); !ok {
 		return errkind.New(errkind.Unauthenticated, "unknown key")
 	}
+	if g.tooLate(x.route, x.arrived) {
+		e := errkind.New(errkind.Stopping, "taken on a kept connection")
+		e.RetryAfter = leastRetryAfter
+		return e
+	}
 	if x.body, err = readBody(w, r, doc.Limits.BodyBytes); err != nil {
 		return err
 	}
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -48,6 +48,15 @@
 	Incarnation string // of this process; unique
 	Logger      *slog.Logger
 	Clock       func() time.Time
+	TableClock  TableClock
+	Started     time.Time // of this process
+}
+
+// TableClock tells the time of the table's steady clock.
+type TableClock interface {
+	// Last returns a time that the table has stated, with the moments between
+	// which it did so.
+	Last() (ms int64, sent, received time.Time)
 }
 
 // Manager holds the shares. It is safe for concurrent use.
@@ -57,6 +66,7 @@
 	kick chan struct{}
 
 	mu       sync.Mutex
+	diedMS   int64 // no earlier process of this host lived after it, on the table's clock
 	prepaid  map[string]int64
 	teams    map[string]*team
 	loaded   bool
@@ -226,10 +236,23 @@
 	for _, row := range rows {
 		m.take(row)
 	}
+	ms, sent, _ := m.opt.TableClock.Last()
+	m.diedMS = ms - sent.Sub(m.opt.Started).Milliseconds()
 	m.loaded = true
 	return true
 }
 
+// tableNow returns a time of the table's clock that has passed for certain.
+func (m *Manager) tableNow() int64 {
+	ms, _, received := m.opt.TableClock.Last()
+	return ms + m.opt.Clock().Sub(received).Milliseconds()
+}
+
+// reserve takes tokens out of a share within its pledge.
+func (m *Manager) reserve(t *team, tokens int64) bool {
+	return t.holder.Within(tokens, m.tableNow()) && t.holder.Reserve(tokens)
+}
+
 // take adopts a stored account. m.mu is held.
 func (m *Manager) take(row platform.Row) *team {
 	t := m.team(strings.TrimPrefix(row.Key, accountPrefix))
@@ -262,7 +285,9 @@
 		account := m.closePredecessors(t).Raise(total)
 		delta, settle := m.change(t, account, now, tick)
 		closing := m.stopping && account.Grants[m.id].Seq > 0
-		if delta == 0 && settle == 0 && !closing && len(account.Grants) == len(t.account.Grants) {
+		// A share that suffices but not within its pledge needs a new pledge.
+		renew := len(t.waiters) > 0 && !m.stopping && t.waiters[0].tokens <= t.holder.Available()
+		if delta == 0 && settle == 0 && !closing && !renew && len(account.Grants) == len(t.account.Grants) {
 			continue
 		}
 		var err error
@@ -270,8 +295,8 @@
 			// Open reservations end with the process and count as spent.
 			account, err = account.CloseGrant(m.id, t.holder.Consumed()+t.holder.Reserved()-t.holder.Stored().Settled)
 		} else {
-			g := t.holder.Begin(delta, settle)
-			account, err = account.SetGrant(m.id, g.Seq, g.Granted, g.Settled)
+			pledge := t.holder.NewPledge(t.demand.PerSecond(now), t.waiting(), m.tableNow())
+			account, err = account.Store(m.id, t.holder.BeginPledged(delta, settle, pledge))
 		}
 		if err != nil {
 			m.opt.Logger.Error("share not changed", "team", name, "err", err)
@@ -301,7 +326,7 @@
 	account := t.account
 	for holder := range t.account.Grants {
 		if holder != m.id && strings.HasPrefix(holder, m.opt.Host+"/") {
-			account = account.WriteOff(holder)
+			account = account.WriteOff(holder, m.diedMS)
 		}
 	}
 	return account
@@ -314,10 +339,7 @@
 	}
 	var need int64
 	if len(t.waiters) > 0 {
-		for _, w := range t.waiters {
-			need += w.tokens
-		}
-		need -= max(t.holder.Available(), 0)
+		need = t.waiting() - max(t.holder.Available(), 0)
 		if left := account.Left(); need > left && t.waiters[0].tokens-t.holder.Available() <= left {
 			need = t.waiters[0].tokens - t.holder.Available()
 		}
@@ -350,7 +372,7 @@
 			t.account = op.after[t.name]
 			t.version = res.Versions[accountPrefix+t.name]
 			m.holders = max(1, len(t.account.Grants))
-			t.admit()
+			m.admit(t)
 		}
 		return false
 	}
@@ -386,16 +408,25 @@
 		}
 		if op.uncertain && t.account.Grants[m.id] == pending {
 			t.holder.Confirm()
-			t.admit()
+			m.admit(t)
 			continue
 		}
 		t.holder.Drop()
 	}
 }
 
+// waiting returns the tokens that all waiters ask for.
+func (t *team) waiting() int64 {
+	var sum int64
+	for _, w := range t.waiters {
+		sum += w.tokens
+	}
+	return sum
+}
+
 // admit grants waiters in order as long as the share covers the first.
-func (t *team) admit() {
-	for len(t.waiters) > 0 && t.holder.Reserve(t.waiters[0].tokens) {
+func (m *Manager) admit(t *team) {
+	for len(t.waiters) > 0 && m.reserve(t, t.waiters[0].tokens) {
 		t.waiters[0].done <- nil
 		t.waiters = t.waiters[1:]
 	}
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -39,7 +39,7 @@
 	}
 	t := m.team(name)
 	t.demand.Add(m.opt.Clock(), tokens)
-	if len(t.waiters) == 0 && t.holder.Reserve(tokens) {
+	if len(t.waiters) == 0 && m.reserve(t, tokens) {
 		m.mu.Unlock()
 		return &Reservation{m: m, team: t, tokens: tokens}, nil
 	}
@@ -104,7 +104,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, t := range m.teams {
-		t.admit()
+		m.admit(t)
 		var later []*waiter
 		for _, w := range t.waiters {
 			if !w.seen {
@@ -148,6 +148,6 @@
 		r.m.opt.Logger.Error("charge exceeds its reservation", "team", r.team.name, "charged", charged, "reserved", r.tokens)
 	}
 	if len(r.team.waiters) > 0 {
-		r.team.admit()
+		r.m.admit(r.team)
 	}
 }
