--- /dev/null
+++ b/internal/core/budget/share_test.go
@@ -0,0 +1,106 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a write-off that frees tokens which the ended router had
+// spent. The router's clock may run late against the table's, and its last
+// operation may or may not have been applied.
+func TestWriteOffCoversWhatWasSpent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const prepaid = 1_000_000
+		account := Account{}.Raise(prepaid)
+		h := &Holder{}
+		tableMS := int64(10_000)
+		var spent int64
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			tableMS += rapid.Int64Range(0, 900).Draw(t, "pause")
+			knownMS := tableMS - rapid.Int64Range(0, 300).Draw(t, "lag")
+			switch rapid.SampledFrom([]string{"spend", "spend", "exchange", "lost"}).Draw(t, "step") {
+			case "spend":
+				tokens := rapid.Int64Range(1, 20_000).Draw(t, "tokens")
+				if h.Within(tokens, knownMS) && h.Reserve(tokens) {
+					spent += h.Settle(tokens, rapid.Int64Range(0, tokens).Draw(t, "charged"))
+				}
+			case "exchange":
+				perSecond := float64(rapid.IntRange(0, 50_000).Draw(t, "rate"))
+				pledge := h.NewPledge(perSecond, 0, knownMS)
+				g := h.BeginPledged(h.ShareChange(perSecond, 0, account.Left()), h.Consumed()-h.Stored().Settled, pledge)
+				next, err := account.Store("r", g)
+				if err != nil {
+					t.Fatal(err)
+				}
+				account = next
+				h.Confirm()
+			case "lost":
+				pledge := h.NewPledge(1000, 0, knownMS)
+				g := h.BeginPledged(0, h.Consumed()-h.Stored().Settled, pledge)
+				if rapid.Bool().Draw(t, "applied") {
+					next, err := account.Store("r", g)
+					if err != nil {
+						t.Fatal(err)
+					}
+					account = next
+				}
+			}
+		}
+		account = account.WriteOff("r", tableMS)
+		if err := account.Check(); err != nil {
+			t.Fatal(err)
+		}
+		if account.Settled() < spent {
+			t.Fatalf("settled %d of %d spent", account.Settled(), spent)
+		}
+		if account.Settled()+account.Left() != prepaid {
+			t.Fatalf("%d settled and %d left of %d", account.Settled(), account.Left(), prepaid)
+		}
+	})
+}
+
+// Guards against shares of an ended router that stay lost for good: with a
+// steady demand, what is written off is bounded by seconds of demand.
+func TestWriteOffIsBoundedByTheDemand(t *testing.T) {
+	const perSecond = 10_000
+	account := Account{}.Raise(3_000_000)
+	h := &Holder{}
+	pledge := h.NewPledge(perSecond, 0, 0)
+	account, err := account.Store("r", h.BeginPledged(h.ShareChange(perSecond, 0, account.Left()), 0, pledge))
+	assert.NilError(t, err)
+	h.Confirm()
+	assert.Equal(t, h.Available(), int64(120_000), "12 s of demand")
+	account = account.WriteOff("r", 1000)
+	assert.Assert(t, account.Lost <= 3*perSecond, "%d tokens lost", account.Lost)
+	assert.Equal(t, account.Left(), 3_000_000-account.Lost)
+}
+
+// Guards against an outage of the table that a usual demand does not survive.
+func TestUsualDemandKeepsThePledge(t *testing.T) {
+	const perSecond = 10_000
+	account := Account{}.Raise(10_000_000)
+	h := &Holder{}
+	_, err := account.Store("r", h.BeginPledged(h.ShareChange(perSecond, 0, account.Left()), 0, h.NewPledge(perSecond, 0, 0)))
+	assert.NilError(t, err)
+	h.Confirm()
+	for ms := int64(0); ms < 10_000; ms += 500 {
+		assert.Assert(t, h.Within(perSecond/2, ms) && h.Reserve(perSecond/2), "refused at %d ms", ms)
+		h.Settle(perSecond/2, perSecond/2)
+	}
+}
+
+func TestAverageFollowsTheDemand(t *testing.T) {
+	var a Average
+	now := time.Unix(100, 0)
+	for range 300 {
+		a.Add(now, 1000)
+		now = now.Add(100 * time.Millisecond)
+	}
+	got := a.PerSecond(now)
+	assert.Assert(t, got > 9_000 && got < 11_000, "%g", got)
+	assert.Assert(t, a.PerSecond(now.Add(20*time.Second)) < 500)
+	assert.Equal(t, a.PerSecond(now.Add(time.Hour)), 0.0)
+}
--- /dev/null
+++ b/internal/core/sse/sse_test.go
@@ -0,0 +1,59 @@
+package sse
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against events that are lost, doubled or cut at the borders of reads.
+func TestAnyCutsGiveTheSameEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var stream []byte
+		n := rapid.IntRange(0, 20).Draw(t, "events")
+		for i := range n {
+			stream = fmt.Appendf(stream, "id: %d\ndata: %s\n\n", i, rapid.StringMatching(`[a-z.\n]{0,3}[a-z]{1,30}`).Draw(t, "data"))
+		}
+		tail := rapid.SampledFrom([]string{"", "id", "id: 7\ndata: x\n"}).Draw(t, "tail")
+		stream = append(stream, tail...)
+		s := NewSplitter(1 << 10)
+		var got []byte
+		for rest := stream; len(rest) > 0; {
+			cut := rapid.IntRange(1, len(rest)).Draw(t, "cut")
+			whole, err := s.Add(rest[:cut])
+			if err != nil {
+				t.Fatal(err)
+			}
+			for event := range Events(whole) {
+				got = append(got, event...)
+			}
+			rest = rest[cut:]
+		}
+		if want := stream[:len(stream)-s.Pending()]; !bytes.Equal(got, want) {
+			t.Fatalf("got %q, want %q", got, want)
+		}
+		if s.Pending() != len(tail) {
+			t.Fatalf("%d bytes pending, want %d", s.Pending(), len(tail))
+		}
+	})
+}
+
+func TestID(t *testing.T) {
+	id, ok := ID([]byte("id: 12\ndata: id: 9\n\n"))
+	assert.Assert(t, ok)
+	assert.Equal(t, id, int64(12))
+	_, ok = ID([]byte("data: x\n\n"))
+	assert.Assert(t, !ok)
+	_, ok = ID([]byte("id: x\n\n"))
+	assert.Assert(t, !ok)
+}
+
+// Guards against a target that fills the router's memory with one event.
+func TestEventIsBounded(t *testing.T) {
+	s := NewSplitter(10)
+	_, err := s.Add([]byte("data: 0123456789"))
+	assert.ErrorContains(t, err, "exceeds 10 bytes")
+}
