--- a/internal/core/budget/share.go
+++ b/internal/core/budget/share.go
@@ -32,9 +32,13 @@
 	a.second += float64(tokens)
 }
 
-// PerSecond returns the average demand.
+// PerSecond returns the average demand. In its first second that is what was
+// asked for so far.
 func (a *Average) PerSecond(now time.Time) float64 {
 	a.roll(now)
+	if a.perSecond == 0 {
+		return a.second
+	}
 	return a.perSecond
 }
 
--- /dev/null
+++ b/internal/prepaid/manager_test.go
@@ -0,0 +1,212 @@
+package prepaid
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"tarragonridge.example/tarragonridge/internal/core/budget"
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/platform/platformtest"
+)
+
+// clock is the time of the routers and of the table in a test.
+type clock struct{ now time.Time }
+
+func newClock() *clock { return &clock{now: time.Unix(1000, 0)} }
+
+func (c *clock) advance(d time.Duration) { c.now = c.now.Add(d) }
+
+// Last implements TableClock.
+func (c *clock) Last() (int64, time.Time, time.Time) { return c.now.UnixMilli(), c.now, c.now }
+
+func (c *clock) manager(table platform.Table, host, incarnation string, prepaid int64) *Manager {
+	m := New(Options{
+		Table: table, Host: host, Incarnation: incarnation, Logger: slog.New(slog.DiscardHandler),
+		Clock: func() time.Time { return c.now }, TableClock: c, Started: c.now,
+	})
+	m.SetPrepaid(map[string]int64{"t": prepaid})
+	return m
+}
+
+// try reserves without waiting for the table.
+func (m *Manager) try(tokens int64) *Reservation {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.team("t")
+	t.demand.Add(m.opt.Clock(), tokens)
+	if !m.reserve(t, tokens) {
+		return nil
+	}
+	return &Reservation{m: m, team: t, tokens: tokens}
+}
+
+func stored(t assert.TestingT, table platform.Table) budget.Account {
+	m := New(Options{Logger: slog.New(slog.DiscardHandler)})
+	row, err := table.Get(context.Background(), accountPrefix+"t")
+	if errkind.Is(err, errkind.NotFound) {
+		return budget.Account{}
+	}
+	assert.NilError(t, err)
+	return m.take(row).account
+}
+
+// Guards against an overspent budget: answers are lost, writes are late, routers
+// are killed at any moment and start again on their host, and clocks go on.
+func TestNoOverspend(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		const prepaid = 300_000
+		memory := platform.NewMemory()
+		table := platformtest.New(memory, rapid.Uint64().Draw(t, "seed"))
+		table.Set(platformtest.Faults{Refuse: 0.1, Lose: 0.2, Late: 0.2})
+		c := newClock()
+		var managers []*Manager
+		starts := 0
+		start := func(host int) *Manager {
+			starts++
+			return c.manager(table, fmt.Sprintf("host%d", host), fmt.Sprint(starts), prepaid)
+		}
+		for host := range 3 {
+			managers = append(managers, start(host))
+		}
+		var spent int64
+		for range rapid.IntRange(10, 80).Draw(t, "steps") {
+			c.advance(time.Duration(rapid.IntRange(0, 600).Draw(t, "pause")) * time.Millisecond)
+			host := rapid.IntRange(0, 2).Draw(t, "host")
+			m := managers[host]
+			switch rapid.SampledFrom([]string{"spend", "spend", "spend", "round", "round", "kill", "stop"}).Draw(t, "step") {
+			case "spend":
+				tokens := rapid.Int64Range(1, 15_000).Draw(t, "tokens")
+				if r := m.try(tokens); r != nil {
+					charged := rapid.Int64Range(0, tokens).Draw(t, "charged")
+					r.Settle(charged)
+					spent += charged
+				}
+			case "round":
+				m.round(ctx, true)
+			case "kill":
+				managers[host] = start(host)
+			case "stop":
+				m.Close(ctx)
+				managers[host] = start(host)
+			}
+			if spent > prepaid {
+				t.Fatalf("spent %d of %d", spent, prepaid)
+			}
+		}
+		table.Set(platformtest.Faults{})
+		assert.NilError(t, table.ApplyLate(ctx))
+		for host, m := range managers {
+			m.round(ctx, true)
+			m.Close(ctx)
+			managers[host] = start(host)
+			managers[host].round(ctx, true)
+		}
+		account := stored(t, table)
+		assert.NilError(t, account.Check())
+		if account.Settled() < spent {
+			t.Fatalf("settled %d of %d spent", account.Settled(), spent)
+		}
+	})
+}
+
+// Guards against a refusal although the budget covers the request, right after
+// a loss of power of all routers.
+func TestBudgetIsThereAfterAllRoutersDied(t *testing.T) {
+	ctx := context.Background()
+	table := platform.NewMemory()
+	c := newClock()
+	const prepaid, request = 1_000_000, 5_000
+	var managers []*Manager
+	for host := range 5 {
+		managers = append(managers, c.manager(table, fmt.Sprint("host", host), "1", prepaid))
+	}
+	var spent int64
+	for range 50 { // five seconds with 20 requests a second
+		for _, m := range managers[:2] {
+			r := m.try(request)
+			if r == nil {
+				m.round(ctx, false)
+				r = m.try(request)
+			}
+			assert.Assert(t, r != nil)
+			r.Settle(request)
+			spent += request
+			m.round(ctx, true)
+		}
+		c.advance(100 * time.Millisecond)
+	}
+	c.advance(time.Second)
+	var left int64
+	for host := range 5 {
+		m := c.manager(table, fmt.Sprint("host", host), "2", prepaid)
+		m.round(ctx, true)
+	}
+	account := stored(t, table)
+	left = account.Left()
+	assert.Assert(t, left >= prepaid-spent-400_000, "%d left after %d spent, %d lost", left, spent, account.Lost)
+}
+
+// Guards against refusals for good that are not true, and against waiting for a
+// table that is known to be out of reach.
+func TestRefusals(t *testing.T) {
+	ctx := context.Background()
+	memory := platform.NewMemory()
+	table := platformtest.New(memory, 1)
+	c := newClock()
+	a := c.manager(table, "a", "1", 100_000)
+	run, stop := context.WithCancel(ctx)
+	defer stop()
+	go a.Run(run)
+	r, err := a.Reserve(ctx, "t", 60_000)
+	assert.NilError(t, err)
+	_, err = a.Reserve(ctx, "t", 60_000)
+	assert.Assert(t, errkind.Is(err, errkind.BudgetBusy), "the first request may leave enough: %v", err)
+	r.Settle(60_000)
+	a.round(ctx, true)
+	_, err = a.Reserve(ctx, "t", 60_000)
+	assert.Assert(t, errkind.Is(err, errkind.BudgetExhausted), "%v", err)
+	r, err = a.Reserve(ctx, "t", 30_000)
+	assert.NilError(t, err)
+	r.Settle(0)
+	r, err = a.Reserve(ctx, "other", 60_000)
+	assert.NilError(t, err, "a team without a limit")
+	r.Settle(1)
+	a.SetPrepaid(map[string]int64{"t": 200_000})
+	r, err = a.Reserve(ctx, "t", 100_000)
+	assert.NilError(t, err, "after a top-up")
+	r.Settle(0)
+
+	table.SetDown(true)
+	a.round(ctx, true)
+	_, err = a.Reserve(ctx, "t", 150_000)
+	assert.Assert(t, errkind.Is(err, errkind.PlatformUnavailable), "%v", err)
+	assert.Equal(t, errkind.From(err).Answer().Ran, errkind.RanNo)
+}
+
+// Guards against a share that stays with a router that has stopped.
+func TestCloseReturnsTheShare(t *testing.T) {
+	ctx := context.Background()
+	table := platformtest.New(platform.NewMemory(), 1)
+	c := newClock()
+	m := c.manager(table, "a", "1", 100_000)
+	m.try(1000)
+	c.advance(time.Second)
+	m.round(ctx, true)
+	r := m.try(1000)
+	assert.Assert(t, r != nil)
+	r.Settle(700)
+	table.LoseNext(1)
+	m.Close(ctx)
+	account := stored(t, table)
+	assert.Equal(t, len(account.Grants), 0)
+	assert.Equal(t, account.Settled(), int64(700))
+	assert.Equal(t, account.Lost, int64(0))
+}
