Notice the return of the store without a write; test the whole path against stand-ins

Cause: found by TestStoreOutage, which failed first: a router with nothing to write made no call after an outage and went on refusing requests beyond its share.

Change: accounts are read again after each failure of the table.

--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -215,10 +215,11 @@
 	m.answerWaiters()
 }
 
-// load reads the accounts once.
+// load reads the accounts, once and after each failure of the table. Without the
+// second, a router that has nothing to write would not notice its return.
 func (m *Manager) load(ctx context.Context) bool {
 	m.mu.Lock()
-	done := m.loaded
+	done := m.loaded && m.reached
 	m.mu.Unlock()
 	if done {
 		return true
@@ -237,8 +238,10 @@
 		m.take(row)
 	}
 	ms, sent, _ := m.opt.TableClock.Last()
-	m.diedMS = ms - sent.Sub(m.opt.Started).Milliseconds()
-	m.loaded = true
+	if !m.loaded {
+		m.diedMS = ms - sent.Sub(m.opt.Started).Milliseconds()
+		m.loaded = true
+	}
 	return true
 }
 
