Keep pace with a slow table and give shares back from the start of a stop

Change: longer calls and pauses after slow ones; a stopping router gives back what it does not need at once; each write-off is logged.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -238,6 +238,7 @@
 	g.since = time.Now()
 	g.phase.Store(phaseDraining)
 	g.opt.Logger.Info("stopping", "open", g.open.Load())
+	g.opt.Budgets.Drain()
 	end := g.since.Add(g.opt.Grace - reserveOfGrace)
 	time.Sleep(acceptAfterStop)
 	_ = callers.Close() // the server notices; nothing else uses it
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -25,9 +25,15 @@
 	settleEvery = 500 * time.Millisecond
 	// probeEvery is the pause between two calls while the table is out of reach.
 	probeEvery = 300 * time.Millisecond
-	// callTimeout bounds one call to the table.
-	// A table that is 80 times slower than usual still answers within it.
+	// callTimeout bounds a call to the table after one that was answered.
 	callTimeout = 900 * time.Millisecond
+	// slowTimeout bounds a call after one that was not. A table that is 80 times
+	// slower than usual takes 0.4 s for each write of any router.
+	slowTimeout = 3 * time.Second
+	// paceFactor is the pause between two rounds in multiples of the time that
+	// the last call took, so that a slow table is not given more writes than it
+	// can take.
+	paceFactor = 5
 	// conflictRetries bounds the attempts of one round after lost races.
 	conflictRetries = 6
 	// settleLeast is the least consumption that is worth a write of its own.
@@ -70,7 +76,10 @@
 	prepaid  map[string]int64
 	teams    map[string]*team
 	loaded   bool
-	reached  bool // the last call to the table succeeded
+	reached  bool          // the last call to the table succeeded
+	answered bool          // the last call to the table was answered in time
+	took     time.Duration // the last call to the table
+	draining bool // gives back what it does not need at once
 	stopping bool
 	pending  *operation
 	holders  int
@@ -105,7 +114,7 @@
 func New(o Options) *Manager {
 	return &Manager{
 		opt: o, id: o.Host + "/" + o.Incarnation, kick: make(chan struct{}, 1),
-		prepaid: map[string]int64{}, teams: map[string]*team{}, holders: 1,
+		prepaid: map[string]int64{}, teams: map[string]*team{}, holders: 1, answered: true,
 	}
 }
 
@@ -152,12 +161,35 @@
 		if !tick {
 			continue
 		}
-		pause := settleEvery
-		if !m.Reached() {
-			pause = probeEvery
-		}
-		timer.Reset(pause)
+		timer.Reset(m.pause())
+	}
+}
+
+// pause returns the time until the next round.
+func (m *Manager) pause() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.reached {
+		return max(probeEvery, m.took)
+	}
+	return max(settleEvery, paceFactor*m.took)
+}
+
+// timeout returns the bound of the next call.
+func (m *Manager) timeout() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.answered {
+		return callTimeout
 	}
+	return slowTimeout
+}
+
+// note records how a call to the table went. m.mu is held.
+func (m *Manager) note(ctx context.Context, began time.Time, err error) {
+	m.reached = err == nil
+	m.answered = ctx.Err() == nil
+	m.took = m.opt.Clock().Sub(began)
 }
 
 // Reached reports whether the last call to the table succeeded.
@@ -167,6 +199,15 @@
 	return m.reached
 }
 
+// Drain gives back all that the requests in progress do not need, long before
+// Close: the table may be slow or out of reach by then.
+func (m *Manager) Drain() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.draining = true
+	m.wake()
+}
+
 // Close settles what was spent and gives the rest back. No reservation may be
 // open.
 func (m *Manager) Close(ctx context.Context) {
@@ -229,12 +270,13 @@
 	if done {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.timeout())
 	defer cancel()
+	began := m.opt.Clock()
 	rows, err := platform.ScanAll(ctx, m.opt.Table, accountPrefix)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reached = err == nil
+	m.note(ctx, began, err)
 	if err != nil {
 		m.opt.Logger.Warn("accounts not read", "err", err)
 		return false
@@ -334,7 +376,11 @@
 	account := t.account
 	for holder := range t.account.Grants {
 		if holder != m.id && strings.HasPrefix(holder, m.opt.Host+"/") {
+			before := account.Lost
 			account = account.WriteOff(holder, m.diedMS)
+			m.opt.Logger.Info("share of an ended process written off", "team", t.name, "holder", holder,
+				"held", t.account.Grants[holder].Held(), "lost", account.Lost-before,
+				"pledged_ms", m.diedMS-t.account.Grants[holder].Pledge.AtMS)
 		}
 	}
 	return account
@@ -353,7 +399,11 @@
 		}
 		need = max(need, 0)
 	}
-	delta = t.holder.ShareChange(t.demand.PerSecond(now), need, account.Left())
+	perSecond := t.demand.PerSecond(now)
+	if m.draining {
+		perSecond = 0
+	}
+	delta = t.holder.ShareChange(perSecond, need, account.Left())
 	settle = t.holder.Consumed() - t.holder.Stored().Settled
 	if delta == 0 && (!tick || settle < settleLeast && account.Left() > 0) {
 		return 0, 0
@@ -363,12 +413,13 @@
 
 // commit sends the operation and reports whether another round may follow.
 func (m *Manager) commit(ctx context.Context, op *operation) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.timeout())
 	defer cancel()
+	began := m.opt.Clock()
 	res, err := m.opt.Table.Commit(ctx, op.txn)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reached = err == nil
+	m.note(ctx, began, err)
 	if err != nil {
 		m.failed(op, err)
 		return false
