Quarantine requests that crash targets on HTTP routes

Cause: a request that crashes each target that runs it was tried at target after target, by each router anew.

Change: a broken run is looked into by a connection to its target; if the target takes none, the request is a suspect.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -114,7 +114,7 @@
 	})
 	metrics := gateway.NewMetrics()
 	g := gateway.New(gateway.Options{
-		Codec: adapter.Headers{}, Budgets: budgets, Paths: paths, Logger: log, Metrics: metrics, Grace: cfg.Grace(),
+		Codec: adapter.Headers{}, Budgets: budgets, Paths: paths, Table: store, Logger: log, Metrics: metrics, Grace: cfg.Grace(),
 		Retries: retry.Limits{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window()},
 	})
 	callers, err := net.Listen("tcp", cfg.Listen.Callers)
@@ -135,6 +135,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { g.WatchConfig(work, store) })
 	tasks.Go(func() { g.WatchTargets(work, store) })
+	tasks.Go(func() { g.WatchCrashes(work, store) })
 	tasks.Go(func() { budgets.Run(work) })
 	log.Info("started", "host", cfg.Host, "callers", cfg.Listen.Callers)
 	stopBy := make(chan time.Time, 1)
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -6,6 +6,7 @@
 
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
+	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/timing"
 )
 
@@ -17,6 +18,8 @@
 	Config(ctx context.Context, after int64, wait time.Duration) (*httproute.Document, int64, error)
 	// Targets returns the changes of registrations in the same way.
 	Targets(ctx context.Context, after int64, wait time.Duration) (TargetChanges, int64, error)
+	// Crashes returns the rows with CrashPrefix in the same way.
+	Crashes(ctx context.Context, after int64, wait time.Duration) ([]platform.Row, int64, error)
 }
 
 // TargetChanges are changes of registrations.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -45,6 +45,9 @@
 	g.retryBudget(x.service.Name).Request(time.Now())
 	g.mu.Unlock()
 	unsent := 0
+	if g.quarantined(x) {
+		return errkind.New(errkind.RequestQuarantined, "it has crashed the targets that ran it")
+	}
 	for {
 		if err := ctx.Err(); err != nil {
 			return g.expired(x, err)
@@ -149,8 +152,11 @@
 		t.Undecided()
 	default:
 		t.Failed(time.Now())
-		if errors.As(cause, &failure) && failure.Silent {
+		switch silent := errors.As(cause, &failure) && failure.Silent; {
+		case silent:
 			go g.pool.Drop(t.Address)
+		case result == broken:
+			g.noteBreak(x, t)
 		}
 	}
 	return result, cause
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/retry"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
+	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
 	"tarragonridge.example/tarragonridge/internal/upstream"
 )
@@ -64,7 +65,8 @@
 type Options struct {
 	Codec    Codec
 	Budgets  *prepaid.Manager
-	Paths    *StorePaths // to the store; nil if its path is fixed
+	Paths    *StorePaths    // to the store; nil if its path is fixed
+	Table    platform.Table // for reports of crashes
 	Retries  retry.Limits
 	Logger   *slog.Logger
 	Metrics  *Metrics
@@ -85,6 +87,7 @@
 	view       *targets.View
 	retries    map[string]*retry.Budget
 	quarantine *quarantine.Tracker
+	breaks     map[string][]brokenRun // by target, of the last breakWindow
 }
 
 // Phases of the process.
@@ -102,6 +105,7 @@
 		view:       targets.NewView(rand.Uint64()),
 		retries:    map[string]*retry.Budget{},
 		quarantine: quarantine.NewTracker(),
+		breaks:     map[string][]brokenRun{},
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -136,6 +136,19 @@
 	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferBytes), address: req.Address}, nil
 }
 
+// Probe opens a connection to an address and keeps it for the next request.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	p.mu.Lock()
+	p.count[address]++
+	p.mu.Unlock()
+	c, err := p.dial(ctx, &Request{Address: address, AnswerBy: time.Now().Add(p.opt.DialTimeout)})
+	if err != nil {
+		return err
+	}
+	p.release(c, true)
+	return nil
+}
+
 // forget counts a closed connection. p.mu is held.
 func (p *Pool) forget(address string) {
 	if p.count[address]--; p.count[address] <= 0 {
