--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -22,8 +22,16 @@
 	at       int64 // newest bucket since the epoch of the clock
 }
 
+// defaultWindow is the window of limits that state none.
+const defaultWindow = 10 * time.Second
+
 // NewBudget returns a budget that has counted nothing.
-func NewBudget(l Limits) *Budget { return &Budget{limits: l} }
+func NewBudget(l Limits) *Budget {
+	if l.Window < buckets {
+		l.Window = defaultWindow
+	}
+	return &Budget{limits: l}
+}
 
 // Request counts a request.
 func (b *Budget) Request(now time.Time) {
--- a/internal/core/retry/budget_test.go
+++ b/internal/core/retry/budget_test.go
@@ -65,3 +65,10 @@
 	assert.Equal(t, taken, 18)
 	assert.Assert(t, b.Take(now.Add(11*time.Second), 1), "the window has passed")
 }
+
+// Guards against a division by zero for limits without a window.
+func TestLimitsWithoutWindow(t *testing.T) {
+	b := NewBudget(Limits{Slack: 10})
+	b.Request(time.Unix(1000, 0))
+	assert.Assert(t, b.Take(time.Unix(1000, 0), 1))
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -41,9 +41,7 @@
 
 // forward tries targets until one has served the request or none may be tried.
 func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, x *request) error {
-	g.mu.Lock()
-	g.retryBudget(x.service.Name).Request(time.Now())
-	g.mu.Unlock()
+	g.countRequest(x)
 	unsent := 0
 	if g.quarantined(x) {
 		return errkind.New(errkind.RequestQuarantined, "it has crashed the targets that ran it")
@@ -94,6 +92,13 @@
 	return b
 }
 
+func (g *Gateway) countRequest(x *request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retryBudget(x.service.Name).Request(time.Now())
+}
+
+// mayRepeat takes one more attempt out of the service's budget.
 func (g *Gateway) mayRepeat(x *request) bool {
 	routers := g.opt.Budgets.Holders()
 	g.mu.Lock()
