Keep what each router holds in a row of its own

Cause: each write of a router carried and was conditional on the accounts of all teams with the grants of all routers.

Change: a total for each team, touched by draws and returns only, and a holding for each router with its grants and pledges; settling writes the holding alone. Shares are bounded by the number of holders.

--- a/internal/core/budget/account.go
+++ b/internal/core/budget/account.go
@@ -12,26 +12,13 @@
 // Grant is the part of an account that one holder incarnation may spend.
 // Granted and Settled are cumulative, so that a write can be repeated.
 type Grant struct {
-	Seq     int64  `json:"seq"` // number of the last operation, from 1
-	Granted int64  `json:"granted"`
-	Settled int64  `json:"settled"`
-	Pledge  Pledge `json:"pledge,omitzero"`
-}
-
-// Pledge bounds what a holder spends until its next operation: at most Base plus
-// PerSecond for each second since AtMS. It is cumulative like Settled. A holder
-// without one may spend all that is granted.
-type Pledge struct {
-	Base      int64 `json:"base"`
-	PerSecond int64 `json:"per_second"`
-	AtMS      int64 `json:"at_ms"` // on the table's steady clock, not after the pledge was made
-}
-
-// Limit returns the most that the holder has spent at a moment of the table's
-// clock, without regard to what is granted.
-func (p Pledge) Limit(nowMS int64) int64 {
-	const msPerSecond = 1000
-	return p.Base + p.PerSecond*max(nowMS-p.AtMS, 0)/msPerSecond
+	Seq     int64 `json:"seq"` // number of the last operation, from 1
+	Granted int64 `json:"granted"`
+	Settled int64 `json:"settled"`
+	// Reported is the part of Settled that the team's Total contains, and Pledge
+	// bounds what is spent beyond Settled. Both are for grants in a Holding.
+	Reported int64  `json:"reported,omitempty"`
+	Pledge   Pledge `json:"pledge,omitzero"`
 }
 
 // Held returns the tokens that are granted and not settled.
@@ -43,9 +30,6 @@
 	ToppedUp      int64            `json:"topped_up"`
 	ClosedSettled int64            `json:"closed_settled"` // settled by holders whose grant is closed
 	Grants        map[string]Grant `json:"grants,omitempty"`
-	// Lost is the part of ClosedSettled that holders may have spent when they
-	// ended, with no account of it.
-	Lost int64 `json:"lost,omitempty"`
 }
 
 // Settled returns the tokens consumed according to stored records.
@@ -103,22 +87,18 @@
 // than the next, BudgetExhausted if Left cannot cover the draw, and Internal
 // for values that cannot follow the stored ones.
 func (a Account) SetGrant(incarnation string, seq, granted, settled int64) (Account, error) {
-	return a.Store(incarnation, Grant{Seq: seq, Granted: granted, Settled: settled})
-}
-
-// Store is SetGrant for a grant with a pledge.
-func (a Account) Store(incarnation string, next Grant) (Account, error) {
+	next := Grant{Seq: seq, Granted: granted, Settled: settled}
 	old := a.Grants[incarnation]
-	if old == next && next.Seq > 0 {
+	if old == next && seq > 0 {
 		return a, nil
 	}
-	if next.Seq != old.Seq+1 {
-		return a, errkind.New(errkind.Conflict, "operation %d of %s does not follow %d", next.Seq, incarnation, old.Seq)
+	if seq != old.Seq+1 {
+		return a, errkind.New(errkind.Conflict, "operation %d of %s does not follow %d", seq, incarnation, old.Seq)
 	}
-	if next.Settled < old.Settled || next.Granted < next.Settled {
+	if settled < old.Settled || granted < settled {
 		return a, errkind.New(errkind.Internal, "grant %+v of %s cannot follow %+v", next, incarnation, old)
 	}
-	if next.Granted-old.Granted > a.Left() {
+	if granted-old.Granted > a.Left() {
 		return a, errkind.New(errkind.BudgetExhausted, "%d tokens left", a.Left())
 	}
 	a.Grants = cloneGrants(a.Grants)
@@ -144,32 +124,6 @@
 	return a, nil
 }
 
-// WriteOff removes the grant of a holder that ended without an account of what
-// it spent since its last operation. The most that it can have spent by diedMS,
-// on the table's clock, counts as spent.
-func (a Account) WriteOff(incarnation string, diedMS int64) Account {
-	g, ok := a.Grants[incarnation]
-	if !ok {
-		return a
-	}
-	spent := g.Granted
-	if g.Pledge != (Pledge{}) {
-		spent = min(spent, max(g.Pledge.Limit(diedMS), g.Settled))
-	}
-	a.Grants = cloneGrants(a.Grants)
-	delete(a.Grants, incarnation)
-	a.ClosedSettled += spent
-	a.Lost += spent - g.Settled
-	return a
-}
-
-// Raise sets the prepaid total if it exceeds the stored one. Totals never fall,
-// so that routers on different versions of the configuration agree.
-func (a Account) Raise(prepaid int64) Account {
-	a.ToppedUp = max(a.ToppedUp, prepaid)
-	return a
-}
-
 func cloneGrants(grants map[string]Grant) map[string]Grant {
 	if grants == nil {
 		return map[string]Grant{}
--- a/internal/core/budget/share.go
+++ b/internal/core/budget/share.go
@@ -8,12 +8,13 @@
 	// shareHorizon is the demand that a share covers. The platform's table is
 	// down for up to 6.5 s on ordinary days.
 	shareHorizon = 12 * time.Second
-	// shareDivisor bounds a share to this part of what nobody else holds, so
-	// that the shares shrink as a budget runs out.
-	shareDivisor = 8
-	// shareLeastDivisor is the part that a router with any demand holds, because
-	// a demand that has just begun says little.
-	shareLeastDivisor = 40
+	// shareDivisor bounds a share, times the number of holders, to this part of
+	// what nobody else holds: half of what is left stays free, so that the shares
+	// shrink as a budget runs out.
+	shareDivisor = 2
+	// shareLeastDivisor does the same for the share that a router with any demand
+	// holds, because a demand that has just begun says little.
+	shareLeastDivisor = 8
 	// rateWeight is the weight of a new second in the average demand, which then
 	// looks back about 6 s.
 	rateWeight = 0.16
@@ -62,27 +63,31 @@
 }
 
 // ShareTarget returns the share that a router aims to hold, given its average
-// demand and the account's Left.
-func (h *Holder) ShareTarget(perSecond float64, left int64) int64 {
+// demand, what is left and the number of holders.
+func (h *Holder) ShareTarget(perSecond float64, left int64, holders int) int64 {
 	if perSecond == 0 {
 		return 0
 	}
-	free := left + max(h.Available(), 0)
-	return min(max(int64(perSecond*shareHorizon.Seconds()), free/shareLeastDivisor), free/shareDivisor)
+	each := (left + max(h.Available(), 0)) / int64(max(holders, leastHolders))
+	return min(max(int64(perSecond*shareHorizon.Seconds()), each/shareLeastDivisor), each/shareDivisor)
 }
 
+// leastHolders is the number of holders that is assumed before others have
+// drawn.
+const leastHolders = 4
+
 // ShareChange returns by how much the grant should grow, or shrink if it is
 // negative. need is what the waiting requests lack. Small changes are left out,
-// so that a steady demand writes rarely.
-func (h *Holder) ShareChange(perSecond float64, need, left int64) int64 {
-	target := h.ShareTarget(perSecond, left)
+// so that a steady demand draws rarely.
+func (h *Holder) ShareChange(perSecond float64, need, left int64, holders int) int64 {
+	target := h.ShareTarget(perSecond, left, holders)
 	available := h.Available()
 	switch {
 	case need > 0 && need > left:
 		return 0
 	case need > 0:
 		return max(need, min(target-available, left))
-	case available < target-target/4:
+	case available < target/2:
 		return min(target-available, left)
 	case available > target+target/2 && available > 0:
 		return target - available
--- a/internal/core/budget/share_test.go
+++ b/internal/core/budget/share_test.go
@@ -14,10 +14,22 @@
 func TestWriteOffCoversWhatWasSpent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const prepaid = 1_000_000
-		account := Account{}.Raise(prepaid)
+		account := Total{}.Raise(prepaid)
+		var stored Grant
 		h := &Holder{}
 		tableMS := int64(10_000)
 		var spent int64
+		store := func(g Grant) {
+			if g.Seq == stored.Seq {
+				return // applied before its answer was lost
+			}
+			next, err := account.Change(stored, g)
+			if err != nil {
+				t.Fatal(err)
+			}
+			g.Reported = g.Settled
+			account, stored = next, g
+		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			tableMS += rapid.Int64Range(0, 900).Draw(t, "pause")
 			knownMS := tableMS - rapid.Int64Range(0, 300).Draw(t, "lag")
@@ -30,34 +42,29 @@
 			case "exchange":
 				perSecond := float64(rapid.IntRange(0, 50_000).Draw(t, "rate"))
 				pledge := h.NewPledge(perSecond, 0, knownMS)
-				g := h.BeginPledged(h.ShareChange(perSecond, 0, account.Left()), h.Consumed()-h.Stored().Settled, pledge)
-				next, err := account.Store("r", g)
-				if err != nil {
-					t.Fatal(err)
-				}
-				account = next
+				g := h.BeginPledged(h.ShareChange(perSecond, 0, account.Left(), 1), h.Consumed()-h.Stored().Settled, pledge)
+				store(g)
 				h.Confirm()
 			case "lost":
 				pledge := h.NewPledge(1000, 0, knownMS)
 				g := h.BeginPledged(0, h.Consumed()-h.Stored().Settled, pledge)
 				if rapid.Bool().Draw(t, "applied") {
-					next, err := account.Store("r", g)
-					if err != nil {
-						t.Fatal(err)
-					}
-					account = next
+					store(g)
 				}
 			}
 		}
-		account = account.WriteOff("r", tableMS)
+		if stored.Seq == 0 {
+			return
+		}
+		account = account.WriteOff(stored, tableMS)
 		if err := account.Check(); err != nil {
 			t.Fatal(err)
 		}
-		if account.Settled() < spent {
-			t.Fatalf("settled %d of %d spent", account.Settled(), spent)
+		if account.Closed < spent {
+			t.Fatalf("%d closed of %d spent", account.Closed, spent)
 		}
-		if account.Settled()+account.Left() != prepaid {
-			t.Fatalf("%d settled and %d left of %d", account.Settled(), account.Left(), prepaid)
+		if account.Closed+account.Left() != prepaid || account.Holders != 0 {
+			t.Fatalf("%+v of %d", account, prepaid)
 		}
 	})
 }
@@ -66,14 +73,15 @@
 // steady demand, what is written off is bounded by seconds of demand.
 func TestWriteOffIsBoundedByTheDemand(t *testing.T) {
 	const perSecond = 10_000
-	account := Account{}.Raise(3_000_000)
+	account := Total{}.Raise(3_000_000)
 	h := &Holder{}
 	pledge := h.NewPledge(perSecond, 0, 0)
-	account, err := account.Store("r", h.BeginPledged(h.ShareChange(perSecond, 0, account.Left()), 0, pledge))
+	g := h.BeginPledged(h.ShareChange(perSecond, 0, account.Left(), 1), 0, pledge)
+	account, err := account.Change(Grant{}, g)
 	assert.NilError(t, err)
 	h.Confirm()
 	assert.Equal(t, h.Available(), int64(120_000), "12 s of demand")
-	account = account.WriteOff("r", 1000)
+	account = account.WriteOff(g, 1000)
 	assert.Assert(t, account.Lost <= 3*perSecond, "%d tokens lost", account.Lost)
 	assert.Equal(t, account.Left(), 3_000_000-account.Lost)
 }
@@ -81,10 +89,8 @@
 // Guards against an outage of the table that a usual demand does not survive.
 func TestUsualDemandKeepsThePledge(t *testing.T) {
 	const perSecond = 10_000
-	account := Account{}.Raise(10_000_000)
 	h := &Holder{}
-	_, err := account.Store("r", h.BeginPledged(h.ShareChange(perSecond, 0, account.Left()), 0, h.NewPledge(perSecond, 0, 0)))
-	assert.NilError(t, err)
+	h.BeginPledged(h.ShareChange(perSecond, 0, 10_000_000, 1), 0, h.NewPledge(perSecond, 0, 0))
 	h.Confirm()
 	for ms := int64(0); ms < 10_000; ms += 500 {
 		assert.Assert(t, h.Within(perSecond/2, ms) && h.Reserve(perSecond/2), "refused at %d ms", ms)
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -8,14 +8,11 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"maps"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/budget"
-	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/platform"
 )
 
@@ -40,10 +37,19 @@
 	settleLeast = 2000
 	// closeRounds leaves room for an operation of unknown result and a lost race.
 	closeRounds = 8
+	// maxTeams bounds the teams whose totals one transaction changes. The table
+	// takes 100 entries, two for each team and two for the holding.
+	maxTeams = 40
+	// scanEvery is the pause between two looks for holdings of earlier processes
+	// of this host. Their last writes may take effect seconds late.
+	scanEvery = 15 * time.Second
 )
 
-// accountPrefix is the prefix of the rows that hold accounts.
-const accountPrefix = "account/"
+// Prefixes of the rows: totals by team, and holdings by host and incarnation.
+const (
+	totalPrefix   = "total/"
+	holdingPrefix = "holding/"
+)
 
 // Options configures a Manager.
 type Options struct {
@@ -71,18 +77,22 @@
 	id   string
 	kick chan struct{}
 
-	mu       sync.Mutex
-	diedMS   int64 // no earlier process of this host lived after it, on the table's clock
-	prepaid  map[string]int64
-	teams    map[string]*team
-	loaded   bool
-	reached  bool          // the last call to the table succeeded
-	answered bool          // the last call to the table was answered in time
-	took     time.Duration // the last call to the table
-	draining bool // gives back what it does not need at once
-	stopping bool
-	pending  *operation
-	holders  int
+	mu           sync.Mutex
+	prepaid      map[string]int64
+	teams        map[string]*team
+	holding      budget.Holding // as stored
+	version      int64          // of the holding's row; 0 if there is none
+	predecessors []predecessor
+	diedMS       int64     // no earlier process of this host lived after it, on the table's clock
+	scanned      time.Time // last reading of all rows
+	stale        bool      // the rows are to be read again
+	reached      bool      // the last call to the table succeeded
+	answered     bool      // the last call to the table was answered in time
+	took         time.Duration
+	draining     bool // gives back what it does not need at once
+	stopping     bool
+	fenced       bool // another process has closed the holding
+	pending      *operation
 }
 
 // team is one team's share.
@@ -90,17 +100,16 @@
 	name    string
 	holder  budget.Holder
 	demand  budget.Average
-	account budget.Account
-	version int64
+	total   budget.Total
+	version int64 // of the total's row
 	waiters []*waiter
 }
 
-// operation is a transaction whose result may be unknown.
-type operation struct {
-	txn       platform.Txn
-	teams     []*team
-	after     map[string]budget.Account
-	uncertain bool
+// predecessor is the holding of an earlier process of this host.
+type predecessor struct {
+	key     string
+	version int64
+	holding budget.Holding
 }
 
 type waiter struct {
@@ -114,7 +123,8 @@
 func New(o Options) *Manager {
 	return &Manager{
 		opt: o, id: o.Host + "/" + o.Incarnation, kick: make(chan struct{}, 1),
-		prepaid: map[string]int64{}, teams: map[string]*team{}, holders: 1, answered: true,
+		prepaid: map[string]int64{}, teams: map[string]*team{}, answered: true,
+		holding: budget.Holding{Grants: map[string]budget.Grant{}},
 	}
 }
 
@@ -132,7 +142,11 @@
 func (m *Manager) Holders() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.holders
+	holders := 1
+	for _, t := range m.teams {
+		holders = max(holders, t.total.Holders)
+	}
+	return holders
 }
 
 func (m *Manager) wake() {
@@ -220,9 +234,7 @@
 		}
 		m.round(ctx, true)
 		m.mu.Lock()
-		open := slices.ContainsFunc(slices.Collect(maps.Values(m.teams)), func(t *team) bool {
-			return t.account.Grants[m.id].Seq > 0
-		})
+		open := m.version > 0 || m.pending != nil
 		m.mu.Unlock()
 		if !open {
 			return
@@ -261,11 +273,12 @@
 	m.answerWaiters()
 }
 
-// load reads the accounts, once and after each failure of the table. Without the
-// second, a router that has nothing to write would not notice its return.
+// load reads the totals and the holdings of earlier processes of this host: at
+// first, after each failure of the table and now and then. Without the second, a
+// router that has nothing to write would not notice the table's return.
 func (m *Manager) load(ctx context.Context) bool {
 	m.mu.Lock()
-	done := m.loaded && m.reached
+	done := m.reached && !m.stale && m.opt.Clock().Sub(m.scanned) < scanEvery
 	m.mu.Unlock()
 	if done {
 		return true
@@ -273,25 +286,38 @@
 	ctx, cancel := context.WithTimeout(ctx, m.timeout())
 	defer cancel()
 	began := m.opt.Clock()
-	rows, err := platform.ScanAll(ctx, m.opt.Table, accountPrefix)
+	totals, err := platform.ScanAll(ctx, m.opt.Table, totalPrefix)
+	var holdings []platform.Row
+	if err == nil {
+		holdings, err = platform.ScanAll(ctx, m.opt.Table, holdingPrefix+m.opt.Host+"/")
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.note(ctx, began, err)
 	if err != nil {
-		m.opt.Logger.Warn("accounts not read", "err", err)
+		m.opt.Logger.Warn("budgets not read", "err", err)
 		return false
 	}
-	for _, row := range rows {
-		m.take(row)
+	for _, row := range totals {
+		m.takeTotal(row)
+	}
+	m.predecessors = nil
+	for _, row := range holdings {
+		if row.Key != m.key() {
+			m.predecessors = append(m.predecessors, m.predecessor(row))
+		}
 	}
-	ms, sent, _ := m.opt.TableClock.Last()
-	if !m.loaded {
+	if m.scanned.IsZero() {
+		ms, sent, _ := m.opt.TableClock.Last()
 		m.diedMS = ms - sent.Sub(m.opt.Started).Milliseconds()
-		m.loaded = true
 	}
+	m.scanned, m.stale = began, false
 	return true
 }
 
+// key returns the key of the holding's row.
+func (m *Manager) key() string { return holdingPrefix + m.id }
+
 // tableNow returns a time of the table's clock that has passed for certain.
 func (m *Manager) tableNow() int64 {
 	ms, _, received := m.opt.TableClock.Last()
@@ -300,20 +326,26 @@
 
 // reserve takes tokens out of a share within its pledge.
 func (m *Manager) reserve(t *team, tokens int64) bool {
-	return t.holder.Within(tokens, m.tableNow()) && t.holder.Reserve(tokens)
+	return !m.fenced && t.holder.Within(tokens, m.tableNow()) && t.holder.Reserve(tokens)
 }
 
-// take adopts a stored account. m.mu is held.
-func (m *Manager) take(row platform.Row) *team {
-	t := m.team(strings.TrimPrefix(row.Key, accountPrefix))
-	var a budget.Account
-	if err := json.Unmarshal(row.Value, &a); err != nil {
-		m.opt.Logger.Error("account not readable", "team", t.name, "err", err)
-		return t
+// takeTotal adopts a stored total. m.mu is held.
+func (m *Manager) takeTotal(row platform.Row) {
+	t := m.team(strings.TrimPrefix(row.Key, totalPrefix))
+	var total budget.Total
+	if err := json.Unmarshal(row.Value, &total); err != nil {
+		m.opt.Logger.Error("total not readable", "team", t.name, "err", err)
+		return
 	}
-	t.account, t.version = a, row.Version
-	m.holders = max(1, len(a.Grants))
-	return t
+	t.total, t.version = total, row.Version
+}
+
+func (m *Manager) predecessor(row platform.Row) predecessor {
+	p := predecessor{key: row.Key, version: row.Version}
+	if err := json.Unmarshal(row.Value, &p.holding); err != nil {
+		m.opt.Logger.Error("holding not readable; it stays held", "key", row.Key, "err", err)
+	}
+	return p
 }
 
 func (m *Manager) team(name string) *team {
@@ -325,155 +357,6 @@
 	return t
 }
 
-// plan collects the changes of all teams in one transaction, nil if there are
-// none. m.mu is held.
-func (m *Manager) plan(tick bool) *operation {
-	now := m.opt.Clock()
-	op := &operation{after: map[string]budget.Account{}}
-	for name, total := range m.prepaid {
-		t := m.team(name)
-		account := m.closePredecessors(t).Raise(total)
-		delta, settle := m.change(t, account, now, tick)
-		closing := m.stopping && account.Grants[m.id].Seq > 0
-		// A share that suffices but not within its pledge needs a new pledge.
-		renew := len(t.waiters) > 0 && !m.stopping && t.waiters[0].tokens <= t.holder.Available()
-		if delta == 0 && settle == 0 && !closing && !renew && len(account.Grants) == len(t.account.Grants) {
-			continue
-		}
-		var err error
-		if closing {
-			// Open reservations end with the process and count as spent.
-			account, err = account.CloseGrant(m.id, t.holder.Consumed()+t.holder.Reserved()-t.holder.Stored().Settled)
-		} else {
-			pledge := t.holder.NewPledge(t.demand.PerSecond(now), t.waiting(), m.tableNow())
-			account, err = account.Store(m.id, t.holder.BeginPledged(delta, settle, pledge))
-		}
-		if err != nil {
-			m.opt.Logger.Error("share not changed", "team", name, "err", err)
-			t.holder.Drop()
-			continue
-		}
-		value, err := json.Marshal(account)
-		if err != nil {
-			m.opt.Logger.Error("account not encoded", "team", name, "err", err)
-			t.holder.Drop()
-			continue
-		}
-		key := accountPrefix + name
-		op.txn.Conditions = append(op.txn.Conditions, platform.Condition{Key: key, Version: t.version})
-		op.txn.Puts = append(op.txn.Puts, platform.Put{Key: key, Value: value})
-		op.teams = append(op.teams, t)
-		op.after[name] = account
-	}
-	if len(op.teams) == 0 {
-		return nil
-	}
-	return op
-}
-
-// closePredecessors writes off what earlier processes of this host have held.
-func (m *Manager) closePredecessors(t *team) budget.Account {
-	account := t.account
-	for holder := range t.account.Grants {
-		if holder != m.id && strings.HasPrefix(holder, m.opt.Host+"/") {
-			before := account.Lost
-			account = account.WriteOff(holder, m.diedMS)
-			m.opt.Logger.Info("share of an ended process written off", "team", t.name, "holder", holder,
-				"held", t.account.Grants[holder].Held(), "lost", account.Lost-before,
-				"pledged_ms", m.diedMS-t.account.Grants[holder].Pledge.AtMS)
-		}
-	}
-	return account
-}
-
-// change returns the change of the grant and the consumption to settle.
-func (m *Manager) change(t *team, account budget.Account, now time.Time, tick bool) (delta, settle int64) {
-	if m.stopping {
-		return 0, 0
-	}
-	var need int64
-	if len(t.waiters) > 0 {
-		need = t.waiting() - max(t.holder.Available(), 0)
-		if left := account.Left(); need > left && t.waiters[0].tokens-t.holder.Available() <= left {
-			need = t.waiters[0].tokens - t.holder.Available()
-		}
-		need = max(need, 0)
-	}
-	perSecond := t.demand.PerSecond(now)
-	if m.draining {
-		perSecond = 0
-	}
-	delta = t.holder.ShareChange(perSecond, need, account.Left())
-	settle = t.holder.Consumed() - t.holder.Stored().Settled
-	if delta == 0 && (!tick || settle < settleLeast && account.Left() > 0) {
-		return 0, 0
-	}
-	return delta, settle
-}
-
-// commit sends the operation and reports whether another round may follow.
-func (m *Manager) commit(ctx context.Context, op *operation) bool {
-	ctx, cancel := context.WithTimeout(ctx, m.timeout())
-	defer cancel()
-	began := m.opt.Clock()
-	res, err := m.opt.Table.Commit(ctx, op.txn)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.note(ctx, began, err)
-	if err != nil {
-		m.failed(op, err)
-		return false
-	}
-	m.pending = nil
-	if res.Committed {
-		for _, t := range op.teams {
-			t.holder.Confirm()
-			t.account = op.after[t.name]
-			t.version = res.Versions[accountPrefix+t.name]
-			m.holders = max(1, len(t.account.Grants))
-			m.admit(t)
-		}
-		return false
-	}
-	m.resolve(op, res.Current)
-	return true
-}
-
-// failed keeps an operation whose result is unknown and gives up one that is
-// known not to have taken effect. m.mu is held.
-func (m *Manager) failed(op *operation, err error) {
-	m.opt.Logger.Warn("shares not stored", "teams", len(op.teams), "err", err)
-	op.uncertain = op.uncertain || !errkind.Is(err, errkind.PlatformUnavailable)
-	if op.uncertain {
-		return
-	}
-	m.pending = nil
-	for _, t := range op.teams {
-		t.holder.Drop()
-	}
-}
-
-// resolve adopts the rows that were changed meanwhile. An operation of unknown
-// result that was applied shows in all of its rows, because it is atomic.
-// m.mu is held.
-func (m *Manager) resolve(op *operation, current []platform.Row) {
-	for _, row := range current {
-		m.take(row)
-	}
-	for _, t := range op.teams {
-		pending, open := t.holder.Pending()
-		if !open {
-			continue
-		}
-		if op.uncertain && t.account.Grants[m.id] == pending {
-			t.holder.Confirm()
-			m.admit(t)
-			continue
-		}
-		t.holder.Drop()
-	}
-}
-
 // waiting returns the tokens that all waiters ask for.
 func (t *team) waiting() int64 {
 	var sum int64
--- a/internal/prepaid/manager_test.go
+++ b/internal/prepaid/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"testing"
@@ -48,7 +49,7 @@
 }
 
 // exchange reserves with a round of the table.
-func (m *Manager) exchange(ctx context.Context, tokens int64) *Reservation {
+func (m *Manager) exchange(ctx context.Context, tokens int64) (*Reservation, error) {
 	m.mu.Lock()
 	t := m.team("t")
 	w := &waiter{tokens: tokens, done: make(chan error, 1)}
@@ -56,19 +57,39 @@
 	m.mu.Unlock()
 	m.round(ctx, false)
 	if err := <-w.done; err != nil {
-		return nil
+		return nil, err
 	}
-	return &Reservation{m: m, team: t, tokens: tokens}
+	return &Reservation{m: m, team: t, tokens: tokens}, nil
 }
 
-func stored(t assert.TestingT, table platform.Table) budget.Account {
-	m := New(Options{Logger: slog.New(slog.DiscardHandler)})
-	row, err := table.Get(context.Background(), accountPrefix+"t")
+// stored reads the team's total and checks it against the holdings.
+func stored(t assert.TestingT, table platform.Table) budget.Total {
+	ctx := context.Background()
+	row, err := table.Get(ctx, totalPrefix+"t")
 	if errkind.Is(err, errkind.NotFound) {
-		return budget.Account{}
+		return budget.Total{}
 	}
 	assert.NilError(t, err)
-	return m.take(row).account
+	var total budget.Total
+	assert.NilError(t, json.Unmarshal(row.Value, &total))
+	rows, err := platform.ScanAll(ctx, table, holdingPrefix)
+	assert.NilError(t, err)
+	var granted, reported int64
+	holders := 0
+	for _, row := range rows {
+		var h budget.Holding
+		assert.NilError(t, json.Unmarshal(row.Value, &h))
+		if g, ok := h.Grants["t"]; ok {
+			granted += g.Granted
+			reported += g.Reported
+			holders++
+		}
+	}
+	assert.Equal(t, total.Granted, granted)
+	assert.Equal(t, total.Settled, reported)
+	assert.Equal(t, total.Holders, holders)
+	assert.NilError(t, total.Check())
+	return total
 }
 
 // Guards against an overspent budget: answers are lost, writes are late, routers
@@ -123,10 +144,17 @@
 			managers[host] = start(host)
 			managers[host].round(ctx, true)
 		}
-		account := stored(t, table)
-		assert.NilError(t, account.Check())
-		if account.Settled() < spent {
-			t.Fatalf("settled %d of %d spent", account.Settled(), spent)
+		c.advance(scanEvery) // late writes of ended processes are found by then
+		for _, m := range managers {
+			m.round(ctx, true)
+			m.Close(ctx)
+		}
+		total := stored(t, table)
+		if total.Closed < spent {
+			t.Fatalf("%d closed of %d spent", total.Closed, spent)
+		}
+		if total.Holders != 0 {
+			t.Fatalf("%d holdings are left", total.Holders)
 		}
 	})
 }
@@ -147,9 +175,10 @@
 		for _, m := range managers[:2] {
 			r := m.try(request)
 			if r == nil {
-				r = m.exchange(ctx, request)
+				var err error
+				r, err = m.exchange(ctx, request)
+				assert.NilError(t, err)
 			}
-			assert.Assert(t, r != nil)
 			r.Settle(request)
 			spent += request
 			m.round(ctx, true)
@@ -162,9 +191,9 @@
 		m := c.manager(table, fmt.Sprint("host", host), "2", prepaid)
 		m.round(ctx, true)
 	}
-	account := stored(t, table)
-	left = account.Left()
-	assert.Assert(t, left >= prepaid-spent-400_000, "%d left after %d spent, %d lost", left, spent, account.Lost)
+	total := stored(t, table)
+	left = total.Left()
+	assert.Assert(t, left >= prepaid-spent-400_000, "%d left after %d spent, %d lost", left, spent, total.Lost)
 }
 
 // Guards against refusals for good that are not true, and against waiting for a
@@ -210,13 +239,13 @@
 	table := platformtest.New(platform.NewMemory(), 1)
 	c := newClock()
 	m := c.manager(table, "a", "1", 100_000)
-	r := m.exchange(ctx, 1000)
-	assert.Assert(t, r != nil)
+	r, err := m.exchange(ctx, 1000)
+	assert.NilError(t, err)
 	r.Settle(700)
 	table.LoseNext(1)
 	m.Close(ctx)
-	account := stored(t, table)
-	assert.Equal(t, len(account.Grants), 0)
-	assert.Equal(t, account.Settled(), int64(700))
-	assert.Equal(t, account.Lost, int64(0))
+	total := stored(t, table)
+	assert.Equal(t, total.Holders, 0)
+	assert.Equal(t, total.Closed, int64(700))
+	assert.Equal(t, total.Lost, int64(0))
 }
--- /dev/null
+++ b/internal/prepaid/operation.go
@@ -0,0 +1,303 @@
+package prepaid
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/budget"
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/platform"
+)
+
+// operation is a transaction whose result may be unknown. It either changes this
+// router's holding or closes a predecessor's.
+type operation struct {
+	txn       platform.Txn
+	teams     []*team                 // with a pending grant
+	totals    map[string]budget.Total // after it, by team
+	holding   budget.Holding          // after it
+	closes    *predecessor            // nil for the own holding
+	uncertain bool
+}
+
+// putTotal adds the change of a team's total.
+func (op *operation) putTotal(t *team, total budget.Total) error {
+	value, err := json.Marshal(total)
+	if err != nil {
+		return err
+	}
+	key := totalPrefix + t.name
+	op.txn.Conditions = append(op.txn.Conditions, platform.Condition{Key: key, Version: t.version})
+	op.txn.Puts = append(op.txn.Puts, platform.Put{Key: key, Value: value})
+	op.totals[t.name] = total
+	return nil
+}
+
+// putHolding adds the change of a holding. One without grants is removed.
+func (op *operation) putHolding(key string, version int64) error {
+	op.txn.Conditions = append(op.txn.Conditions, platform.Condition{Key: key, Version: version})
+	if len(op.holding.Grants) == 0 {
+		op.txn.Deletes = append(op.txn.Deletes, key)
+		return nil
+	}
+	value, err := json.Marshal(op.holding)
+	op.txn.Puts = append(op.txn.Puts, platform.Put{Key: key, Value: value})
+	return err
+}
+
+// plan collects the changes that are due, nil if there are none. m.mu is held.
+func (m *Manager) plan(tick bool) *operation {
+	if m.fenced {
+		return nil
+	}
+	if len(m.predecessors) > 0 {
+		return m.planClose(&m.predecessors[0])
+	}
+	op := &operation{totals: map[string]budget.Total{}, holding: budget.Holding{
+		Seq: m.holding.Seq + 1, Grants: maps.Clone(m.holding.Grants),
+	}}
+	changed := false
+	for name := range m.prepaid {
+		t := m.team(name)
+		due, err := m.planTeam(op, t, tick)
+		if err != nil {
+			m.opt.Logger.Error("share not changed", "team", name, "err", err)
+			t.holder.Drop()
+		}
+		changed = changed || due
+		if len(op.totals) >= maxTeams {
+			break
+		}
+	}
+	if !changed {
+		return nil
+	}
+	if err := op.putHolding(m.key(), m.version); err != nil {
+		m.opt.Logger.Error("holding not encoded", "err", err)
+		m.drop(op)
+		return nil
+	}
+	return op
+}
+
+// planTeam adds the change of one team and reports whether there is one.
+func (m *Manager) planTeam(op *operation, t *team, tick bool) (bool, error) {
+	now := m.opt.Clock()
+	total := t.total.Raise(m.prepaid[t.name])
+	old := m.holding.Grants[t.name]
+	if m.stopping {
+		if old.Seq == 0 {
+			return false, nil
+		}
+		// Open reservations end with the process and count as spent.
+		spent := t.holder.Consumed() + t.holder.Reserved()
+		delete(op.holding.Grants, t.name)
+		return true, op.putTotal(t, total.Close(old, spent, spent))
+	}
+	delta, settle := m.change(t, total, now, tick)
+	// A share that suffices but not within its pledge needs a new pledge.
+	renew := len(t.waiters) > 0 && t.waiters[0].tokens <= t.holder.Available()
+	if delta == 0 && settle == 0 && !renew {
+		return false, nil
+	}
+	if settle == 0 {
+		settle = t.holder.Consumed() - t.holder.Stored().Settled
+	}
+	next := t.holder.BeginPledged(delta, settle, t.holder.NewPledge(t.demand.PerSecond(now), t.waiting(), m.tableNow()))
+	next.Reported = old.Reported
+	if delta != 0 {
+		changed, err := total.Change(old, next)
+		if err != nil {
+			return false, err
+		}
+		next.Reported = next.Settled
+		if err := op.putTotal(t, changed); err != nil {
+			return false, err
+		}
+	}
+	op.holding.Grants[t.name] = next
+	op.teams = append(op.teams, t)
+	return true, nil
+}
+
+// change returns the change of the grant and the consumption to settle.
+func (m *Manager) change(t *team, total budget.Total, now time.Time, tick bool) (delta, settle int64) {
+	var need int64
+	left := total.Left()
+	if len(t.waiters) > 0 {
+		need = t.waiting() - max(t.holder.Available(), 0)
+		if first := t.waiters[0].tokens - t.holder.Available(); need > left && first <= left {
+			need = first
+		}
+		need = max(need, 0)
+	}
+	perSecond := t.demand.PerSecond(now)
+	if m.draining {
+		perSecond = 0
+	}
+	delta = t.holder.ShareChange(perSecond, need, left, total.Holders)
+	settle = t.holder.Consumed() - t.holder.Stored().Settled
+	if delta == 0 && (!tick || settle < settleLeast) {
+		return 0, 0
+	}
+	return delta, settle
+}
+
+// planClose writes off what an earlier process of this host has held.
+func (m *Manager) planClose(p *predecessor) *operation {
+	op := &operation{closes: p, totals: map[string]budget.Total{}, holding: budget.Holding{
+		Seq: p.holding.Seq + 1, Grants: maps.Clone(p.holding.Grants),
+	}}
+	for _, name := range slices.Sorted(maps.Keys(p.holding.Grants)) {
+		if len(op.totals) >= maxTeams {
+			break
+		}
+		t, grant := m.team(name), p.holding.Grants[name]
+		if err := op.putTotal(t, t.total.WriteOff(grant, m.diedMS)); err != nil {
+			m.opt.Logger.Error("total not encoded", "team", name, "err", err)
+			return nil
+		}
+		delete(op.holding.Grants, name)
+	}
+	if err := op.putHolding(p.key, p.version); err != nil {
+		m.opt.Logger.Error("holding not encoded", "key", p.key, "err", err)
+		return nil
+	}
+	return op
+}
+
+// commit sends the operation and reports whether another round may follow.
+func (m *Manager) commit(ctx context.Context, op *operation) bool {
+	ctx, cancel := context.WithTimeout(ctx, m.timeout())
+	defer cancel()
+	began := m.opt.Clock()
+	res, err := m.opt.Table.Commit(ctx, op.txn)
+	var own *platform.Row
+	if err == nil && !res.Committed && op.closes == nil && (op.uncertain || len(res.Current) == 0) {
+		// Only the holding shows whether an earlier attempt was applied.
+		own, err = m.readHolding(ctx)
+		op.uncertain = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.note(ctx, began, err)
+	if err != nil {
+		m.failed(op, err)
+		return false
+	}
+	m.pending = nil
+	if !res.Committed {
+		m.resolve(op, res.Current, own)
+		return true
+	}
+	for name, total := range op.totals {
+		t := m.team(name)
+		t.total, t.version = total, res.Versions[totalPrefix+name]
+	}
+	if op.closes != nil {
+		m.closed(op, res.Versions[op.closes.key])
+		return true
+	}
+	var version int64
+	if len(op.holding.Grants) > 0 {
+		version = res.Versions[m.key()]
+	}
+	m.applied(op, version)
+	return m.stopping
+}
+
+// readHolding reads the own holding, nil if there is none.
+func (m *Manager) readHolding(ctx context.Context) (*platform.Row, error) {
+	row, err := m.opt.Table.Get(ctx, m.key())
+	if errkind.Is(err, errkind.NotFound) {
+		return nil, nil
+	}
+	return &row, err
+}
+
+// applied adopts the own holding after an operation. m.mu is held.
+func (m *Manager) applied(op *operation, version int64) {
+	m.holding, m.version = op.holding, version
+	for _, t := range op.teams {
+		t.holder.Confirm()
+		m.admit(t)
+	}
+}
+
+// closed notes that grants of a predecessor are written off. m.mu is held.
+func (m *Manager) closed(op *operation, version int64) {
+	for name, grant := range op.closes.holding.Grants {
+		if _, open := op.holding.Grants[name]; !open {
+			m.opt.Logger.Info("share of an ended process written off", "team", name, "holding", op.closes.key,
+				"held", grant.Held(), "lost_in_all", m.team(name).total.Lost, "pledged_ms", m.diedMS-grant.Pledge.AtMS)
+		}
+	}
+	if len(op.holding.Grants) == 0 {
+		m.predecessors = slices.DeleteFunc(m.predecessors, func(p predecessor) bool { return p.key == op.closes.key })
+		return
+	}
+	op.closes.holding, op.closes.version = op.holding, version
+}
+
+// failed keeps an operation whose result is unknown and gives up one that is
+// known not to have taken effect. m.mu is held.
+func (m *Manager) failed(op *operation, err error) {
+	m.opt.Logger.Warn("shares not stored", "teams", len(op.teams), "err", err)
+	op.uncertain = op.uncertain || !errkind.Is(err, errkind.PlatformUnavailable)
+	if op.uncertain {
+		return
+	}
+	m.pending = nil
+	m.drop(op)
+}
+
+// drop gives up the pending grants of an operation. m.mu is held.
+func (m *Manager) drop(op *operation) {
+	for _, t := range op.teams {
+		t.holder.Drop()
+	}
+}
+
+// resolve adopts the rows that were changed meanwhile. Only this process writes
+// its holding, so an operation of unknown result was applied if the stored
+// holding has its number. If it was not, it never will be: a row of its
+// conditions has changed. m.mu is held.
+func (m *Manager) resolve(op *operation, current []platform.Row, own *platform.Row) {
+	for _, row := range current {
+		if strings.HasPrefix(row.Key, totalPrefix) {
+			m.takeTotal(row)
+		}
+	}
+	switch {
+	case op.closes != nil:
+		m.stale = true // the next reading shows which predecessors are left
+	case !op.uncertain:
+		m.drop(op)
+	case own == nil && m.version > 0 && len(op.holding.Grants) == 0:
+		m.applied(op, 0)
+	case own == nil && m.version > 0:
+		m.drop(op)
+		m.fenced = true
+		m.opt.Logger.Error("another process has closed this holding", "key", m.key())
+	case own != nil && m.storedSeq(own) == op.holding.Seq:
+		m.applied(op, own.Version)
+		m.stale = true // the totals have changed with it
+	default:
+		m.drop(op)
+	}
+}
+
+// storedSeq returns the number of a holding's last operation, 0 if the row
+// cannot be read.
+func (m *Manager) storedSeq(own *platform.Row) int64 {
+	var stored budget.Holding
+	if err := json.Unmarshal(own.Value, &stored); err != nil {
+		m.opt.Logger.Error("holding not readable", "key", own.Key, "err", err)
+		return 0
+	}
+	return stored.Seq
+}
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -48,7 +48,7 @@
 		m.mu.Unlock()
 		return nil, busy("too many requests wait for the budget")
 	}
-	if m.loaded && !m.reached {
+	if !m.scanned.IsZero() && !m.reached {
 		// The next call may take its whole timeout; the answer is known now.
 		err := m.refusal(t, tokens)
 		m.mu.Unlock()
@@ -122,17 +122,16 @@
 
 // refusal says why a request gets no tokens. m.mu is held.
 func (m *Manager) refusal(t *team, tokens int64) error {
-	if !m.reached || !m.loaded {
+	if !m.reached || m.scanned.IsZero() || m.fenced {
 		return unreached()
 	}
 	// What ended routers may have spent is not known to be spent: a refusal for
 	// good needs proof.
-	spent := t.account.Settled() - t.account.Lost
-	if m.prepaid[t.name]-spent < tokens {
+	if m.prepaid[t.name]-t.total.Spent() < tokens {
 		return errkind.New(errkind.BudgetExhausted, "%d tokens needed", tokens)
 	}
 	return busy(fmt.Sprintf("%d tokens needed, %d free here, %d left, %d held by all routers, %d lost",
-		tokens, t.holder.Available(), t.account.Left(), t.account.Held(), t.account.Lost))
+		tokens, t.holder.Available(), t.total.Left(), t.total.Held(), t.total.Lost))
 }
 
 // Settle ends the reservation and charges what was consumed.
