--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,6 @@
 	$(GO) run ./cmd/tarragonridge dev
 
 lint:
-	gofmt -l cmd internal scenarios
+	gofmt -l cmd internal platform scenarios
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func serve(t *testing.T, target string) (address string, stop context.CancelFunc, done chan error) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	done = make(chan error, 1)
+	s := &Server{Target: target, Logger: slog.New(slog.DiscardHandler)}
+	go func() { done <- s.Serve(ctx, ln) }()
+	t.Cleanup(stop)
+	return ln.Addr().String(), stop, done
+}
+
+// Guards against calls that are changed or lost on their way to the store.
+func TestForwardsCalls(t *testing.T) {
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%s %s %d", r.Method, r.URL, len(body))
+	}))
+	defer store.Close()
+	address, stop, done := serve(t, strings.TrimPrefix(store.URL, "http://"))
+	client := &http.Client{Timeout: 5 * time.Second}
+	for range 3 {
+		resp, err := client.Post("http://"+address+"/x?y=1", "text/plain", strings.NewReader(strings.Repeat("z", 100_000)))
+		assert.NilError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, string(body), "POST /x?y=1 100000")
+	}
+	stop()
+	assert.NilError(t, <-done)
+}
+
+// Guards against a caller that waits for a store which the relay cannot reach.
+func TestUnreachableStoreEndsTheConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	closed := ln.Addr().String()
+	assert.NilError(t, ln.Close())
+	address, _, _ := serve(t, closed)
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.SetDeadline(time.Now().Add(2*time.Second)))
+	_, err = c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -15,7 +15,7 @@
 func TestExamplesAreValid(t *testing.T) {
 	files, err := filepath.Glob("../../examples/*.jsonc")
 	assert.NilError(t, err)
-	assert.Equal(t, len(files), 6)
+	assert.Equal(t, len(files), 8)
 	for _, f := range files {
 		assert.Equal(t, len(Check(f)), 0, "%v", Check(f))
 	}
