Let only watches probe a failed path; size shares and pledges for sparse demand

Cause: on the grown sites 24 routers each see less than one request of a team a second. A pledge of half a second of demand covered no request, so that each waited for a write, and bounds by the number of holders starved routers at which a team's callers gathered. While a router was cut off, its readings of the totals were always the calls that tried the direct path again, and failed for as long as the cut lasted. Totals were not seen to run out by routers that did not draw, and these kept their shares.

Change: pledges cover 2.5 average requests besides; shares of 5 requests, and a standing share; operations touch few totals and pause after a lost race; only watches probe; totals are read every 2 s.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -110,7 +110,7 @@
 	store := adapter.NewStore(paths)
 	budgets := prepaid.New(prepaid.Options{
 		Table: store, Host: cfg.Host, Incarnation: ulid.Make().String(), Logger: log, Clock: time.Now,
-		TableClock: store, Started: started,
+		TableClock: store, Started: started, Pause: time.Sleep,
 	})
 	metrics := gateway.NewMetrics()
 	g := gateway.New(gateway.Options{
--- a/internal/core/budget/share.go
+++ b/internal/core/budget/share.go
@@ -8,13 +8,17 @@
 	// shareHorizon is the demand that a share covers. The platform's table is
 	// down for up to 6.5 s on ordinary days.
 	shareHorizon = 12 * time.Second
-	// shareDivisor bounds a share, times the number of holders, to this part of
-	// what nobody else holds: half of what is left stays free, so that the shares
-	// shrink as a budget runs out.
-	shareDivisor = 2
-	// shareLeastDivisor does the same for the share that a router with any demand
-	// holds, because a demand that has just begun says little.
-	shareLeastDivisor = 8
+	// shareDivisor bounds a share to this part of what nobody else holds, so that
+	// the shares shrink as a budget runs out. The number of holders does not
+	// count: a team's callers may all be at one router.
+	shareDivisor = 8
+	// shareRequests is the share, in average requests, that a router with any
+	// demand holds. A demand that is sparse or has just begun says little.
+	shareRequests = 5
+	// standingDivision is the part of what nobody else holds that a router holds
+	// without any demand, so that the first requests of all routers do not meet
+	// at the total.
+	standingDivision = 64
 	// rateWeight is the weight of a new second in the average demand, which then
 	// looks back about 6 s.
 	rateWeight = 0.16
@@ -25,22 +29,37 @@
 	perSecond float64
 	second    float64 // tokens asked for in the present second
 	started   time.Time
+	size      float64 // of a request
 }
 
+// Demand is what a team has asked for lately.
+type Demand struct {
+	PerSecond float64 // tokens
+	Size      int64   // tokens of an average request
+}
+
+// sizeWeight is the weight of a new request in the average size.
+const sizeWeight = 0.1
+
 // Add counts tokens that a request has asked for.
 func (a *Average) Add(now time.Time, tokens int64) {
 	a.roll(now)
 	a.second += float64(tokens)
+	if a.size == 0 {
+		a.size = float64(tokens)
+		return
+	}
+	a.size += sizeWeight * (float64(tokens) - a.size)
 }
 
-// PerSecond returns the average demand. In its first second that is what was
-// asked for so far.
-func (a *Average) PerSecond(now time.Time) float64 {
+// Demand returns the averages. In the first second the rate is what was asked
+// for so far.
+func (a *Average) Demand(now time.Time) Demand {
 	a.roll(now)
 	if a.perSecond == 0 {
-		return a.second
+		return Demand{a.second, int64(a.size)}
 	}
-	return a.perSecond
+	return Demand{a.perSecond, int64(a.size)}
 }
 
 func (a *Average) roll(now time.Time) {
@@ -64,23 +83,18 @@
 
 // ShareTarget returns the share that a router aims to hold, given its average
 // demand, what is left and the number of holders.
-func (h *Holder) ShareTarget(perSecond float64, left int64, holders int) int64 {
-	if perSecond == 0 {
-		return 0
-	}
-	each := (left + max(h.Available(), 0)) / int64(max(holders, leastHolders))
-	return min(max(int64(perSecond*shareHorizon.Seconds()), each/shareLeastDivisor), each/shareDivisor)
+func (h *Holder) ShareTarget(d Demand, left int64, holders int) int64 {
+	free := left + max(h.Available(), 0)
+	standing := min(free/standingDivision, free/int64(max(holders, 1))/2)
+	demand := max(int64(d.PerSecond*shareHorizon.Seconds()), shareRequests*d.Size)
+	return min(max(demand, standing), free/shareDivisor)
 }
 
-// leastHolders is the number of holders that is assumed before others have
-// drawn.
-const leastHolders = 4
-
 // ShareChange returns by how much the grant should grow, or shrink if it is
 // negative. need is what the waiting requests lack. Small changes are left out,
 // so that a steady demand draws rarely.
-func (h *Holder) ShareChange(perSecond float64, need, left int64, holders int) int64 {
-	target := h.ShareTarget(perSecond, left, holders)
+func (h *Holder) ShareChange(d Demand, need, left int64, holders int) int64 {
+	target := h.ShareTarget(d, left, holders)
 	available := h.Available()
 	switch {
 	case need > 0 && need > left:
@@ -101,20 +115,30 @@
 	// is pledged is lost if the router dies, so the margin is small: a demand
 	// that rises faster waits for the next operation, some 10 ms.
 	pledgeFactor = 1.2
-	// pledgeBurst is the demand that may come at once.
-	pledgeBurst = 500 * time.Millisecond
+	// pledgeBurst is the demand that may come at once, besides pledgeRequests
+	// average requests: most teams send a router less than one request a second,
+	// and without them each would wait for a write.
+	pledgeBurst    = 500 * time.Millisecond
+	pledgeRequests = 2.5
 )
 
-// NewPledge returns the pledge for an operation, given the average demand, the
-// largest request that waits and the table's clock.
-func (h *Holder) NewPledge(perSecond float64, need, nowMS int64) Pledge {
+// NewPledge returns the pledge for an operation, given the demand, the tokens
+// that requests wait for and the table's clock.
+func (h *Holder) NewPledge(d Demand, need, nowMS int64) Pledge {
+	burst := d.PerSecond*pledgeBurst.Seconds() + pledgeRequests*float64(d.Size)
 	return Pledge{
-		Base:      h.consumed + h.reserved + need + int64(perSecond*pledgeBurst.Seconds()),
-		PerSecond: int64(perSecond * pledgeFactor),
+		Base:      h.consumed + h.reserved + need + int64(burst),
+		PerSecond: int64(d.PerSecond * pledgeFactor),
 		AtMS:      nowMS,
 	}
 }
 
+// PledgeLow reports whether the next average request may exceed the pledge, so
+// that it is time to renew it.
+func (h *Holder) PledgeLow(d Demand, nowMS int64) bool {
+	return d.PerSecond > 0 && !h.Within(2*d.Size, nowMS)
+}
+
 // Within reports whether a reservation keeps the pledges, both the stored one
 // and that of an operation in flight.
 func (h *Holder) Within(tokens, nowMS int64) bool {
--- a/internal/core/budget/share_test.go
+++ b/internal/core/budget/share_test.go
@@ -40,13 +40,13 @@
 					spent += h.Settle(tokens, rapid.Int64Range(0, tokens).Draw(t, "charged"))
 				}
 			case "exchange":
-				perSecond := float64(rapid.IntRange(0, 50_000).Draw(t, "rate"))
-				pledge := h.NewPledge(perSecond, 0, knownMS)
-				g := h.BeginPledged(h.ShareChange(perSecond, 0, account.Left(), 1), h.Consumed()-h.Stored().Settled, pledge)
+				demand := Demand{float64(rapid.IntRange(0, 50_000).Draw(t, "rate")), rapid.Int64Range(0, 20_000).Draw(t, "size")}
+				pledge := h.NewPledge(demand, 0, knownMS)
+				g := h.BeginPledged(h.ShareChange(demand, 0, account.Left(), 1), h.Consumed()-h.Stored().Settled, pledge)
 				store(g)
 				h.Confirm()
 			case "lost":
-				pledge := h.NewPledge(1000, 0, knownMS)
+				pledge := h.NewPledge(Demand{1000, 100}, 0, knownMS)
 				g := h.BeginPledged(0, h.Consumed()-h.Stored().Settled, pledge)
 				if rapid.Bool().Draw(t, "applied") {
 					store(g)
@@ -73,10 +73,11 @@
 // steady demand, what is written off is bounded by seconds of demand.
 func TestWriteOffIsBoundedByTheDemand(t *testing.T) {
 	const perSecond = 10_000
+	demand := Demand{perSecond, 1000}
 	account := Total{}.Raise(3_000_000)
 	h := &Holder{}
-	pledge := h.NewPledge(perSecond, 0, 0)
-	g := h.BeginPledged(h.ShareChange(perSecond, 0, account.Left(), 1), 0, pledge)
+	pledge := h.NewPledge(demand, 0, 0)
+	g := h.BeginPledged(h.ShareChange(demand, 0, account.Left(), 1), 0, pledge)
 	account, err := account.Change(Grant{}, g)
 	assert.NilError(t, err)
 	h.Confirm()
@@ -89,8 +90,9 @@
 // Guards against an outage of the table that a usual demand does not survive.
 func TestUsualDemandKeepsThePledge(t *testing.T) {
 	const perSecond = 10_000
+	demand := Demand{perSecond, 1000}
 	h := &Holder{}
-	h.BeginPledged(h.ShareChange(perSecond, 0, 10_000_000, 1), 0, h.NewPledge(perSecond, 0, 0))
+	h.BeginPledged(h.ShareChange(demand, 0, 10_000_000, 1), 0, h.NewPledge(demand, 0, 0))
 	h.Confirm()
 	for ms := int64(0); ms < 10_000; ms += 500 {
 		assert.Assert(t, h.Within(perSecond/2, ms) && h.Reserve(perSecond/2), "refused at %d ms", ms)
@@ -105,8 +107,8 @@
 		a.Add(now, 1000)
 		now = now.Add(100 * time.Millisecond)
 	}
-	got := a.PerSecond(now)
+	got := a.Demand(now).PerSecond
 	assert.Assert(t, got > 9_000 && got < 11_000, "%g", got)
-	assert.Assert(t, a.PerSecond(now.Add(20*time.Second)) < 500)
-	assert.Equal(t, a.PerSecond(now.Add(time.Hour)), 0.0)
+	assert.Assert(t, a.Demand(now.Add(20*time.Second)).PerSecond < 500)
+	assert.Equal(t, a.Demand(now.Add(time.Hour)).PerSecond, 0.0)
 }
--- a/internal/core/storepath/storepath.go
+++ b/internal/core/storepath/storepath.go
@@ -43,10 +43,10 @@
 // Direct reports whether the direct path is in use.
 func (s *Selector) Direct() bool { return s.current == s.direct }
 
-// Pick returns the address for a call. A read now and then tries the direct
-// path while a relay is in use.
-func (s *Selector) Pick(now time.Time, read bool) string {
-	if read && s.current != s.direct && now.Sub(s.probed) >= probePause {
+// Pick returns the address for a call. While a relay is in use, a call that may
+// probe tries the direct path now and then.
+func (s *Selector) Pick(now time.Time, probe bool) string {
+	if probe && s.current != s.direct && now.Sub(s.probed) >= probePause {
 		s.probed = now
 		return s.direct
 	}
--- a/internal/core/storepath/storepath_test.go
+++ b/internal/core/storepath/storepath_test.go
@@ -23,7 +23,7 @@
 	s.Report(now, "b", true)
 	assert.Equal(t, s.Pick(now.Add(probePause-1), true), "b")
 	now = now.Add(probePause)
-	assert.Equal(t, s.Pick(now, false), "b", "writes do not probe")
+	assert.Equal(t, s.Pick(now, false), "b", "a call that somebody waits for does not probe")
 	assert.Equal(t, s.Pick(now, true), "store")
 	assert.Equal(t, s.Pick(now, true), "b", "one probe at a time")
 	s.Report(now, "store", false)
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -28,11 +28,12 @@
 	return &StorePaths{port: relayPort, logger: log, selector: storepath.New(store, rand.IntN)}
 }
 
-// Pick returns the address for a call.
-func (p *StorePaths) Pick(read bool) string {
+// Pick returns the address for a call. One that may probe tries a failed path
+// now and then.
+func (p *StorePaths) Pick(probe bool) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.selector.Pick(time.Now(), read)
+	return p.selector.Pick(time.Now(), probe)
 }
 
 // Report notes the result of a call.
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -40,6 +41,15 @@
 	// maxTeams bounds the teams whose totals one transaction changes. The table
 	// takes 100 entries, two for each team and two for the holding.
 	maxTeams = 40
+	// calmTeams bounds the same outside of a stop. An operation loses its race if
+	// another router changes any of its totals meanwhile.
+	calmTeams = 6
+	// raceDelay is the longest pause after a lost race. It differs between
+	// routers, so that they do not meet again.
+	raceDelay = 25 * time.Millisecond
+	// refreshEvery is the age at which the totals are read again. A router whose
+	// share suffices does not touch them, and would keep it when others need it.
+	refreshEvery = 2 * time.Second
 	// scanEvery is the pause between two looks for holdings of earlier processes
 	// of this host. Their last writes may take effect seconds late.
 	scanEvery = 15 * time.Second
@@ -61,7 +71,8 @@
 	Logger      *slog.Logger
 	Clock       func() time.Time
 	TableClock  TableClock
-	Started     time.Time // of this process
+	Started     time.Time           // of this process
+	Pause       func(time.Duration) // waits after a lost race; nil does not wait
 }
 
 // TableClock tells the time of the table's steady clock.
@@ -84,8 +95,9 @@
 	version      int64          // of the holding's row; 0 if there is none
 	predecessors []predecessor
 	diedMS       int64     // no earlier process of this host lived after it, on the table's clock
-	scanned      time.Time // last reading of all rows
-	stale        bool      // the rows are to be read again
+	refreshed    time.Time // last reading of the totals
+	scanned      time.Time // last reading of the holdings of this host
+	stale        bool      // both are to be read again
 	reached      bool      // the last call to the table succeeded
 	answered     bool      // the last call to the table was answered in time
 	took         time.Duration
@@ -253,7 +265,10 @@
 		}
 	}
 	m.mu.Unlock()
-	for range conflictRetries {
+	for try := range conflictRetries {
+		if try > 0 && m.opt.Pause != nil {
+			m.opt.Pause(time.Duration(rand.Int64N(int64(raceDelay))))
+		}
 		if !m.load(ctx) {
 			break
 		}
@@ -278,7 +293,9 @@
 // router that has nothing to write would not notice the table's return.
 func (m *Manager) load(ctx context.Context) bool {
 	m.mu.Lock()
-	done := m.reached && !m.stale && m.opt.Clock().Sub(m.scanned) < scanEvery
+	now := m.opt.Clock()
+	done := m.reached && !m.stale && now.Sub(m.refreshed) < refreshEvery
+	scan := m.stale || now.Sub(m.scanned) >= scanEvery
 	m.mu.Unlock()
 	if done {
 		return true
@@ -288,7 +305,7 @@
 	began := m.opt.Clock()
 	totals, err := platform.ScanAll(ctx, m.opt.Table, totalPrefix)
 	var holdings []platform.Row
-	if err == nil {
+	if err == nil && scan {
 		holdings, err = platform.ScanAll(ctx, m.opt.Table, holdingPrefix+m.opt.Host+"/")
 	}
 	m.mu.Lock()
@@ -301,6 +318,10 @@
 	for _, row := range totals {
 		m.takeTotal(row)
 	}
+	m.refreshed, m.stale = began, false
+	if !scan {
+		return true
+	}
 	m.predecessors = nil
 	for _, row := range holdings {
 		if row.Key != m.key() {
@@ -311,7 +332,7 @@
 		ms, sent, _ := m.opt.TableClock.Last()
 		m.diedMS = ms - sent.Sub(m.opt.Started).Milliseconds()
 	}
-	m.scanned, m.stale = began, false
+	m.scanned = began
 	return true
 }
 
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -60,8 +60,12 @@
 	op := &operation{totals: map[string]budget.Total{}, holding: budget.Holding{
 		Seq: m.holding.Seq + 1, Grants: maps.Clone(m.holding.Grants),
 	}}
+	limit := calmTeams
+	if m.stopping {
+		limit = maxTeams
+	}
 	changed := false
-	for name := range m.prepaid {
+	for name := range m.prepaid { // in random order, so that routers meet less
 		t := m.team(name)
 		due, err := m.planTeam(op, t, tick)
 		if err != nil {
@@ -69,7 +73,7 @@
 			t.holder.Drop()
 		}
 		changed = changed || due
-		if len(op.totals) >= maxTeams {
+		if len(op.totals) >= limit {
 			break
 		}
 	}
@@ -100,14 +104,15 @@
 	}
 	delta, settle := m.change(t, total, now, tick)
 	// A share that suffices but not within its pledge needs a new pledge.
-	renew := len(t.waiters) > 0 && t.waiters[0].tokens <= t.holder.Available()
+	renew := len(t.waiters) > 0 && t.waiters[0].tokens <= t.holder.Available() ||
+		tick && t.holder.PledgeLow(t.demand.Demand(now), m.tableNow())
 	if delta == 0 && settle == 0 && !renew {
 		return false, nil
 	}
 	if settle == 0 {
 		settle = t.holder.Consumed() - t.holder.Stored().Settled
 	}
-	next := t.holder.BeginPledged(delta, settle, t.holder.NewPledge(t.demand.PerSecond(now), t.waiting(), m.tableNow()))
+	next := t.holder.BeginPledged(delta, settle, t.holder.NewPledge(t.demand.Demand(now), t.waiting(), m.tableNow()))
 	next.Reported = old.Reported
 	if delta != 0 {
 		changed, err := total.Change(old, next)
@@ -135,11 +140,14 @@
 		}
 		need = max(need, 0)
 	}
-	perSecond := t.demand.PerSecond(now)
-	if m.draining {
-		perSecond = 0
+	switch {
+	case m.draining && need == 0:
+		delta = -max(t.holder.Available(), 0)
+	case m.draining && need <= left:
+		delta = need
+	case tick || need > 0:
+		delta = t.holder.ShareChange(t.demand.Demand(now), need, left, total.Holders)
 	}
-	delta = t.holder.ShareChange(perSecond, need, left, total.Holders)
 	settle = t.holder.Consumed() - t.holder.Stored().Settled
 	if delta == 0 && (!tick || settle < settleLeast) {
 		return 0, 0
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -73,7 +73,9 @@
 		return nil, e
 	case <-limit.C:
 		m.abandon(t, w)
-		return nil, unreached()
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return nil, m.unreached(t, tokens)
 	}
 }
 
@@ -88,8 +90,10 @@
 	}
 }
 
-func unreached() error {
-	e := errkind.New(errkind.PlatformUnavailable, "the share is short and the table does not answer")
+// unreached is the refusal of a request whose share is short while the table
+// gives no answer. m.mu is held.
+func (m *Manager) unreached(t *team, tokens int64) error {
+	e := errkind.New(errkind.PlatformUnavailable, "the table does not answer; %s", t.state(tokens))
 	e.RetryAfter = busyRetryAfter
 	return e
 }
@@ -123,15 +127,20 @@
 // refusal says why a request gets no tokens. m.mu is held.
 func (m *Manager) refusal(t *team, tokens int64) error {
 	if !m.reached || m.scanned.IsZero() || m.fenced {
-		return unreached()
+		return m.unreached(t, tokens)
 	}
 	// What ended routers may have spent is not known to be spent: a refusal for
 	// good needs proof.
 	if m.prepaid[t.name]-t.total.Spent() < tokens {
 		return errkind.New(errkind.BudgetExhausted, "%d tokens needed", tokens)
 	}
-	return busy(fmt.Sprintf("%d tokens needed, %d free here, %d left, %d held by all routers, %d lost",
-		tokens, t.holder.Available(), t.total.Left(), t.total.Held(), t.total.Lost))
+	return busy("the rest of the budget is held; " + t.state(tokens))
+}
+
+// state describes the budget for the log and for the caller.
+func (t *team) state(need int64) string {
+	return fmt.Sprintf("%d tokens needed, %d free here, %d left, %d held by all routers, %d lost",
+		need, t.holder.Available(), t.total.Left(), t.total.Held(), t.total.Lost)
 }
 
 // Settle ends the reservation and charges what was consumed.
