--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -15,6 +15,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/retry"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
+	"tarragonridge.example/tarragonridge/internal/explain"
 	"tarragonridge.example/tarragonridge/internal/upstream"
 )
 
@@ -57,7 +58,7 @@
 		result, cause := g.attempt(ctx, w, r, x, t)
 		g.opt.Metrics.attempts.WithLabelValues(result.String()).Inc()
 		if result != served {
-			g.opt.Logger.Info("attempt failed", "request", x.meta.RequestID, "target", t.ID, "outcome", result,
+			g.opt.Logger.Info(explain.MessageAttempt, "request", x.meta.RequestID, "target", t.ID, "outcome", result,
 				"event", x.lastEvent, "ms", time.Since(x.arrived).Milliseconds(), "cause", cause)
 		}
 		switch result {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
+	"tarragonridge.example/tarragonridge/internal/explain"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
 )
 
@@ -196,7 +197,7 @@
 	if x.route != nil {
 		route = x.route.Name
 	}
-	g.opt.Logger.Info("request not served", "request", x.meta.RequestID, "route", route, "team", x.team.Name,
+	g.opt.Logger.Info(explain.MessageEnd, "request", x.meta.RequestID, "route", route, "team", x.team.Name,
 		"kind", x.err.Kind, "detail", x.err.Detail, "status", x.status, "ran", x.ran, "runs", x.runs, "rejected", x.rejected,
 		"started", x.started, "ms", time.Since(x.arrived).Milliseconds(), "cause", x.err.Cause)
 }
