--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -19,6 +19,7 @@
 
 	"tarragonridge.example/tarragonridge/internal/core/retry"
 	"tarragonridge.example/tarragonridge/internal/gateway"
+	"tarragonridge.example/tarragonridge/internal/logqueue"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
 	"tarragonridge.example/tarragonridge/internal/settings"
 	adapter "tarragonridge.example/tarragonridge/platform"
@@ -44,12 +45,14 @@
 	if err != nil {
 		return err
 	}
-	log, level := newLeveledLogger(s.Err, cfg.LogLevel)
+	queue := logqueue.New(s.Err)
+	defer queue.Close()
+	log, level := newLeveledLogger(queue, cfg.LogLevel)
 	limitMemory(cfg.Limits.MemoryMB)
 	ctx, stop := signalContext()
 	defer stop()
 	go c.reloadOnHangup(ctx, log, level)
-	return runGateway(ctx, *cfg, log)
+	return runGateway(ctx, *cfg, log, queue)
 }
 
 func (c *gatewayCmd) load() (*settings.Gateway, error) {
@@ -104,7 +107,7 @@
 	}
 }
 
-func runGateway(ctx context.Context, cfg settings.Gateway, log *slog.Logger) error {
+func runGateway(ctx context.Context, cfg settings.Gateway, log *slog.Logger, queue *logqueue.Writer) error {
 	started := time.Now()
 	paths := gateway.NewStorePaths(cfg.Store.Address, cfg.Store.RelayPort, log)
 	store := adapter.NewStore(paths)
@@ -113,6 +116,7 @@
 		TableClock: store, Started: started, Pause: time.Sleep,
 	})
 	metrics := gateway.NewMetrics()
+	metrics.CountDroppedLines(queue.Dropped)
 	g := gateway.New(gateway.Options{
 		Codec: adapter.Headers{}, Budgets: budgets, Paths: paths, Table: store, Logger: log, Metrics: metrics, Grace: cfg.Grace(),
 		Retries: retry.Limits{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window()},
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,6 +42,13 @@
 	return m
 }
 
+// CountDroppedLines exports the number of log lines that were dropped.
+func (m *Metrics) CountDroppedLines(count func() int64) {
+	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "tarragonridge_log_lines_dropped_total", Help: "Log lines that did not fit the queue.",
+	}, func() float64 { return float64(count()) }))
+}
+
 func (m *Metrics) finished(x *request) {
 	kind := ""
 	if x.err != nil {
