Renew the pledges of all teams with each write of a holding

Pledges were 6 to 7 s old: a team with few requests was not written for seconds while its pledge grew.

Change: a write of the holding settles and renews all of its teams; a pledge covers 1.5 average requests.

--- a/internal/core/budget/share.go
+++ b/internal/core/budget/share.go
@@ -119,7 +119,7 @@
 	// average requests: most teams send a router less than one request a second,
 	// and without them each would wait for a write.
 	pledgeBurst    = 500 * time.Millisecond
-	pledgeRequests = 2.5
+	pledgeRequests = 1.5
 )
 
 // NewPledge returns the pledge for an operation, given the demand, the tokens
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -80,6 +80,7 @@
 	if !changed {
 		return nil
 	}
+	m.renewOthers(op)
 	if err := op.putHolding(m.key(), m.version); err != nil {
 		m.opt.Logger.Error("holding not encoded", "err", err)
 		m.drop(op)
@@ -129,6 +130,23 @@
 	return true, nil
 }
 
+// renewOthers settles the other teams and renews their pledges: the row is
+// written anyway, and an old pledge is a large loss if this router dies.
+func (m *Manager) renewOthers(op *operation) {
+	now := m.opt.Clock()
+	for name, old := range op.holding.Grants {
+		t := m.team(name)
+		if _, open := t.holder.Pending(); open || m.stopping {
+			continue
+		}
+		next := t.holder.BeginPledged(0, t.holder.Consumed()-t.holder.Stored().Settled,
+			t.holder.NewPledge(t.demand.Demand(now), t.waiting(), m.tableNow()))
+		next.Reported = old.Reported
+		op.holding.Grants[name] = next
+		op.teams = append(op.teams, t)
+	}
+}
+
 // change returns the change of the grant and the consumption to settle.
 func (m *Manager) change(t *team, total budget.Total, now time.Time, tick bool) (delta, settle int64) {
 	var need int64
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -139,8 +139,8 @@
 
 // state describes the budget for the log and for the caller.
 func (t *team) state(need int64) string {
-	return fmt.Sprintf("%d tokens needed, %d free here, %d left, %d held by all routers, %d lost",
-		need, t.holder.Available(), t.total.Left(), t.total.Held(), t.total.Lost)
+	return fmt.Sprintf("%d tokens needed, %d free here, %d of %d left, %d held by all routers, %d lost",
+		need, t.holder.Available(), t.total.Left(), t.total.ToppedUp, t.total.Held(), t.total.Lost)
 }
 
 // Settle ends the reservation and charges what was consumed.
