Read totals every second and return shares sooner

Counted from a trial: of 15.9 million tokens charged, 15.0 million were served, 0.45 million broke off and 0.47 million may have run; budgets were used up to 97 in 100, and shares of other routers came back 2 to 3 s late.

--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -49,7 +49,7 @@
 	raceDelay = 25 * time.Millisecond
 	// refreshEvery is the age at which the totals are read again. A router whose
 	// share suffices does not touch them, and would keep it when others need it.
-	refreshEvery = 2 * time.Second
+	refreshEvery = time.Second
 	// scanEvery is the pause between two looks for holdings of earlier processes
 	// of this host. Their last writes may take effect seconds late.
 	scanEvery = 15 * time.Second
