Leave a silent path to the table before waiting requests are refused

Change: a call after an answered one takes 0.25 s at most, and a round makes a second attempt, which takes another path.

--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -23,9 +23,11 @@
 	settleEvery = 500 * time.Millisecond
 	// probeEvery is the pause between two calls while the table is out of reach.
 	probeEvery = 300 * time.Millisecond
-	// callTimeout bounds a call to the table after one that was answered.
-	callTimeout = 900 * time.Millisecond
-	// slowTimeout bounds a call after one that was not. A table that is 80 times
+	// callTimeout bounds a call to the table after one that was answered. Calls
+	// take some 10 ms; a silent path has to be left before waiting requests are
+	// refused.
+	callTimeout = 250 * time.Millisecond
+	// slowTimeout bounds a call after rounds that were not answered. A table that is 80 times
 	// slower than usual takes 0.4 s for each write of any router.
 	slowTimeout = 3 * time.Second
 	// paceFactor is the pause between two rounds in multiples of the time that
@@ -34,6 +36,9 @@
 	paceFactor = 5
 	// conflictRetries bounds the attempts of one round after lost races.
 	conflictRetries = 6
+	// maxFailures is the number of failed calls after which a round still tries
+	// again: the second attempt takes another path to the table, if there is one.
+	maxFailures = 1
 	// settleLeast is the least consumption that is worth a write of its own.
 	settleLeast = 2000
 	// closeRounds leaves room for an operation of unknown result and a lost race.
@@ -99,7 +104,7 @@
 	scanned      time.Time // last reading of the holdings of this host
 	stale        bool      // both are to be read again
 	reached      bool      // the last call to the table succeeded
-	answered     bool      // the last call to the table was answered in time
+	silent       int       // calls to the table in a row that were not answered in time
 	took         time.Duration
 	draining     bool // gives back what it does not need at once
 	stopping     bool
@@ -135,7 +140,7 @@
 func New(o Options) *Manager {
 	return &Manager{
 		opt: o, id: o.Host + "/" + o.Incarnation, kick: make(chan struct{}, 1),
-		prepaid: map[string]int64{}, teams: map[string]*team{}, answered: true,
+		prepaid: map[string]int64{}, teams: map[string]*team{},
 		holding: budget.Holding{Grants: map[string]budget.Grant{}},
 	}
 }
@@ -205,7 +210,7 @@
 func (m *Manager) timeout() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.answered {
+	if m.silent < 2 {
 		return callTimeout
 	}
 	return slowTimeout
@@ -214,7 +219,10 @@
 // note records how a call to the table went. m.mu is held.
 func (m *Manager) note(ctx context.Context, began time.Time, err error) {
 	m.reached = err == nil
-	m.answered = ctx.Err() == nil
+	m.silent++
+	if ctx.Err() == nil {
+		m.silent = 0
+	}
 	m.took = m.opt.Clock().Sub(began)
 }
 
@@ -265,29 +273,39 @@
 		}
 	}
 	m.mu.Unlock()
+	failures := 0
 	for try := range conflictRetries {
 		if try > 0 && m.opt.Pause != nil {
 			m.opt.Pause(time.Duration(rand.Int64N(int64(raceDelay))))
 		}
-		if !m.load(ctx) {
-			break
-		}
-		m.mu.Lock()
-		if m.pending == nil {
-			m.pending = m.plan(tick)
-		}
-		op := m.pending
-		m.mu.Unlock()
-		if op == nil {
-			break
+		result := m.step(ctx, tick)
+		if result == commitFailed {
+			failures++
 		}
-		if !m.commit(ctx, op) {
+		if result == commitDone || failures > maxFailures {
 			break
 		}
 	}
 	m.answerWaiters()
 }
 
+// step makes one exchange with the table.
+func (m *Manager) step(ctx context.Context, tick bool) commitResult {
+	if !m.load(ctx) {
+		return commitFailed
+	}
+	m.mu.Lock()
+	if m.pending == nil {
+		m.pending = m.plan(tick)
+	}
+	op := m.pending
+	m.mu.Unlock()
+	if op == nil {
+		return commitDone
+	}
+	return m.commit(ctx, op)
+}
+
 // load reads the totals and the holdings of earlier processes of this host: at
 // first, after each failure of the table and now and then. Without the second, a
 // router that has nothing to write would not notice the table's return.
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -196,8 +196,17 @@
 	return op
 }
 
-// commit sends the operation and reports whether another round may follow.
-func (m *Manager) commit(ctx context.Context, op *operation) bool {
+// commitResult says how a round goes on.
+type commitResult int
+
+const (
+	commitDone   commitResult = iota // nothing else is due
+	commitAgain                      // a lost race, or more is to be written
+	commitFailed                     // the table did not answer, or refused the call
+)
+
+// commit sends the operation.
+func (m *Manager) commit(ctx context.Context, op *operation) commitResult {
 	ctx, cancel := context.WithTimeout(ctx, m.timeout())
 	defer cancel()
 	began := m.opt.Clock()
@@ -213,12 +222,12 @@
 	m.note(ctx, began, err)
 	if err != nil {
 		m.failed(op, err)
-		return false
+		return commitFailed
 	}
 	m.pending = nil
 	if !res.Committed {
 		m.resolve(op, res.Current, own)
-		return true
+		return commitAgain
 	}
 	for name, total := range op.totals {
 		t := m.team(name)
@@ -226,14 +235,17 @@
 	}
 	if op.closes != nil {
 		m.closed(op, res.Versions[op.closes.key])
-		return true
+		return commitAgain
 	}
 	var version int64
 	if len(op.holding.Grants) > 0 {
 		version = res.Versions[m.key()]
 	}
 	m.applied(op, version)
-	return m.stopping
+	if m.stopping {
+		return commitAgain
+	}
+	return commitDone
 }
 
 // readHolding reads the own holding, nil if there is none.
