--- a/internal/core/httproute/document.go
+++ b/internal/core/httproute/document.go
@@ -67,7 +67,6 @@
 	Name           string
 	MaxConnections int   // of a target, from all callers together
 	Slots          int   // requests that an engine runs at once; 0 for a plain service
-	MemoryTokens   int64 // of an engine; 0 for a plain service
 	TokensPerEvent int64 // of an engine's stream
 }
 
--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -25,7 +25,6 @@
 type Target struct {
 	Entry
 	InFlight int
-	Cost     int64 // of the work in flight, in tokens still to read
 
 	failures  int // in a row
 	avoidFrom time.Time
@@ -113,23 +112,11 @@
 	return out
 }
 
-// Count returns the number of targets of a service that take work.
-func (v *View) Count(service string) int {
-	n := 0
-	for _, t := range v.byService[service] {
-		if !t.Draining {
-			n++
-		}
-	}
-	return n
-}
-
 // Query describes the request to place.
 type Query struct {
 	Service    string
 	PrefixHash uint64   // of the shared parts of the prompt; 0 if there are none
 	Exclude    []string // ids of targets that this request has tried
-	MaxRuns    int      // at one target, by this router; 0 means no limit
 }
 
 // AffinityLoadBound is the load that a target may have, in multiples of the
@@ -150,9 +137,6 @@
 		if t.Draining || slices.Contains(q.Exclude, t.ID) {
 			continue
 		}
-		if q.MaxRuns > 0 && t.InFlight >= q.MaxRuns {
-			continue
-		}
 		if t.avoided(now) || !t.removed.IsZero() {
 			poor = append(poor, t)
 			continue
@@ -194,16 +178,10 @@
 }
 
 // Begin counts a request that is sent to the target.
-func (t *Target) Begin(cost int64) {
-	t.InFlight++
-	t.Cost += cost
-}
+func (t *Target) Begin() { t.InFlight++ }
 
 // End counts the end of a request.
-func (t *Target) End(cost int64) {
-	t.InFlight--
-	t.Cost -= cost
-}
+func (t *Target) End() { t.InFlight-- }
 
 // Bounds of the pause after failures in a row.
 const (
--- a/internal/core/targets/targets_test.go
+++ b/internal/core/targets/targets_test.go
@@ -113,7 +113,7 @@
 		for i := range 240 {
 			prefix := uint64(1 + i%48)
 			target := v.Choose(now, Query{Service: "s", PrefixHash: prefix})
-			target.Begin(1)
+			target.Begin()
 			if seen[prefix] == nil {
 				seen[prefix] = map[string]bool{}
 			}
@@ -147,10 +147,10 @@
 		for range 500 {
 			prefix := 1 + rng.Uint64N(prefixes)
 			target := v.Choose(now, Query{Service: "s", PrefixHash: prefix})
-			target.Begin(1)
+			target.Begin()
 			seen[[2]string{strconv.FormatUint(prefix, 10), target.ID}] = true
 			if open = append(open, target); len(open) > inFlight {
-				open[0].End(1)
+				open[0].End()
 				open = open[1:]
 			}
 		}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -137,7 +137,7 @@
 	defer g.mu.Unlock()
 	t := g.view.Choose(time.Now(), q)
 	if t != nil {
-		t.Begin(x.meta.PromptTokens)
+		t.Begin()
 	}
 	return t
 }
@@ -147,7 +147,7 @@
 	result, cause := g.exchange(ctx, w, r, x, t)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t.End(x.meta.PromptTokens)
+	t.End()
 	var failure *upstream.Failure
 	switch {
 	case result == served:
@@ -168,7 +168,7 @@
 	return result, cause
 }
 
-// callerShare is the part of a target's connections that this router may use.
+// connShare is the part of a target's connections that this router may use.
 func (g *Gateway) connShare(s httproute.Service) int {
 	if s.MaxConnections == 0 {
 		return 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,15 +63,14 @@
 
 // Options configures a Gateway.
 type Options struct {
-	Codec    Codec
-	Budgets  *prepaid.Manager
-	Paths    *StorePaths    // to the store; nil if its path is fixed
-	Table    platform.Table // for reports of crashes
-	Retries  retry.Limits
-	Logger   *slog.Logger
-	Metrics  *Metrics
-	Grace    time.Duration // from the stop signal to the end of the process
-	MaxConns int           // connections from callers
+	Codec   Codec
+	Budgets *prepaid.Manager
+	Paths   *StorePaths    // to the store; nil if its path is fixed
+	Table   platform.Table // for reports of crashes
+	Retries retry.Limits
+	Logger  *slog.Logger
+	Metrics *Metrics
+	Grace   time.Duration // from the stop signal to the end of the process
 }
 
 // Gateway serves callers. Create one with New.
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -132,7 +132,7 @@
 	// What ended routers may have spent is not known to be spent: a refusal for
 	// good needs proof.
 	if m.prepaid[t.name]-t.total.Spent() < tokens {
-		return errkind.New(errkind.BudgetExhausted, "%d tokens needed", tokens)
+		return errkind.New(errkind.BudgetExhausted, "%s, %d known to be spent", t.state(tokens), t.total.Spent())
 	}
 	return busy("the rest of the budget is held; " + t.state(tokens))
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -36,7 +36,6 @@
 	address   string
 	idleSince time.Time
 	idleLimit time.Duration // 0 if the target states none
-	used      bool
 }
 
 // reusable reports whether nothing has arrived on an idle connection, neither
