--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -49,7 +49,7 @@
 	}
 	for {
 		if err := ctx.Err(); err != nil {
-			return g.expired(x, err)
+			return g.expired(r, x, err)
 		}
 		t := g.choose(x)
 		if t == nil {
@@ -65,7 +65,7 @@
 		case served:
 			return nil
 		case abandoned:
-			return g.expired(x, cause)
+			return g.expired(r, x, cause)
 		case notSent:
 			if unsent++; unsent > maxUnsent {
 				return g.exhausted(x, errkind.Wrap(cause, errkind.NoTarget, "targets cannot be reached"))
@@ -118,7 +118,14 @@
 	return unknown
 }
 
-func (g *Gateway) expired(x *request, cause error) error {
+// expired returns the error of a request whose caller has left or whose time is
+// over.
+func (g *Gateway) expired(r *http.Request, x *request, cause error) error {
+	if r.Context().Err() != nil {
+		e := errkind.Wrap(cause, errkind.Canceled, "the caller has left")
+		e.Ran = x.ran
+		return e
+	}
 	if x.ran == errkind.RanNo {
 		return errkind.Wrap(cause, errkind.Overloaded, "not started before the deadline")
 	}
