--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -216,9 +216,9 @@
 		return broken, errForeign
 	}
 	if x.route.Kind == httproute.Streaming && answer.StatusCode == http.StatusOK {
-		return g.relayStream(ctx, w, x, answer)
+		return g.sendStream(ctx, w, x, answer)
 	}
-	return g.relayWhole(ctx, w, x, answer)
+	return g.sendWhole(ctx, w, x, answer)
 }
 
 var (
--- a/internal/gateway/relay.go
+++ b/internal/gateway/stream.go
@@ -37,8 +37,8 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, drainBytes))
 }
 
-// relayWhole forwards a plain answer.
-func (g *Gateway) relayWhole(ctx context.Context, w http.ResponseWriter, x *request, a *upstream.Answer) (outcome, error) {
+// sendWhole forwards a plain answer.
+func (g *Gateway) sendWhole(ctx context.Context, w http.ResponseWriter, x *request, a *upstream.Answer) (outcome, error) {
 	if err := a.SetReadDeadline(x.deadline); err != nil {
 		return g.failed(ctx, x, err)
 	}
@@ -101,9 +101,9 @@
 	return broken, &upstream.Failure{Sent: true, Silent: silent, Cause: err}
 }
 
-// relayStream forwards whole events as they arrive. The head of the answer goes
+// sendStream forwards whole events as they arrive. The head of the answer goes
 // out with the first event, so that until then another target may answer.
-func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, x *request, a *upstream.Answer) (outcome, error) {
+func (g *Gateway) sendStream(ctx context.Context, w http.ResponseWriter, x *request, a *upstream.Answer) (outcome, error) {
 	control := http.NewResponseController(w)
 	events := sse.NewSplitter(maxEventBytes)
 	buf := make([]byte, streamBuffer)
