--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -36,6 +36,7 @@
 	ran      errkind.Ran // what is known of all attempts together
 
 	started   bool  // the head of the answer has gone to the caller
+	framed    bool  // that head says where the answer ends
 	lastEvent int64 // id of the last event that the caller has; -1 if none
 	events    int64 // events that went to the caller
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -127,6 +127,10 @@
 			return g.cut(ctx, x, readErr)
 		case events.Pending() > 0:
 			return g.cut(ctx, x, io.ErrUnexpectedEOF)
+		case x.framed && !framed(a):
+			// The caller's answer would end as complete, and nobody can tell whether
+			// this part of it is.
+			return g.cut(ctx, x, io.ErrUnexpectedEOF)
 		default:
 			return g.endStream(w, control, x, a)
 		}
@@ -176,7 +180,7 @@
 func (g *Gateway) startStream(w http.ResponseWriter, control *http.ResponseController, x *request, a *upstream.Answer) {
 	g.writeHead(w, x, a)
 	x.status = a.StatusCode
-	x.started = true
+	x.started, x.framed = true, framed(a)
 	if err := control.SetWriteDeadline(x.deadline.Add(writeMargin)); err != nil {
 		g.opt.Logger.Debug("write deadline not set", "err", err)
 	}
