Ask in one place whether an answer is framed and whether a wait has ended

The test stood twice for the framing and three times for the time-out, in upstream and gateway; one exported method had no caller.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,7 +50,7 @@
 		return broken, errFailedRun
 	}
 	g.writeHead(w, x, a)
-	if len(body) <= wholeBytes && framed(a) {
+	if len(body) <= wholeBytes && a.Framed() {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.status = a.StatusCode
@@ -76,7 +76,7 @@
 	if h.Get("Content-Type") == "" {
 		h["Content-Type"] = nil // keeps the server from guessing
 	}
-	if !framed(a) {
+	if !a.Framed() {
 		// Only the end of the connection ends this answer, for the caller too:
 		// nobody can tell whether it is complete.
 		h.Set("Transfer-Encoding", "identity")
@@ -86,19 +86,12 @@
 	}
 }
 
-// framed reports whether the answer says where it ends.
-func framed(a *upstream.Answer) bool {
-	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0
-}
-
 // cut classifies an answer that broke off.
 func (g *Gateway) cut(ctx context.Context, x *request, err error) (outcome, error) {
 	if ctx.Err() != nil || !time.Now().Before(x.deadline) {
 		return abandoned, err
 	}
-	var timeout interface{ Timeout() bool }
-	silent := errors.As(err, &timeout) && timeout.Timeout()
-	return broken, &upstream.Failure{Sent: true, Silent: silent, Cause: err}
+	return broken, &upstream.Failure{Sent: true, Silent: upstream.TimedOut(err), Cause: err}
 }
 
 // sendStream forwards whole events as they arrive. The head of the answer goes
@@ -127,7 +120,7 @@
 			return g.cut(ctx, x, readErr)
 		case events.Pending() > 0:
 			return g.cut(ctx, x, io.ErrUnexpectedEOF)
-		case x.framed && !framed(a):
+		case x.framed && !a.Framed():
 			// The caller's answer would end as complete, and nobody can tell whether
 			// this part of it is.
 			return g.cut(ctx, x, io.ErrUnexpectedEOF)
@@ -180,7 +173,7 @@
 func (g *Gateway) startStream(w http.ResponseWriter, control *http.ResponseController, x *request, a *upstream.Answer) {
 	g.writeHead(w, x, a)
 	x.status = a.StatusCode
-	x.started, x.framed = true, framed(a)
+	x.started, x.framed = true, a.Framed()
 	if err := control.SetWriteDeadline(x.deadline.Add(writeMargin)); err != nil {
 		g.opt.Logger.Debug("write deadline not set", "err", err)
 	}
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -226,13 +226,6 @@
 	m.took = m.opt.Clock().Sub(began)
 }
 
-// Reached reports whether the last call to the table succeeded.
-func (m *Manager) Reached() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.reached
-}
-
 // Drain gives back all that the requests in progress do not need, long before
 // Close: the table may be slow or out of reach by then.
 func (m *Manager) Drain() {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -142,9 +142,7 @@
 	x.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
 	fail := func(sent bool, err error) (*Answer, error) {
 		x.finish()
-		var timeout net.Error
-		silent := errors.As(err, &timeout) && timeout.Timeout()
-		return nil, &Failure{Sent: sent, Silent: silent, Cause: err}
+		return nil, &Failure{Sent: sent, Silent: TimedOut(err), Cause: err}
 	}
 	if err := c.SetDeadline(req.AnswerBy); err != nil {
 		return fail(false, err)
@@ -176,7 +174,7 @@
 			continue
 		}
 		if !req.Accept(resp) {
-			if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			if !framed(resp) {
 				return fail(true, errStray)
 			}
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
@@ -184,7 +182,7 @@
 			}
 			continue
 		}
-		x.keep = !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
+		x.keep = !resp.Close && framed(resp)
 		c.idleLimit = keepAlive(resp.Header.Get("Keep-Alive"))
 		if err := c.SetDeadline(time.Time{}); err != nil {
 			return fail(true, err)
@@ -198,6 +196,21 @@
 	return fail(true, errStray)
 }
 
+// framed reports whether an answer says where it ends.
+func framed(r *http.Response) bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+}
+
+// Framed reports whether the answer says where it ends. One that does not ends
+// with its connection.
+func (a *Answer) Framed() bool { return framed(a.Response) }
+
+// TimedOut reports whether err is the end of a wait.
+func TimedOut(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 var errStray = errors.New("answers belong to other requests")
 
 // SetReadDeadline bounds the wait for the next part of the body.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -85,9 +85,7 @@
 func (p *Pool) Do(ctx context.Context, req *Request) (*Answer, error) {
 	c, err := p.get(ctx, req)
 	if err != nil {
-		var timeout net.Error
-		silent := errors.As(err, &timeout) && timeout.Timeout()
-		return nil, &Failure{Silent: silent, Cause: err}
+		return nil, &Failure{Silent: TimedOut(err), Cause: err}
 	}
 	return p.roundTrip(ctx, c, req)
 }
