Log and count the request limits that targets name

A target in need names in its answers how many requests a second it takes from all routers together.

Which target is chosen does not change.

--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -4,6 +4,7 @@
 package targets
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -28,6 +29,7 @@
 	Registration
 	InFlight int // requests of this router at the target
 
+	requestLimit        float64 // the latest that the target has named, requests per second
 	consecutiveFailures int
 	avoidedSince        time.Time
 	avoidedUntil        time.Time // until then other targets are preferred
@@ -58,12 +60,13 @@
 		t = nil
 	}
 	if t == nil {
-		t = &Target{Registration: r}
+		t = &Target{Registration: r, requestLimit: NoRequestLimit}
 		v.byID[r.ID] = t
 		v.byService[r.Service] = append(v.byService[r.Service], t)
 	}
 	if t.StartedMS != r.StartedMS {
 		t.consecutiveFailures, t.avoidedUntil, t.probing = 0, time.Time{}, false
+		t.requestLimit = NoRequestLimit
 	}
 	// The other fields do not change: requests read them without the caller's lock.
 	t.FailureDomain, t.Draining, t.Slots, t.StartedMS = r.FailureDomain, r.Draining, r.Slots, r.StartedMS
@@ -224,6 +227,30 @@
 	return now.Before(t.avoidedUntil) || t.probing
 }
 
+// NoRequestLimit is the request limit of a target that names none.
+var NoRequestLimit = math.Inf(1)
+
+// RecordLimit records the request limit that an answer of the target names, and
+// reports whether it differs from the one before.
+func (t *Target) RecordLimit(perSecond float64) (changed bool) {
+	changed = t.requestLimit != perSecond
+	t.requestLimit = perSecond
+	return changed
+}
+
+// Limited reports whether the target names a request limit.
+func (t *Target) Limited() bool { return t.requestLimit != NoRequestLimit }
+
+// CountLimited returns the number of targets that name a request limit.
+func (v *View) CountLimited() (n int) {
+	for _, t := range v.byID {
+		if t.Limited() {
+			n++
+		}
+	}
+	return n
+}
+
 // BeginRequest counts a request as in flight at the target.
 func (t *Target) BeginRequest() { t.InFlight++ }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -156,6 +156,9 @@
 	t := g.targetView.Choose(time.Now(), q)
 	if t != nil {
 		t.BeginRequest()
+		if t.Limited() {
+			g.opt.Metrics.limited.Inc()
+		}
 	}
 	return t
 }
@@ -189,6 +192,19 @@
 	return result, cause
 }
 
+// recordLimit records the request limit that an answer of a target names.
+func (g *Gateway) recordLimit(t *targets.Target, perSecond float64) {
+	g.mu.Lock()
+	changed := t.RecordLimit(perSecond)
+	g.mu.Unlock()
+	switch {
+	case changed && perSecond != targets.NoRequestLimit:
+		g.opt.Logger.Info("target names a request limit", "target", t.ID, "per_second", perSecond)
+	case changed:
+		g.opt.Logger.Info("target names no request limit any more", "target", t.ID)
+	}
+}
+
 // maxTargetConns returns the number of connections that this router may open to a
 // target: its share of the service's limit, at least 2, or 0 if there is no limit.
 func (g *Gateway) maxTargetConns(service httproute.Service) int {
@@ -219,6 +235,9 @@
 		return g.classifyFailure(ctx, req, err)
 	}
 	defer answer.Close()
+	if answer.StatusCode != http.StatusMisdirectedRequest {
+		g.recordLimit(t, info.RequestLimit)
+	}
 	if info.NotRun {
 		drainBody(answer)
 		if answer.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,9 @@
 type AnswerInfo struct {
 	NotRun bool // the target states that it did not run the request
 	Signed bool // the answer carries the target's signature
+	// RequestLimit is the number of requests a second that the target accepts from all
+	// routers together, targets.NoRequestLimit if it names none.
+	RequestLimit float64
 }
 
 // Codec translates headers between the gateway and the deployment platform.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,7 @@
 	Registry      *prometheus.Registry
 	requests      *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
+	limited       prometheus.Counter
 	duration      prometheus.Histogram
 	configVersion prometheus.Gauge
 }
@@ -30,6 +31,10 @@
 			Name: "tarragonridge_http_attempts_total",
 			Help: "Attempts at targets by outcome.",
 		}, []string{"outcome"}),
+		limited: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tarragonridge_http_limited_attempts_total",
+			Help: "Attempts at targets that had named a request limit to this gateway.",
+		}),
 		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "tarragonridge_http_request_seconds", Help: "Time from a request to the end of its answer.",
 			Buckets: []float64{.02, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4, 12.8},
@@ -38,7 +43,7 @@
 			Name: "tarragonridge_http_config_version", Help: "Version of the routes in force here.",
 		}),
 	}
-	m.Registry.MustRegister(m.requests, m.attempts, m.duration, m.configVersion, collectors.NewGoCollector())
+	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.duration, m.configVersion, collectors.NewGoCollector())
 	return m
 }
 
@@ -54,14 +59,22 @@
 var targetsDesc = prometheus.NewDesc("tarragonridge_http_targets",
 	"Known targets by belief: usable, avoided, draining or missing.", []string{"belief"}, nil)
 
+// limitedTargetsDesc describes the gauge of targets that name a request limit.
+var limitedTargetsDesc = prometheus.NewDesc("tarragonridge_http_limited_targets",
+	"Targets whose latest answer to this gateway names a request limit.", nil, nil)
+
 // Describe implements prometheus.Collector.
-func (g *Gateway) Describe(ch chan<- *prometheus.Desc) { ch <- targetsDesc }
+func (g *Gateway) Describe(ch chan<- *prometheus.Desc) {
+	ch <- targetsDesc
+	ch <- limitedTargetsDesc
+}
 
 // Collect implements prometheus.Collector.
 func (g *Gateway) Collect(ch chan<- prometheus.Metric) {
 	g.mu.Lock()
-	counts := g.targetView.CountByState(time.Now())
+	counts, limited := g.targetView.CountByState(time.Now()), g.targetView.CountLimited()
 	g.mu.Unlock()
+	ch <- prometheus.MustNewConstMetric(limitedTargetsDesc, prometheus.GaugeValue, float64(limited))
 	for belief, n := range counts {
 		ch <- prometheus.MustNewConstMetric(targetsDesc, prometheus.GaugeValue, float64(n), belief)
 	}
