Keep the request limit of a target among all gateways

Choice of target knew requests in flight and failures, and no gateway knew of the others: a class of faults where a bound on a sum is nobody's, or is kept by each alone. Ruled out by the new log lines and tests: a limit that is read late, and one that each gateway keeps by itself (there was no such code).

Change: the gateway that hears a limit puts it in force and tells the others through rows that all watch. The limit is divided among live gateways; below one request a second for each, among as many as it allows requests and two more, chosen by hash.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -118,15 +118,18 @@
 	store := adapter.NewStore(storePaths)
 	metrics := gateway.NewMetrics()
 	metrics.CountDroppedLines(queue.Dropped)
-	table := platform.NewContentGuard(platform.NewInstrumentedTable(store, metrics.Registry), store.Era)
+	instrumented := platform.NewInstrumentedTable(store, metrics.Registry)
+	table := platform.NewContentGuard(instrumented, store.Era)
+	incarnation := ulid.Make().String()
 	budgets := prepaid.New(prepaid.Options{
-		Table: table, Host: cfg.Host, Incarnation: ulid.Make().String(), Logger: log, Clock: time.Now,
+		Table: table, Host: cfg.Host, Incarnation: incarnation, Logger: log, Clock: time.Now,
 		TableClock: store, Eras: store, OldestCopy: cfg.Budgets.OldestCopy(), Started: started, Sleep: time.Sleep,
 		Metrics: prepaid.NewMetrics(metrics.Registry),
 	})
 	budgets.Export(metrics.Registry)
 	g := gateway.New(gateway.Options{
 		Codec: adapter.Headers{}, Budgets: budgets, Paths: storePaths, Table: table, Logger: log, Metrics: metrics, GracePeriod: cfg.GracePeriod(),
+		FleetTable: instrumented, Host: cfg.Host, Incarnation: incarnation,
 		Retries: retry.Limits{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window()},
 	})
 	callers, err := net.Listen("tcp", cfg.Listen.Callers)
@@ -148,6 +151,8 @@
 	tasks.Go(func() { g.WatchConfig(tasksCtx, store) })
 	tasks.Go(func() { g.WatchTargets(tasksCtx, store) })
 	tasks.Go(func() { g.WatchCrashes(tasksCtx, store) })
+	tasks.Go(func() { g.WatchFleet(tasksCtx, store) })
+	tasks.Go(func() { g.PublishFleet(tasksCtx) })
 	tasks.Go(func() { budgets.Run(tasksCtx) })
 	log.Info("started", "host", cfg.Host, "callers", cfg.Listen.Callers)
 	closeDeadline := make(chan time.Time, 1)
@@ -159,6 +164,7 @@
 	tasks.Wait()
 	closeCtx, cancel := context.WithDeadline(context.Background(), <-closeDeadline)
 	defer cancel()
+	g.LeaveFleet(closeCtx)
 	budgets.Close(closeCtx)
 	log.Info("stopped")
 	return nil
--- a/internal/core/admit/bucket.go
+++ b/internal/core/admit/bucket.go
@@ -12,15 +12,25 @@
 // Take takes one token if the bucket has one. perSecond is the refill rate and
 // burst the capacity. If ok is false, a token will be available after wait.
 func (b *Bucket) Take(now time.Time, perSecond, burst float64) (ok bool, wait time.Duration) {
+	if wait := b.Wait(now, perSecond, burst); wait > 0 {
+		return false, wait
+	}
+	b.tokens--
+	return true, 0
+}
+
+// Wait returns the time until Take will find a token, 0 if there is one now.
+func (b *Bucket) Wait(now time.Time, perSecond, burst float64) time.Duration {
 	b.refill(now, perSecond, burst)
 	if b.tokens >= 1 {
-		b.tokens--
-		return true, 0
+		return 0
 	}
-	missing := 1 - b.tokens
-	return false, time.Duration(missing / perSecond * float64(time.Second))
+	return time.Duration((1 - b.tokens) / perSecond * float64(time.Second))
 }
 
+// Return puts a token back that was taken and not used. burst is the capacity.
+func (b *Bucket) Return(burst float64) { b.tokens = min(burst, b.tokens+1) }
+
 func (b *Bucket) refill(now time.Time, perSecond, burst float64) {
 	if b.lastRefill.IsZero() {
 		b.tokens = burst
--- a/internal/core/errkind/errkind.go
+++ b/internal/core/errkind/errkind.go
@@ -37,6 +37,7 @@
 	OutcomeUnknown       Kind = "outcome_unknown"
 	Overloaded           Kind = "overloaded"
 	NoTarget             Kind = "no_target"
+	TargetsLimited       Kind = "targets_limited"
 	PlatformUnavailable  Kind = "platform_unavailable"
 	Stopping             Kind = "stopping"
 	DeadlineExceeded     Kind = "deadline_exceeded"
@@ -102,6 +103,7 @@
 	{OutcomeUnknown, 502, "outcome unknown", RanUnknown, 0},
 	{Overloaded, 503, "overloaded", RanNo, retrySoon},
 	{NoTarget, 503, "no target available", RanNo, retrySoon},
+	{TargetsLimited, 503, "targets are at their request limits", RanNo, retrySoon},
 	{PlatformUnavailable, 503, "platform unavailable", RanNo, retryLater},
 	{Stopping, 503, "router is stopping", RanNo, retrySoon},
 	{DeadlineExceeded, 504, "not started before the deadline", RanNo, retrySoon},
--- /dev/null
+++ b/internal/core/fleet/fleet.go
@@ -0,0 +1,258 @@
+// Package fleet holds what routers tell each other through rows of the platform's
+// table: which routers are live, and the request limits that targets have named.
+package fleet
+
+import (
+	"encoding/json"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key prefixes of the rows. All rows have Prefix.
+const (
+	Prefix       = "fleet/"
+	routerPrefix = Prefix + "router/" // followed by the host of the router
+	limitPrefix  = Prefix + "limit/"  // followed by the id of the target
+)
+
+// RouterRow is the value of a router's row. Only its change matters to other routers.
+type RouterRow struct {
+	Incarnation string `json:"incarnation"`
+	Renewal     int64  `json:"renewal"` // number of the renewal, from 1
+}
+
+// Limit is the value of the row of a target that names a request limit.
+type Limit struct {
+	StartedMS int64   `json:"started"`    // start of the target that named it, Unix milliseconds
+	PerSecond float64 `json:"per_second"` // requests that the target accepts from all routers together
+}
+
+// RouterKey returns the key of a router's row.
+func RouterKey(host string) string { return routerPrefix + host }
+
+// LimitKey returns the key of the row with a target's request limit.
+func LimitKey(target string) string { return limitPrefix + target }
+
+// Timing of the renewals, which routers write only while a limit is in force.
+const (
+	RenewInterval = 2 * time.Second
+	// renewalTimeout is the age from which a router's own renewal counts as
+	// interrupted: then it cannot tell whether others are gone or the table is.
+	renewalTimeout = 2*RenewInterval + time.Second
+	// routerTimeout is the age of its renewal from which another router counts as gone.
+	routerTimeout = 3*RenewInterval + time.Second
+)
+
+// Row is a row of the table.
+type Row struct {
+	Key   string
+	Value []byte
+}
+
+// Changes are rows that were written and removed.
+type Changes struct {
+	Complete bool // Rows are all rows there are
+	Rows     []Row
+	Removed  []string // keys
+}
+
+// State is a router's view of the rows. It is not safe for concurrent use.
+type State struct {
+	self      string
+	synced    bool                 // all rows have been read once
+	renewedAt map[string]time.Time // when a renewal was last seen, by host
+	limits    map[string]Limit     // by target
+	// countFrom is the time from which missing renewals count: when the first limit came
+	// into force, or the renewals of this router were seen again after an interruption.
+	countFrom time.Time
+	division  division // as last returned by Shares
+}
+
+// NewState returns the state of the router on a host before it has read any rows.
+func NewState(host string) *State {
+	return &State{self: host, renewedAt: map[string]time.Time{}, limits: map[string]Limit{}}
+}
+
+// Apply applies changes and returns the targets whose limits have changed. It fails for
+// rows that cannot be decoded, after it has applied the others.
+func (s *State) Apply(now time.Time, c Changes) (changedTargets []string, err error) {
+	before := maps.Clone(s.limits)
+	if c.Complete {
+		s.synced = true
+		clear(s.limits)
+		present := map[string]bool{}
+		for _, row := range c.Rows {
+			present[row.Key] = true
+		}
+		maps.DeleteFunc(s.renewedAt, func(host string, _ time.Time) bool { return !present[RouterKey(host)] })
+	}
+	for _, row := range c.Rows {
+		if rowErr := s.applyRow(now, row); rowErr != nil {
+			err = rowErr
+		}
+	}
+	for _, key := range c.Removed {
+		if host, ok := strings.CutPrefix(key, routerPrefix); ok {
+			delete(s.renewedAt, host)
+		}
+		if target, ok := strings.CutPrefix(key, limitPrefix); ok {
+			delete(s.limits, target)
+		}
+	}
+	if len(before) == 0 && len(s.limits) > 0 {
+		s.countFrom = now
+	}
+	for target, limit := range s.limits {
+		if old, ok := before[target]; !ok || old != limit {
+			changedTargets = append(changedTargets, target)
+		}
+	}
+	for target := range before {
+		if _, ok := s.limits[target]; !ok {
+			changedTargets = append(changedTargets, target)
+		}
+	}
+	slices.Sort(changedTargets)
+	return changedTargets, err
+}
+
+func (s *State) applyRow(now time.Time, row Row) error {
+	if host, ok := strings.CutPrefix(row.Key, routerPrefix); ok {
+		if host == s.self && now.Sub(s.renewedAt[host]) > renewalTimeout {
+			s.countFrom = now
+		}
+		s.renewedAt[host] = now
+	}
+	if target, ok := strings.CutPrefix(row.Key, limitPrefix); ok {
+		var limit Limit
+		if err := json.Unmarshal(row.Value, &limit); err != nil {
+			return err
+		}
+		s.limits[target] = limit
+	}
+	return nil
+}
+
+// Limit returns the limit that a target has named to any router.
+func (s *State) Limit(target string) (limit Limit, ok bool) {
+	limit, ok = s.limits[target]
+	return limit, ok
+}
+
+// LimitedTargets returns the ids of the targets with a limit, in order.
+func (s *State) LimitedTargets() []string { return slices.Sorted(maps.Keys(s.limits)) }
+
+// Limited reports whether any limit is in force.
+func (s *State) Limited() bool { return len(s.limits) > 0 }
+
+// Routers returns the hosts of the routers that count as live, in order, this router
+// among them.
+func (s *State) Routers(now time.Time) []string {
+	live := []string{s.self}
+	for host := range s.renewedAt {
+		if host != s.self && !s.gone(now, host) {
+			live = append(live, host)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+// Gone returns the hosts of the routers whose rows are there but that no longer renew
+// them.
+func (s *State) Gone(now time.Time) (hosts []string) {
+	for host := range s.renewedAt {
+		if host != s.self && s.gone(now, host) {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// interrupted reports whether this router no longer sees its own renewals.
+func (s *State) interrupted(now time.Time) bool {
+	return s.Limited() && now.Sub(s.renewedAt[s.self]) > renewalTimeout
+}
+
+// gone reports whether a router no longer renews its row. While this router does not
+// see its own renewals, none counts as gone.
+func (s *State) gone(now time.Time, host string) bool {
+	if !s.Limited() || s.interrupted(now) {
+		return false
+	}
+	since := s.renewedAt[host]
+	if since.Before(s.countFrom) {
+		since = s.countFrom
+	}
+	return now.Sub(since) > routerTimeout
+}
+
+// Bounds of the shares of a limit.
+const (
+	// minOwners is the number of routers that use the smallest limit.
+	minOwners = 2
+	// probeRate is the least rate at which all routers together send to a target, in
+	// requests per second. Only an answer tells that a limit of 0 has ended.
+	probeRate = 0.2
+	// interruptedShare is the part of its share that a router uses while it does not see
+	// its own renewals: the others may have divided the limit without it.
+	interruptedShare = 0.75
+)
+
+// ShareFunc returns a router's share of a target's limit, both in requests per second.
+type ShareFunc func(target string, perSecond float64) float64
+
+// Shares returns the shares of this router, and whether they have changed since the last
+// call. Before it has read which routers there are, it has none.
+func (s *State) Shares(now time.Time) (share ShareFunc, changed bool) {
+	next := division{routers: s.Routers(now), factor: 1}
+	switch {
+	case !s.synced:
+		next.factor = 0
+	case s.interrupted(now):
+		next.factor = interruptedShare
+	}
+	changed = next.factor != s.division.factor || !slices.Equal(next.routers, s.division.routers)
+	s.division = next
+	return func(target string, perSecond float64) float64 {
+		return next.factor * Share(perSecond, target, next.routers, s.self)
+	}, changed
+}
+
+// division is how a router divides limits.
+type division struct {
+	routers []string
+	factor  float64 // of its shares that this router uses
+}
+
+// Share returns the rate in requests per second at which one of the routers may send to
+// a target that accepts perSecond from all of them. The limit is divided equally among
+// as many routers as requests per second, and minOwners more, chosen by hash: each of
+// them may save up one request, so with more of them those requests alone could exceed
+// a small limit. The other routers get 0.
+func Share(perSecond float64, target string, routers []string, self string) float64 {
+	owners := len(routers)
+	if perSecond < float64(owners) {
+		owners = min(owners, int(perSecond)+minOwners)
+	}
+	own := ownerHash(target, self)
+	before := 0
+	for _, router := range routers {
+		if h := ownerHash(target, router); h < own || h == own && router < self {
+			before++
+		}
+	}
+	if before >= owners {
+		return 0
+	}
+	return math.Max(perSecond, probeRate) / float64(owners)
+}
+
+func ownerHash(target, router string) uint64 {
+	return xxhash.Sum64String(target + "\x00" + router)
+}
--- /dev/null
+++ b/internal/core/fleet/fleet_test.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1000, 0)
+
+func hosts(n int) []string {
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("host-%03d", i))
+	}
+	return names
+}
+
+func routerRow(host string) Row { return Row{Key: RouterKey(host), Value: []byte(`{"renewal":1}`)} }
+
+func limitRow(target, value string) Row { return Row{Key: LimitKey(target), Value: []byte(value)} }
+
+// newSyncedState returns the state of the first of the routers, all of which have just
+// renewed their rows, and of a target that names a limit.
+func newSyncedState(t *testing.T, routers []string) *State {
+	t.Helper()
+	s := NewState(routers[0])
+	c := Changes{Complete: true, Rows: []Row{limitRow("t", `{"started":1,"per_second":1}`)}}
+	for _, host := range routers {
+		c.Rows = append(c.Rows, routerRow(host))
+	}
+	changed, err := s.Apply(start, c)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, changed, []string{"t"})
+	return s
+}
+
+// renew applies the renewals of routers every RenewInterval up to a time.
+func renew(t *testing.T, s *State, until time.Duration, routers ...string) {
+	t.Helper()
+	for at := RenewInterval; at <= until; at += RenewInterval {
+		for _, host := range routers {
+			_, err := s.Apply(start.Add(at), Changes{Rows: []Row{routerRow(host)}})
+			assert.NilError(t, err)
+		}
+	}
+}
+
+// Guards against shares that together exceed a target's limit, or its bound in any 4 s
+// with what routers have saved up, and against a limit of which a part is lost.
+func TestSharesOfALimit(t *testing.T) {
+	for _, n := range []int{1, 3, 23, 300} {
+		for _, perSecond := range []float64{0.5, 1, 1.5, 4, 10, 100} {
+			var sum, inWindow float64
+			for _, self := range hosts(n) {
+				share := Share(perSecond, "t", hosts(n), self)
+				sum += share
+				if share > 0 {
+					inWindow += max(1, share/4) + 4*share
+				}
+			}
+			assert.Assert(t, sum > 0.999*perSecond && sum < 1.001*perSecond, "%d routers share %g as %g", n, perSecond, sum)
+			assert.Assert(t, inWindow <= 1.5*4*perSecond+5, "%d routers send %g in 4 s under a limit of %g", n, inWindow, perSecond)
+		}
+	}
+}
+
+// Guards against a limit of 0 that is never asked about again.
+func TestLimitOfZeroIsProbed(t *testing.T) {
+	var sum float64
+	for _, self := range hosts(23) {
+		sum += Share(0, "t", hosts(23), self)
+	}
+	assert.Assert(t, sum > 0 && sum <= 5.0/4, "%g requests per second", sum)
+}
+
+// Guards against a dead router whose share nobody uses.
+func TestShareOfASilentRouterIsUsed(t *testing.T) {
+	s := newSyncedState(t, hosts(3))
+	renew(t, s, routerTimeout+RenewInterval, "host-000", "host-001")
+	now := start.Add(routerTimeout + RenewInterval)
+	assert.DeepEqual(t, s.Routers(now), []string{"host-000", "host-001"})
+	assert.DeepEqual(t, s.Gone(now), []string{"host-002"})
+}
+
+// Guards against routers that all take the whole limit while the table is down, because
+// none sees the others' renewals.
+func TestRoutersStayDuringAnOutageOfTheTable(t *testing.T) {
+	s := newSyncedState(t, hosts(3))
+	assert.Equal(t, len(s.Routers(start.Add(time.Minute))), 3)
+	_, err := s.Apply(start.Add(time.Minute), Changes{Rows: []Row{routerRow("host-000")}})
+	assert.NilError(t, err)
+	assert.Equal(t, len(s.Routers(start.Add(time.Minute+RenewInterval))), 3, "the others may renew later")
+}
+
+// Guards against routers that count as gone because none renews its row while no limit
+// is in force.
+func TestRenewalsCountFromTheFirstLimit(t *testing.T) {
+	s := NewState("host-000")
+	c := Changes{Complete: true}
+	for _, host := range hosts(3) {
+		c.Rows = append(c.Rows, routerRow(host))
+	}
+	_, err := s.Apply(start, c)
+	assert.NilError(t, err)
+	later := start.Add(time.Hour)
+	_, err = s.Apply(later, Changes{Rows: []Row{limitRow("t", `{"started":1,"per_second":1}`), routerRow("host-000")}})
+	assert.NilError(t, err)
+	assert.Equal(t, len(s.Routers(later.Add(RenewInterval))), 3)
+}
+
+// Guards against more than the bound of the users while a router that the table turns
+// away goes on with its old share and the others divide the limit without it.
+func TestSharesWithARouterOutOfTouch(t *testing.T) {
+	now := start.Add(routerTimeout + RenewInterval)
+	for _, n := range []int{2, 3, 23, 300} {
+		cut, inTouch := newSyncedState(t, hosts(n)), newSyncedState(t, hosts(n))
+		inTouch.self = hosts(n)[1]
+		renew(t, inTouch, routerTimeout+RenewInterval, hosts(n)[1:]...)
+		assert.Equal(t, len(inTouch.Routers(now)), n-1)
+		for _, perSecond := range []float64{0.5, 1, 10, 100} {
+			var inWindow float64
+			for i, self := range hosts(n) {
+				s := inTouch
+				if i == 0 {
+					s = cut // sees no renewals, not even its own
+				}
+				s.self = self
+				shares, _ := s.Shares(now)
+				if share := shares("t", perSecond); share > 0 {
+					inWindow += max(1, share/4) + 4*share
+				}
+			}
+			assert.Assert(t, inWindow <= 1.5*4*perSecond+5, "%d routers send %g in 4 s under a limit of %g", n, inWindow, perSecond)
+		}
+	}
+}
+
+// Guards against a limit that outlives its row, and against rows that are lost because
+// another cannot be decoded.
+func TestLimitsFollowTheirRows(t *testing.T) {
+	s := newSyncedState(t, hosts(1))
+	changed, err := s.Apply(start, Changes{Rows: []Row{limitRow("bad", "rubbish"), limitRow("u", `{"started":2,"per_second":2.5}`)}, Removed: []string{LimitKey("t")}})
+	assert.ErrorContains(t, err, "invalid character")
+	assert.DeepEqual(t, changed, []string{"t", "u"})
+	assert.DeepEqual(t, s.LimitedTargets(), []string{"u"})
+	limit, ok := s.Limit("u")
+	assert.Assert(t, ok && limit == Limit{StartedMS: 2, PerSecond: 2.5}, "%v", limit)
+	changed, err = s.Apply(start, Changes{Complete: true})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, changed, []string{"u"})
+}
--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -4,10 +4,10 @@
 package targets
 
 import (
-	"math"
 	"slices"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/policy"
 	"tarragonridge.example/tarragonridge/internal/core/route"
 )
@@ -29,7 +29,7 @@
 	Registration
 	InFlight int // requests of this router at the target
 
-	requestLimit        float64 // the latest that the target has named, requests per second
+	limit               requestLimit
 	consecutiveFailures int
 	avoidedSince        time.Time
 	avoidedUntil        time.Time // until then other targets are preferred
@@ -42,12 +42,14 @@
 	byService map[string][]*Target
 	byID      map[string]*Target
 	chooser   *route.Chooser
+	share     fleet.ShareFunc         // of limits; nil for no share
+	returns   map[string]*returnTimes // of refused callers, by service
 }
 
 // NewView returns an empty view. seed initializes the random choice between equal
 // targets.
 func NewView(seed uint64) *View {
-	return &View{byService: map[string][]*Target{}, byID: map[string]*Target{}, chooser: route.NewChooser(seed)}
+	return &View{byService: map[string][]*Target{}, byID: map[string]*Target{}, chooser: route.NewChooser(seed), returns: map[string]*returnTimes{}}
 }
 
 // Put adds or replaces a registration. A target that has started again under the
@@ -60,13 +62,13 @@
 		t = nil
 	}
 	if t == nil {
-		t = &Target{Registration: r, requestLimit: NoRequestLimit}
+		t = &Target{Registration: r, limit: noLimit}
 		v.byID[r.ID] = t
 		v.byService[r.Service] = append(v.byService[r.Service], t)
 	}
 	if t.StartedMS != r.StartedMS {
 		t.consecutiveFailures, t.avoidedUntil, t.probing = 0, time.Time{}, false
-		t.requestLimit = NoRequestLimit
+		t.limit = noLimit
 	}
 	// The other fields do not change: requests read them without the caller's lock.
 	t.FailureDomain, t.Draining, t.Slots, t.StartedMS = r.FailureDomain, r.Draining, r.Slots, r.StartedMS
@@ -110,6 +112,9 @@
 	return Registration{}, false
 }
 
+// Target returns the target with an id, nil if there is none.
+func (v *View) Target(id string) *Target { return v.byID[id] }
+
 // IDs returns the ids of all targets.
 func (v *View) IDs() []string {
 	ids := make([]string, 0, len(v.byID))
@@ -177,14 +182,15 @@
 // request with the same prefix to another target.
 const AffinitySlack = 3
 
-// Choose returns a target for a request, or nil if none accepts requests. Targets
-// that are avoided or missing are chosen only if there is no other. The first
+// Choose returns a target for a request, or nil if none accepts requests. A target that
+// names a request limit accepts none beyond this router's share of it. Targets that
+// are avoided or missing are chosen only if there is no other. The first
 // request for which a target is chosen after it was avoided is its probe: the
 // target is avoided again until the result of a request is recorded.
 func (v *View) Choose(now time.Time, q Query) *Target {
 	var preferred, fallback []*Target
 	for _, t := range v.byService[q.Service] {
-		if t.Draining || slices.Contains(q.Exclude, t.ID) {
+		if !v.accepts(t, q) || !t.limit.permits(now) {
 			continue
 		}
 		if t.avoided(now) || !t.missingSince.IsZero() {
@@ -218,6 +224,11 @@
 	return t
 }
 
+// accepts reports whether a target accepts the request, apart from its limit.
+func (v *View) accepts(t *Target, q Query) bool {
+	return !t.Draining && !slices.Contains(q.Exclude, t.ID)
+}
+
 // avoided reports whether other targets are preferred because this one has failed.
 // After avoidedUntil, one request at a time is let through until one succeeds.
 func (t *Target) avoided(now time.Time) bool {
@@ -227,30 +238,6 @@
 	return now.Before(t.avoidedUntil) || t.probing
 }
 
-// NoRequestLimit is the request limit of a target that names none.
-var NoRequestLimit = math.Inf(1)
-
-// RecordLimit records the request limit that an answer of the target names, and
-// reports whether it differs from the one before.
-func (t *Target) RecordLimit(perSecond float64) (changed bool) {
-	changed = t.requestLimit != perSecond
-	t.requestLimit = perSecond
-	return changed
-}
-
-// Limited reports whether the target names a request limit.
-func (t *Target) Limited() bool { return t.requestLimit != NoRequestLimit }
-
-// CountLimited returns the number of targets that name a request limit.
-func (v *View) CountLimited() (n int) {
-	for _, t := range v.byID {
-		if t.Limited() {
-			n++
-		}
-	}
-	return n
-}
-
 // BeginRequest counts a request as in flight at the target.
 func (t *Target) BeginRequest() { t.InFlight++ }
 
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/platform"
@@ -23,6 +24,8 @@
 	Targets(ctx context.Context, after platform.Version, wait time.Duration) (TargetChanges, platform.Version, error)
 	// Crashes returns the changed rows with CrashPrefix in the same way.
 	Crashes(ctx context.Context, after platform.Version, wait time.Duration) ([]platform.Row, platform.Version, error)
+	// Fleet returns the changed rows with fleet.Prefix in the same way.
+	Fleet(ctx context.Context, after platform.Version, wait time.Duration) (fleet.Changes, platform.Version, error)
 }
 
 // TargetChanges are changes of registrations.
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/fleet"
+	"tarragonridge.example/tarragonridge/internal/core/targets"
+	"tarragonridge.example/tarragonridge/internal/platform"
+	"tarragonridge.example/tarragonridge/internal/timing"
+)
+
+// Timing of the writes of fleet rows.
+const (
+	fleetWriteTimeout = time.Second
+	fleetRetryDelay   = 300 * time.Millisecond
+)
+
+// maxFleetWrites is the number of rows in a transaction; the table allows 100.
+const maxFleetWrites = 50
+
+// publications are the fleet rows that are to be written. Only the newest value of a row
+// is kept.
+type publications struct {
+	mu     sync.Mutex
+	values map[string][]byte // by key; nil to remove the row
+	wake   chan struct{}
+}
+
+func newPublications() publications {
+	return publications{values: map[string][]byte{}, wake: make(chan struct{}, 1)}
+}
+
+// add adds a row to be written, or to be removed if value is nil.
+func (p *publications) add(key string, value []byte) {
+	p.mu.Lock()
+	p.values[key] = value
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take removes some rows and returns them as a transaction.
+func (p *publications) take() (txn platform.Txn, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, value := range p.values {
+		if n++; n > maxFleetWrites {
+			return txn, n - 1
+		}
+		if value == nil {
+			txn.Deletes = append(txn.Deletes, key)
+		} else {
+			txn.Puts = append(txn.Puts, platform.Put{Key: key, Value: value})
+		}
+		delete(p.values, key)
+	}
+	return txn, n
+}
+
+// putBack returns the rows of a transaction that failed, unless newer values were added.
+func (p *publications) putBack(txn platform.Txn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, put := range txn.Puts {
+		if _, newer := p.values[put.Key]; !newer {
+			p.values[put.Key] = put.Value
+		}
+	}
+	for _, key := range txn.Deletes {
+		if _, newer := p.values[key]; !newer {
+			p.values[key] = nil
+		}
+	}
+}
+
+// PublishFleet writes this gateway's own row and what it has to tell other gateways
+// until ctx ends. While a limit is in force it renews its row.
+func (g *Gateway) PublishFleet(ctx context.Context) {
+	ticker := time.NewTicker(fleet.RenewInterval)
+	defer ticker.Stop()
+	var renewal int64
+	for due := true; ; {
+		if due {
+			renewal++
+			g.publishRenewal(renewal)
+		}
+		if !g.writeFleetRows(ctx) && !timing.Sleep(ctx, fleetRetryDelay) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.publications.wake:
+			due = false
+		case <-ticker.C:
+			due = g.inspectFleet()
+		}
+	}
+}
+
+func (g *Gateway) publishRenewal(renewal int64) {
+	value, err := json.Marshal(fleet.RouterRow{Incarnation: g.opt.Incarnation, Renewal: renewal})
+	if err != nil {
+		g.opt.Logger.Error("failed to encode the row of this gateway", "err", err)
+		return
+	}
+	g.publications.add(fleet.RouterKey(g.opt.Host), value)
+}
+
+// inspectFleet divides limits anew if gateways are gone, and reports whether this
+// gateway is to renew its row. The first of the live gateways removes rows of gateways
+// and targets that are gone.
+func (g *Gateway) inspectFleet() (renew bool) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.divideLimits(now)
+	if g.fleet.Routers(now)[0] == g.opt.Host {
+		for _, host := range g.fleet.Gone(now) {
+			g.publications.add(fleet.RouterKey(host), nil)
+		}
+		for _, target := range g.fleet.LimitedTargets() {
+			t := g.targetView.Target(target)
+			if t == nil {
+				g.publications.add(fleet.LimitKey(target), nil)
+			} else if _, ok := g.fleetLimit(t); !ok {
+				g.publications.add(fleet.LimitKey(target), nil)
+			}
+		}
+	}
+	return g.fleet.Limited()
+}
+
+// writeFleetRows writes all rows that are to be written and reports whether that
+// succeeded.
+func (g *Gateway) writeFleetRows(ctx context.Context) bool {
+	for {
+		txn, n := g.publications.take()
+		if n == 0 {
+			return true
+		}
+		callCtx, cancel := context.WithTimeout(ctx, fleetWriteTimeout)
+		_, err := g.opt.FleetTable.Commit(callCtx, txn)
+		cancel()
+		if err != nil {
+			g.publications.putBack(txn)
+			g.opt.Logger.Debug("failed to write fleet rows", "rows", n, "err", err)
+			return false
+		}
+	}
+}
+
+// LeaveFleet removes this gateway's row, so that the others use its shares of limits.
+func (g *Gateway) LeaveFleet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, fleetWriteTimeout)
+	defer cancel()
+	if _, err := g.opt.FleetTable.Commit(ctx, platform.Txn{Deletes: []string{fleet.RouterKey(g.opt.Host)}}); err != nil {
+		g.opt.Logger.Info("failed to remove the row of this gateway", "err", err)
+	}
+}
+
+// WatchFleet applies what other gateways publish until ctx ends.
+func (g *Gateway) WatchFleet(ctx context.Context, feed Feed) {
+	g.watch(ctx, "fleet", func(ctx context.Context, after platform.Version) (platform.Version, error) {
+		changes, next, err := feed.Fleet(ctx, after, longPollWait)
+		if err == nil {
+			g.applyFleet(changes)
+		}
+		return next, err
+	})
+}
+
+func (g *Gateway) applyFleet(changes fleet.Changes) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed, err := g.fleet.Apply(now, changes)
+	if err != nil {
+		g.opt.Logger.Error("failed to decode a fleet row", "err", err)
+	}
+	g.divideLimits(now)
+	for _, target := range changed {
+		t := g.targetView.Target(target)
+		if t == nil {
+			continue
+		}
+		limit, ok := g.fleetLimit(t)
+		if !ok {
+			limit = targets.NoRequestLimit
+		}
+		g.setLimit(t, limit, toldToOther)
+	}
+}
+
+// divideLimits applies this gateway's shares of limits. g.mu is held.
+func (g *Gateway) divideLimits(now time.Time) {
+	if shares, changed := g.fleet.Shares(now); changed {
+		g.targetView.SetShares(shares)
+	}
+}
+
+// fleetLimit returns the limit that this start of a target has named to any gateway.
+// g.mu is held.
+func (g *Gateway) fleetLimit(t *targets.Target) (perSecond float64, ok bool) {
+	limit, ok := g.fleet.Limit(t.ID)
+	return limit.PerSecond, ok && limit.StartedMS == t.StartedMS
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -54,7 +54,10 @@
 		}
 		t := g.chooseTarget(req)
 		if t == nil {
-			return g.finalError(req, errkind.New(errkind.NoTarget, "no target of %s takes work", req.service.Name))
+			if g.awaitPermit(ctx, req) {
+				continue
+			}
+			return g.finalError(req, g.noTargetError(req))
 		}
 		result, cause := g.attempt(ctx, w, r, req, t)
 		g.opt.Metrics.attempts.WithLabelValues(result.String()).Inc()
@@ -144,18 +147,25 @@
 	return e
 }
 
-// chooseTarget chooses a target and counts the request as in flight there. It
-// returns nil if there is none.
-func (g *Gateway) chooseTarget(req *request) *targets.Target {
+// targetQuery returns the query for the target of the next attempt.
+func (req *request) targetQuery() targets.Query {
 	q := targets.Query{Service: req.service.Name, Exclude: req.triedTargets}
 	if req.route.Affinity && len(req.meta.SharedPromptParts) > 0 {
 		q.PrefixHash = xxhash.Sum64String(strings.Join(req.meta.SharedPromptParts, ","))
 	}
+	return q
+}
+
+// chooseTarget chooses a target and counts the request as in flight there. It
+// returns nil if there is none.
+func (g *Gateway) chooseTarget(req *request) *targets.Target {
+	q, now := req.targetQuery(), time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t := g.targetView.Choose(time.Now(), q)
+	t := g.targetView.Choose(now, q)
 	if t != nil {
 		t.BeginRequest()
+		t.TakePermit(now)
 		if t.Limited() {
 			g.opt.Metrics.limited.Inc()
 		}
@@ -172,6 +182,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.EndRequest()
+	if result == outcomeNotSent {
+		t.ReturnPermit()
+	}
 	var failure *upstream.Failure
 	switch {
 	case result == outcomeServed:
@@ -192,19 +205,6 @@
 	return result, cause
 }
 
-// recordLimit records the request limit that an answer of a target names.
-func (g *Gateway) recordLimit(t *targets.Target, perSecond float64) {
-	g.mu.Lock()
-	changed := t.RecordLimit(perSecond)
-	g.mu.Unlock()
-	switch {
-	case changed && perSecond != targets.NoRequestLimit:
-		g.opt.Logger.Info("target names a request limit", "target", t.ID, "per_second", perSecond)
-	case changed:
-		g.opt.Logger.Info("target names no request limit any more", "target", t.ID)
-	}
-}
-
 // maxTargetConns returns the number of connections that this router may open to a
 // target: its share of the service's limit, at least 2, or 0 if there is no limit.
 func (g *Gateway) maxTargetConns(service httproute.Service) int {
@@ -235,9 +235,7 @@
 		return g.classifyFailure(ctx, req, err)
 	}
 	defer answer.Close()
-	if answer.StatusCode != http.StatusMisdirectedRequest {
-		g.recordLimit(t, info.RequestLimit)
-	}
+	g.hearLimit(t, answer.StatusCode, info)
 	if info.NotRun {
 		drainBody(answer)
 		if answer.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/retry"
@@ -70,6 +71,9 @@
 	Budgets     *prepaid.Manager
 	Paths       *StorePaths    // nil if the path to the store is fixed
 	Table       platform.Table // for crash reports
+	FleetTable  platform.Table // for the rows of internal/core/fleet
+	Host        string         // this gateway's, unique in the fleet
+	Incarnation string         // of this process
 	Retries     retry.Limits
 	Logger      *slog.Logger
 	Metrics     *Metrics
@@ -90,6 +94,9 @@
 	retryBudgets map[string]*retry.Budget // by service
 	quarantine   *quarantine.Tracker
 	brokenRuns   map[string][]brokenRun // recent ones, by target
+	fleet        *fleet.State
+
+	publications publications
 }
 
 // Phases of the process.
@@ -108,6 +115,8 @@
 		retryBudgets: map[string]*retry.Budget{},
 		quarantine:   quarantine.NewTracker(),
 		brokenRuns:   map[string][]brokenRun{},
+		fleet:        fleet.NewState(o.Host),
+		publications: newPublications(),
 	}
 	o.Metrics.Registry.MustRegister(g)
 	return g
@@ -140,7 +149,10 @@
 func (g *Gateway) PutTarget(registration targets.Registration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.targetView.Put(registration)
+	t := g.targetView.Put(registration)
+	if limit, ok := g.fleetLimit(t); ok {
+		g.setLimit(t, limit, toldToOther)
+	}
 }
 
 // MarkTargetMissing records that the registration of a target is gone.
--- /dev/null
+++ b/internal/gateway/limit.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/fleet"
+	"tarragonridge.example/tarragonridge/internal/core/targets"
+	"tarragonridge.example/tarragonridge/internal/timing"
+)
+
+// permitWaitDivisor gives the longest time that a request waits for a permit of a
+// limited target, as a fraction of its route's latency objective.
+const permitWaitDivisor = 8
+
+// awaitPermit waits until a limited target permits a request. It reports false at once
+// if that would take too long.
+func (g *Gateway) awaitPermit(ctx context.Context, req *request) bool {
+	g.mu.Lock()
+	wait, ok := g.targetView.PermitWait(time.Now(), req.targetQuery())
+	g.mu.Unlock()
+	if !ok || req.permitWait+wait > req.route.LatencyObjective/permitWaitDivisor {
+		return false
+	}
+	req.permitWait += wait
+	return timing.Sleep(ctx, wait)
+}
+
+// noTargetError returns the error of a request for which no target is left. If some
+// are left out for their limits, the caller is told when there will be room.
+func (g *Gateway) noTargetError(req *request) *errkind.Error {
+	q, now := req.targetQuery(), time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, limited := g.targetView.PermitWait(now, q); !limited {
+		return errkind.New(errkind.NoTarget, "no target of %s takes work", req.service.Name)
+	}
+	e := errkind.New(errkind.TargetsLimited, "the targets of %s are at their limits", req.service.Name)
+	e.RetryAfter = g.targetView.ReturnAfter(now, q, req.deadline.Sub(now)/retryAfterDivisor)
+	return e
+}
+
+// hearLimit records the request limit that an answer of a target names, and tells the
+// other gateways of a change. An answer without a limit withdraws the one before, but
+// only if it is surely the target's own.
+func (g *Gateway) hearLimit(t *targets.Target, status int, info AnswerInfo) {
+	if status == http.StatusMisdirectedRequest || info.RequestLimit == targets.NoRequestLimit && !info.Signed {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.setLimit(t, info.RequestLimit, g.opt.Host)
+	shared, known := g.fleetLimit(t)
+	switch {
+	case info.RequestLimit == targets.NoRequestLimit && known:
+		g.publications.add(fleet.LimitKey(t.ID), nil)
+	case info.RequestLimit != targets.NoRequestLimit && !(known && shared == info.RequestLimit):
+		value, err := json.Marshal(fleet.Limit{StartedMS: t.StartedMS, PerSecond: info.RequestLimit})
+		if err != nil {
+			g.opt.Logger.Error("failed to encode a request limit", "target", t.ID, "err", err)
+			return
+		}
+		g.publications.add(fleet.LimitKey(t.ID), value)
+	}
+}
+
+// toldToOther stands in logs for a gateway whose host is not known.
+const toldToOther = "another gateway"
+
+// setLimit puts a target's limit in force and logs a change and the gateway that the
+// target told of it. g.mu is held.
+func (g *Gateway) setLimit(t *targets.Target, perSecond float64, toldTo string) {
+	if !g.targetView.SetLimit(t, perSecond) {
+		return
+	}
+	if perSecond == targets.NoRequestLimit {
+		g.opt.Logger.Info("target names no request limit any more", "target", t.ID, "told_to", toldTo)
+		return
+	}
+	g.opt.Logger.Info("target names a request limit", "target", t.ID, "per_second", perSecond, "share", t.LimitShare(), "told_to", toldTo)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -61,19 +61,26 @@
 
 // limitedTargetsDesc describes the gauge of targets that name a request limit.
 var limitedTargetsDesc = prometheus.NewDesc("tarragonridge_http_limited_targets",
-	"Targets whose latest answer to this gateway names a request limit.", nil, nil)
+	"Targets that name a request limit, to this gateway or to another.", nil, nil)
+
+// limitShareDesc describes the gauge of this gateway's shares of request limits.
+var limitShareDesc = prometheus.NewDesc("tarragonridge_http_limit_share",
+	"Requests per second that this gateway may send to all targets that name a request limit.", nil, nil)
 
 // Describe implements prometheus.Collector.
 func (g *Gateway) Describe(ch chan<- *prometheus.Desc) {
 	ch <- targetsDesc
 	ch <- limitedTargetsDesc
+	ch <- limitShareDesc
 }
 
 // Collect implements prometheus.Collector.
 func (g *Gateway) Collect(ch chan<- prometheus.Metric) {
 	g.mu.Lock()
-	counts, limited := g.targetView.CountByState(time.Now()), g.targetView.CountLimited()
+	counts := g.targetView.CountByState(time.Now())
+	limited, share := g.targetView.Limits()
 	g.mu.Unlock()
+	ch <- prometheus.MustNewConstMetric(limitShareDesc, prometheus.GaugeValue, share)
 	ch <- prometheus.MustNewConstMetric(limitedTargetsDesc, prometheus.GaugeValue, float64(limited))
 	for belief, n := range counts {
 		ch <- prometheus.MustNewConstMetric(targetsDesc, prometheus.GaugeValue, float64(n), belief)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -30,10 +30,11 @@
 	body     []byte
 	crashKey quarantine.Key // identifies the request by its content
 
-	triedTargets []string    // IDs of targets that are not tried again
-	runs         int         // attempts that may have run
-	rejections   int         // attempts that targets stated not to have run
-	ran          errkind.Ran // whether any attempt has run, as far as is known
+	triedTargets []string      // IDs of targets that are not tried again
+	runs         int           // attempts that may have run
+	rejections   int           // attempts that targets stated not to have run
+	permitWait   time.Duration // spent waiting for limited targets
+	ran          errkind.Ran   // whether any attempt has run, as far as is known
 
 	headSent   bool  // the head of the answer was sent to the caller
 	framed     bool  // the head of the streamed answer says where the answer ends
