Log and count the versions at which streams continue

Registrations name the version of the target's software, and a caller that takes a stream up names the request that began it.

A line is logged when a stream continues at another target than before or after another request, with the version, the one that began it and how that is known; a counter has the same. Failed attempts name the version of their target. Where streams continue does not change; a registration whose version changes counts as a new target.

--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -18,6 +18,7 @@
 	Service       string
 	Address       string // IP address and port
 	FailureDomain string
+	Version       string // of its software
 	Draining      bool
 	Slots         int
 	StartedMS     int64 // start time of the target in Unix milliseconds; 0 if unknown
@@ -53,11 +54,11 @@
 }
 
 // Put adds or replaces a registration. A target that has started again under the
-// same id has no failures. An id with another service or address than before
+// same id has no failures. An id with another service, address or version than before
 // counts as a new target, without requests in flight.
 func (v *View) Put(r Registration) *Target {
 	t := v.byID[r.ID]
-	if t != nil && (t.Service != r.Service || t.Address != r.Address) {
+	if t != nil && (t.Service != r.Service || t.Address != r.Address || t.Version != r.Version) {
 		v.Remove(r.ID)
 		t = nil
 	}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -141,6 +141,7 @@
 	MessageAttemptFailed = "attempt failed"
 	MessageNotServed     = "request not served"
 	MessageLate          = "answer late" // served later than the route's objective
+	MessageContinues     = "stream continues" // at another target than before
 )
 
 // verdict says how a request ended. The gateway logs MessageNotServed at the end
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -62,7 +62,7 @@
 		result, cause := g.attempt(ctx, w, r, req, t)
 		g.opt.Metrics.attempts.WithLabelValues(result.String()).Inc()
 		if result != outcomeServed {
-			g.opt.Logger.Info(explain.MessageAttemptFailed, "request", req.meta.RequestID, "target", t.ID, "outcome", result,
+			g.opt.Logger.Info(explain.MessageAttemptFailed, "request", req.meta.RequestID, "target", t.ID, "version", t.Version, "outcome", result,
 				"event", req.lastEvent, "ms", time.Since(req.arrived).Milliseconds(), "cause", cause)
 		}
 		switch result {
@@ -249,7 +249,7 @@
 		return outcomeBroken, errForeignAnswer
 	}
 	if req.route.Kind == httproute.Streaming && answer.StatusCode == http.StatusOK {
-		return g.sendStream(ctx, w, req, answer)
+		return g.sendStream(ctx, w, req, answer, t)
 	}
 	if req.headSent {
 		return outcomeBroken, errFailedAnswer // a different answer must not follow a part of the first
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	OutputTokens      int64    // the most that the answer may have
 	SharedPromptParts []string // prompt parts that others may share; excludes the request's own part
 	LastEventID       int64    // -1 if the request does not resume a stream
+	BegunBy           string   // ID of the request that brought the first event of a resumed stream, if the caller names it
 }
 
 // AttemptInfo is the information about an attempt that the target receives.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	requests      *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
 	limited       prometheus.Counter
+	continued     *prometheus.CounterVec
 	duration      prometheus.Histogram
 	configVersion prometheus.Gauge
 }
@@ -35,6 +36,10 @@
 			Name: "tarragonridge_http_limited_attempts_total",
 			Help: "Attempts at targets that had named a request limit to this gateway.",
 		}),
+		continued: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tarragonridge_http_continued_streams_total",
+			Help: "Streams that continue at another target, by how the version that began them is known, and whether the target has it.",
+		}, []string{"origin", "version"}),
 		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "tarragonridge_http_request_seconds", Help: "Time from a request to the end of its answer.",
 			Buckets: []float64{.02, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4, 12.8},
@@ -43,7 +48,7 @@
 			Name: "tarragonridge_http_config_version", Help: "Version of the routes in force here.",
 		}),
 	}
-	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.duration, m.configVersion, collectors.NewGoCollector())
+	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.continued, m.duration, m.configVersion, collectors.NewGoCollector())
 	return m
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
+	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/explain"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
 )
@@ -36,10 +37,12 @@
 	permitWait   time.Duration // spent waiting for limited targets
 	ran          errkind.Ran   // whether any attempt has run, as far as is known
 
-	headSent   bool  // the head of the answer was sent to the caller
-	framed     bool  // the head of the streamed answer says where the answer ends
-	lastEvent  int64 // ID of the last event that the caller has; -1 if none
-	eventsSent int64 // events that were sent to the caller
+	headSent   bool // the head of the answer was sent to the caller
+	framed     bool // the head of the streamed answer says where the answer ends
+	origin     streamOrigin
+	sentFrom   *targets.Target // whose events were sent last
+	lastEvent  int64           // ID of the last event that the caller has; -1 if none
+	eventsSent int64           // events that were sent to the caller
 	firstAt    time.Time
 	latestAt   time.Time     // of the events that were sent to the caller
 	longestGap time.Duration // between two of them
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/sse"
+	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/upstream"
 )
 
@@ -100,7 +101,7 @@
 
 // sendStream forwards complete events as they arrive. The head of the answer is
 // sent with the first event, so that until then another target may answer.
-func (g *Gateway) sendStream(ctx context.Context, w http.ResponseWriter, req *request, answer *upstream.Response) (outcome, error) {
+func (g *Gateway) sendStream(ctx context.Context, w http.ResponseWriter, req *request, answer *upstream.Response, t *targets.Target) (outcome, error) {
 	control := http.NewResponseController(w)
 	splitter := sse.NewSplitter(maxEventBytes)
 	buf := make([]byte, streamReadBytes)
@@ -114,7 +115,7 @@
 			if err != nil {
 				return g.classifyBrokenAnswer(ctx, req, err)
 			}
-			if err := g.sendEvents(w, control, req, answer, complete); err != nil {
+			if err := g.sendEvents(w, control, req, answer, t, complete); err != nil {
 				return outcomeAbandoned, err
 			}
 		}
@@ -150,7 +151,7 @@
 
 // sendEvents forwards those of the complete events that the caller does not have
 // yet.
-func (g *Gateway) sendEvents(w http.ResponseWriter, control *http.ResponseController, req *request, answer *upstream.Response, complete []byte) error {
+func (g *Gateway) sendEvents(w http.ResponseWriter, control *http.ResponseController, req *request, answer *upstream.Response, t *targets.Target, complete []byte) error {
 	var out []byte
 	newEvents := int64(0)
 	for event := range sse.Events(complete) {
@@ -169,6 +170,7 @@
 	if !req.headSent {
 		g.startStream(w, control, req, answer)
 	}
+	g.recordVersion(req, t)
 	// Events are counted before the write, because all that may have reached the
 	// caller is charged.
 	req.eventsSent += newEvents
