Continue streams only at the software version that began them

Cause: a stream that breaks off went on at the next target by load and prefix, whatever its version, in the same answer or when its caller took it up at any gateway. Registrations name the version and callers the request that began the stream; the router read neither, and no gateway knew what another had begun.

Change: the first event fixes the version of a stream, and only targets of that version are asked for the rest. A gateway that a caller takes a stream up at finds it in its own memory, in the records, or, if one version alone has served lately, knows it from that; otherwise it refuses at once and says that the request has not run. With one version nothing is written or read beyond one row.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -153,6 +153,7 @@
 	tasks.Go(func() { g.WatchCrashes(tasksCtx, store) })
 	tasks.Go(func() { g.WatchFleet(tasksCtx, store) })
 	tasks.Go(func() { g.PublishFleet(tasksCtx) })
+	tasks.Go(func() { g.RecordStreams(tasksCtx) })
 	tasks.Go(func() { budgets.Run(tasksCtx) })
 	log.Info("started", "host", cfg.Host, "callers", cfg.Listen.Callers)
 	closeDeadline := make(chan time.Time, 1)
--- a/internal/core/errkind/errkind.go
+++ b/internal/core/errkind/errkind.go
@@ -38,6 +38,7 @@
 	Overloaded           Kind = "overloaded"
 	NoTarget             Kind = "no_target"
 	TargetsLimited       Kind = "targets_limited"
+	VersionUnknown       Kind = "version_unknown"
 	PlatformUnavailable  Kind = "platform_unavailable"
 	Stopping             Kind = "stopping"
 	DeadlineExceeded     Kind = "deadline_exceeded"
@@ -104,6 +105,7 @@
 	{Overloaded, 503, "overloaded", RanNo, retrySoon},
 	{NoTarget, 503, "no target available", RanNo, retrySoon},
 	{TargetsLimited, 503, "targets are at their request limits", RanNo, retrySoon},
+	{VersionUnknown, 503, "version that began the stream is unknown", RanNo, 0},
 	{PlatformUnavailable, 503, "platform unavailable", RanNo, retryLater},
 	{Stopping, 503, "router is stopping", RanNo, retrySoon},
 	{DeadlineExceeded, 504, "not started before the deadline", RanNo, retrySoon},
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -1,5 +1,6 @@
 // Package fleet holds what routers tell each other through rows of the platform's
-// table: which routers are live, and the request limits that targets have named.
+// table: which routers are live, the request limits that targets have named, and the
+// software versions that serve and that began streams.
 package fleet
 
 import (
@@ -38,7 +39,7 @@
 // LimitKey returns the key of the row with a target's request limit.
 func LimitKey(target string) string { return limitPrefix + target }
 
-// Timing of the renewals, which routers write only while a limit is in force.
+// Timing of the renewals, which routers write only while State.Active.
 const (
 	RenewInterval = 2 * time.Second
 	// renewalTimeout is the age from which a router's own renewal counts as
@@ -67,24 +68,29 @@
 	synced    bool                 // all rows have been read once
 	renewedAt map[string]time.Time // when a renewal was last seen, by host
 	limits    map[string]Limit     // by target
-	// countFrom is the time from which missing renewals count: when the first limit came
-	// into force, or the renewals of this router were seen again after an interruption.
+	// countFrom is the time from which missing renewals count: when the state became
+	// active, or the renewals of this router were seen again after an interruption.
 	countFrom time.Time
 	division  division // as last returned by Shares
+
+	versions    map[ServiceVersion]bool
+	unusedSince map[ServiceVersion]time.Time // those of versions without targets
 }
 
 // NewState returns the state of the router on a host before it has read any rows.
 func NewState(host string) *State {
-	return &State{self: host, renewedAt: map[string]time.Time{}, limits: map[string]Limit{}}
+	return &State{self: host, renewedAt: map[string]time.Time{}, limits: map[string]Limit{},
+		versions: map[ServiceVersion]bool{}, unusedSince: map[ServiceVersion]time.Time{}}
 }
 
 // Apply applies changes and returns the targets whose limits have changed. It fails for
 // rows that cannot be decoded, after it has applied the others.
 func (s *State) Apply(now time.Time, c Changes) (changedTargets []string, err error) {
-	before := maps.Clone(s.limits)
+	before, wasActive := maps.Clone(s.limits), s.Active()
 	if c.Complete {
 		s.synced = true
 		clear(s.limits)
+		clear(s.versions)
 		present := map[string]bool{}
 		for _, row := range c.Rows {
 			present[row.Key] = true
@@ -103,8 +109,11 @@
 		if target, ok := strings.CutPrefix(key, limitPrefix); ok {
 			delete(s.limits, target)
 		}
+		if v, ok := parseVersionKey(key); ok {
+			delete(s.versions, v)
+		}
 	}
-	if len(before) == 0 && len(s.limits) > 0 {
+	if !wasActive && s.Active() {
 		s.countFrom = now
 	}
 	for target, limit := range s.limits {
@@ -135,6 +144,9 @@
 		}
 		s.limits[target] = limit
 	}
+	if v, ok := parseVersionKey(row.Key); ok {
+		s.versions[v] = true
+	}
 	return nil
 }
 
@@ -147,8 +159,10 @@
 // LimitedTargets returns the ids of the targets with a limit, in order.
 func (s *State) LimitedTargets() []string { return slices.Sorted(maps.Keys(s.limits)) }
 
-// Limited reports whether any limit is in force.
-func (s *State) Limited() bool { return len(s.limits) > 0 }
+// Active reports whether routers need to know of each other: a limit is in force, or
+// several versions of a service serve or served lately. While it is, they renew their
+// rows.
+func (s *State) Active() bool { return len(s.limits) > 0 || s.severalVersions() }
 
 // Routers returns the hosts of the routers that count as live, in order, this router
 // among them.
@@ -176,13 +190,13 @@
 
 // interrupted reports whether this router no longer sees its own renewals.
 func (s *State) interrupted(now time.Time) bool {
-	return s.Limited() && now.Sub(s.renewedAt[s.self]) > renewalTimeout
+	return s.Active() && now.Sub(s.renewedAt[s.self]) > renewalTimeout
 }
 
 // gone reports whether a router no longer renews its row. While this router does not
 // see its own renewals, none counts as gone.
 func (s *State) gone(now time.Time, host string) bool {
-	if !s.Limited() || s.interrupted(now) {
+	if !s.Active() || s.interrupted(now) {
 		return false
 	}
 	since := s.renewedAt[host]
--- /dev/null
+++ b/internal/core/fleet/streams.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+)
+
+// StreamPrefix is the key prefix of the rows in which routers record the versions that
+// began their streams.
+const StreamPrefix = "streams/"
+
+// slotDuration is the time whose streams share a row.
+const slotDuration = 2 * time.Second
+
+// idBytes is the size of the hash that stands for a request id in a row.
+const idBytes = 8
+
+// Streams are the streams that a router has begun or continued, with the versions that
+// began them. It records them in rows while targets of several versions serve. It is not
+// safe for concurrent use.
+type Streams struct {
+	keyPrefix string
+	slot      int64
+	slotBegan time.Time
+	recorded  map[string][]byte // hashes of the ids in the current slot, by version
+	pending   bool              // recorded has changed since the last call of Flush
+	rotatedAt time.Time
+	recent    map[string]*stream // by id of the request that began it
+	older     map[string]*stream
+}
+
+type stream struct {
+	service, version string
+	ended            bool
+	recorded         bool
+}
+
+// NewStreams returns the streams of a router process, none so far.
+func NewStreams(host, incarnation string) *Streams {
+	return &Streams{
+		keyPrefix: StreamPrefix + host + "/" + incarnation + "/",
+		recorded:  map[string][]byte{}, recent: map[string]*stream{}, older: map[string]*stream{},
+	}
+}
+
+// Begin remembers the version that began a stream, identified by the request that did,
+// for at least retention. If record is set, the next Flush records it.
+func (s *Streams) Begin(now time.Time, id, service, version string, record bool, retention time.Duration) {
+	if now.Sub(s.rotatedAt) > retention {
+		s.recent, s.older, s.rotatedAt = map[string]*stream{}, s.recent, now
+	}
+	began := &stream{service: service, version: version}
+	s.recent[id] = began
+	if record {
+		s.record(id, began)
+	}
+}
+
+// End notes that a stream has been sent whole, so that it need not be recorded.
+func (s *Streams) End(id string) {
+	if began := s.find(id); began != nil {
+		began.ended = true
+	}
+}
+
+// RecordAll records the streams of a service that have not ended.
+func (s *Streams) RecordAll(service string) {
+	for _, streams := range []map[string]*stream{s.recent, s.older} {
+		for id, began := range streams {
+			if began.service == service && !began.ended && !began.recorded {
+				s.record(id, began)
+			}
+		}
+	}
+}
+
+func (s *Streams) record(id string, began *stream) {
+	began.recorded = true
+	s.recorded[began.version] = binary.BigEndian.AppendUint64(s.recorded[began.version], xxhash.Sum64String(id))
+	s.pending = true
+}
+
+// Version returns the version that began a stream of this router.
+func (s *Streams) Version(id string) (version string, ok bool) {
+	if began := s.find(id); began != nil {
+		return began.version, true
+	}
+	return "", false
+}
+
+func (s *Streams) find(id string) *stream {
+	if began := s.recent[id]; began != nil {
+		return began
+	}
+	return s.older[id]
+}
+
+// Flush returns the row to write, if there is one.
+func (s *Streams) Flush(now time.Time) (row Row, ok bool, err error) {
+	if !s.pending {
+		return Row{}, false, nil
+	}
+	if s.slotBegan.IsZero() {
+		s.slotBegan = now
+	}
+	value, err := json.Marshal(s.recorded)
+	if err != nil {
+		return Row{}, false, err
+	}
+	row = Row{Key: s.keyPrefix + strconv.FormatInt(s.slot, 10), Value: value}
+	s.pending = false
+	if now.Sub(s.slotBegan) >= slotDuration {
+		s.slot++
+		s.slotBegan, s.recorded = time.Time{}, map[string][]byte{}
+	}
+	return row, true, nil
+}
+
+// Recorded are the recorded versions of the streams of all routers.
+type Recorded struct {
+	versions map[uint64]string
+}
+
+// DecodeStreams decodes the rows with StreamPrefix. It fails for rows that cannot be
+// decoded, after it has decoded the others.
+func DecodeStreams(rows []Row) (Recorded, error) {
+	all := Recorded{versions: map[uint64]string{}}
+	var failed error
+	for _, row := range rows {
+		var recorded map[string][]byte
+		if err := json.Unmarshal(row.Value, &recorded); err != nil {
+			failed = errkind.Wrap(err, errkind.Internal, "row %s", row.Key)
+			continue
+		}
+		for version, ids := range recorded {
+			for ; len(ids) >= idBytes; ids = ids[idBytes:] {
+				all.versions[binary.BigEndian.Uint64(ids)] = version
+			}
+		}
+	}
+	return all, failed
+}
+
+// Version returns the version that began a stream.
+func (r Recorded) Version(id string) (version string, ok bool) {
+	version, ok = r.versions[xxhash.Sum64String(id)]
+	return version, ok
+}
--- /dev/null
+++ b/internal/core/fleet/streams_test.go
@@ -0,0 +1,121 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const testRetention = 30 * time.Second
+
+// flush returns the rows that a router writes until none is pending.
+func flush(t *testing.T, s *Streams, now time.Time) (rows []Row) {
+	t.Helper()
+	for {
+		row, ok, err := s.Flush(now)
+		assert.NilError(t, err)
+		if !ok {
+			return rows
+		}
+		rows = append(rows, row)
+	}
+}
+
+// Guards against a stream whose version another router, or the next process of the same
+// host, cannot find.
+func TestRecordedStreamsAreFoundByOtherRouters(t *testing.T) {
+	var rows []Row
+	for _, incarnation := range []string{"1", "2"} {
+		s := NewStreams("host", incarnation)
+		for i := range 100 {
+			now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+			s.Begin(now, fmt.Sprintf("%s-%d", incarnation, i), "s", fmt.Sprint("v", i%2), true, testRetention)
+			rows = append(rows, flush(t, s, now)...)
+		}
+	}
+	stored := map[string]Row{}
+	for _, row := range rows {
+		stored[row.Key] = row
+	}
+	rows = nil
+	for _, row := range stored {
+		rows = append(rows, row)
+	}
+	assert.Assert(t, len(rows) < 20, "%d rows for 10 s of two processes", len(rows))
+	recorded, err := DecodeStreams(rows)
+	assert.NilError(t, err)
+	for _, incarnation := range []string{"1", "2"} {
+		for i := range 100 {
+			version, ok := recorded.Version(fmt.Sprintf("%s-%d", incarnation, i))
+			assert.Assert(t, ok)
+			assert.Equal(t, version, fmt.Sprint("v", i%2))
+		}
+	}
+	_, ok := recorded.Version("never seen")
+	assert.Assert(t, !ok)
+}
+
+// Guards against streams that are not recorded because they began before a second version
+// came into sight, and against rows while there is none.
+func TestStreamsInProgressAreRecordedWhenASecondVersionComes(t *testing.T) {
+	s := NewStreams("host", "1")
+	s.Begin(start, "running", "s", "v1", false, testRetention)
+	s.Begin(start, "ended", "s", "v1", false, testRetention)
+	s.Begin(start, "elsewhere", "other", "v1", false, testRetention)
+	s.End("ended")
+	assert.Equal(t, len(flush(t, s, start)), 0)
+	s.RecordAll("s")
+	recorded, err := DecodeStreams(flush(t, s, start))
+	assert.NilError(t, err)
+	assert.Equal(t, len(recorded.versions), 1)
+	version, ok := recorded.Version("running")
+	assert.Assert(t, ok && version == "v1")
+	s.RecordAll("s")
+	assert.Equal(t, len(flush(t, s, start)), 0, "it is recorded already")
+}
+
+// Guards against a stream that its own gateway forgets while it may be taken up, and
+// against streams that are remembered for ever.
+func TestStreamsAreRememberedForTheRetention(t *testing.T) {
+	s := NewStreams("host", "1")
+	s.Begin(start, "first", "s", "v1", false, testRetention)
+	for at := time.Second; at < testRetention; at += time.Second {
+		s.Begin(start.Add(at), fmt.Sprint(at), "s", "v2", false, testRetention)
+	}
+	version, ok := s.Version("first")
+	assert.Assert(t, ok && version == "v1")
+	s.Begin(start.Add(2*testRetention), "a", "s", "v2", false, testRetention)
+	s.Begin(start.Add(4*testRetention), "b", "s", "v2", false, testRetention)
+	_, ok = s.Version("first")
+	assert.Assert(t, !ok)
+}
+
+// Guards against records that are lost because one row cannot be decoded.
+func TestUnreadableRecordsAreSkipped(t *testing.T) {
+	s := NewStreams("host", "1")
+	s.Begin(start, "id", "s", "v1", true, testRetention)
+	recorded, err := DecodeStreams(append([]Row{{Key: "streams/x", Value: []byte("rubbish")}}, flush(t, s, start)...))
+	assert.ErrorContains(t, err, "streams/x")
+	_, ok := recorded.Version("id")
+	assert.Assert(t, ok)
+}
+
+// Guards against a version that counts as the only one while streams of another may still
+// be taken up, and against versions that stay for ever.
+func TestVersionsExpireAfterTheRetention(t *testing.T) {
+	s := NewState("host")
+	v1, v2 := ServiceVersion{"s", "v1"}, ServiceVersion{"s", "v2"}
+	_, err := s.Apply(start, Changes{Complete: true, Rows: []Row{{Key: v1.Key(), Value: VersionValue}, {Key: v2.Key(), Value: VersionValue}}})
+	assert.NilError(t, err)
+	assert.Assert(t, s.Active())
+	assert.DeepEqual(t, s.Versions("s"), []string{"v1", "v2"})
+	inUse := func(v ServiceVersion) bool { return v == v2 }
+	assert.Equal(t, len(s.ExpiredVersions(start, inUse, testRetention)), 0)
+	assert.Equal(t, len(s.ExpiredVersions(start.Add(testRetention-1), inUse, testRetention)), 0)
+	assert.DeepEqual(t, s.ExpiredVersions(start.Add(testRetention), inUse, testRetention), []ServiceVersion{v1})
+	_, err = s.Apply(start, Changes{Removed: []string{v1.Key()}})
+	assert.NilError(t, err)
+	assert.Assert(t, !s.Active())
+}
--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -116,6 +116,21 @@
 // Target returns the target with an id, nil if there is none.
 func (v *View) Target(id string) *Target { return v.byID[id] }
 
+// HasVersion reports whether a target of a service has a version, whatever its state.
+func (v *View) HasVersion(sv fleet.ServiceVersion) bool {
+	return slices.ContainsFunc(v.byService[sv.Service], func(t *Target) bool { return t.Version == sv.Version })
+}
+
+// Versions returns the versions of a service's targets, in order, whatever their state.
+func (v *View) Versions(service string) []string {
+	var versions []string
+	for _, t := range v.byService[service] {
+		versions = append(versions, t.Version)
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
 // IDs returns the ids of all targets.
 func (v *View) IDs() []string {
 	ids := make([]string, 0, len(v.byID))
@@ -170,6 +185,7 @@
 	Service    string
 	PrefixHash uint64   // hash of the shared parts of the prompt; 0 if there are none
 	Exclude    []string // ids of targets that this request has already tried
+	Version    *string  // of the targets' software; nil for any
 }
 
 // AffinityLoadBound is the load up to which a target still gets the requests of its
@@ -227,7 +243,7 @@
 
 // accepts reports whether a target accepts the request, apart from its limit.
 func (v *View) accepts(t *Target, q Query) bool {
-	return !t.Draining && !slices.Contains(q.Exclude, t.ID)
+	return !t.Draining && !slices.Contains(q.Exclude, t.ID) && (q.Version == nil || *q.Version == t.Version)
 }
 
 // avoided reports whether other targets are preferred because this one has failed.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -140,7 +140,7 @@
 const (
 	MessageAttemptFailed = "attempt failed"
 	MessageNotServed     = "request not served"
-	MessageLate          = "answer late" // served later than the route's objective
+	MessageLate          = "answer late"      // served later than the route's objective
 	MessageContinues     = "stream continues" // at another target than before
 )
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -79,7 +79,7 @@
 }
 
 // PublishFleet writes this gateway's own row and what it has to tell other gateways
-// until ctx ends. While a limit is in force it renews its row.
+// until ctx ends. While the fleet is active it renews its row.
 func (g *Gateway) PublishFleet(ctx context.Context) {
 	ticker := time.NewTicker(fleet.RenewInterval)
 	defer ticker.Stop()
@@ -113,8 +113,8 @@
 }
 
 // inspectFleet divides limits anew if gateways are gone, and reports whether this
-// gateway is to renew its row. The first of the live gateways removes rows of gateways
-// and targets that are gone.
+// gateway is to renew its row. The first of the live gateways removes rows of gateways,
+// targets and versions that are gone.
 func (g *Gateway) inspectFleet() (renew bool) {
 	now := time.Now()
 	g.mu.Lock()
@@ -132,8 +132,11 @@
 				g.publications.add(fleet.LimitKey(target), nil)
 			}
 		}
+		for _, v := range g.fleet.ExpiredVersions(now, g.targetView.HasVersion, g.streamRetention()) {
+			g.publications.add(v.Key(), nil)
+		}
 	}
-	return g.fleet.Limited()
+	return g.fleet.Active()
 }
 
 // writeFleetRows writes all rows that are to be written and reports whether that
@@ -183,7 +186,9 @@
 	if err != nil {
 		g.opt.Logger.Error("failed to decode a fleet row", "err", err)
 	}
+	g.fleetReadAt = now
 	g.divideLimits(now)
+	g.recordStreams()
 	for _, target := range changed {
 		t := g.targetView.Target(target)
 		if t == nil {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -48,6 +48,12 @@
 	if g.isQuarantined(req) {
 		return errkind.New(errkind.RequestQuarantined, "it has crashed the targets that ran it")
 	}
+	if req.meta.LastEventID >= 0 && req.route.Resumable {
+		var err error
+		if req.origin, err = g.findOrigin(ctx, req); err != nil {
+			return err
+		}
+	}
 	for {
 		if err := ctx.Err(); err != nil {
 			return g.endedError(r, req, err)
@@ -150,6 +156,9 @@
 // targetQuery returns the query for the target of the next attempt.
 func (req *request) targetQuery() targets.Query {
 	q := targets.Query{Service: req.service.Name, Exclude: req.triedTargets}
+	if req.origin.source != "" {
+		q.Version = &req.origin.version
+	}
 	if req.route.Affinity && len(req.meta.SharedPromptParts) > 0 {
 		q.PrefixHash = xxhash.Sum64String(strings.Join(req.meta.SharedPromptParts, ","))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,12 @@
 	quarantine   *quarantine.Tracker
 	brokenRuns   map[string][]brokenRun // recent ones, by target
 	fleet        *fleet.State
+	fleetReadAt  time.Time // when fleet was last known to be up to date
+	streams      *fleet.Streams
+	// severalVersions are the services whose streams are recorded.
+	severalVersions map[string]bool
 
+	records      streamRecords
 	publications publications
 }
 
@@ -117,7 +122,10 @@
 		quarantine:   quarantine.NewTracker(),
 		brokenRuns:   map[string][]brokenRun{},
 		fleet:        fleet.NewState(o.Host),
-		publications: newPublications(),
+		streams:      fleet.NewStreams(o.Host, o.Incarnation),
+
+		severalVersions: map[string]bool{},
+		publications:    newPublications(),
 	}
 	o.Metrics.Registry.MustRegister(g)
 	return g
@@ -154,6 +162,10 @@
 	if limit, ok := g.fleetLimit(t); ok {
 		g.setLimit(t, limit, toldToOther)
 	}
+	if v := (fleet.ServiceVersion{Service: t.Service, Version: t.Version}); !g.fleet.KnowsVersion(v) {
+		g.publications.add(v.Key(), fleet.VersionValue)
+	}
+	g.recordStreams()
 }
 
 // MarkTargetMissing records that the registration of a target is gone.
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -36,6 +36,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, limited := g.targetView.PermitWait(now, q); !limited {
+		if q.Version != nil {
+			return errkind.New(errkind.NoTarget, "no target of %s with version %s takes work", req.service.Name, *q.Version)
+		}
 		return errkind.New(errkind.NoTarget, "no target of %s takes work", req.service.Name)
 	}
 	e := errkind.New(errkind.TargetsLimited, "the targets of %s are at their limits", req.service.Name)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -201,5 +201,6 @@
 	if err := control.SetWriteDeadline(time.Time{}); err != nil {
 		return outcomeAbandoned, err
 	}
+	g.forgetStream(req)
 	return outcomeServed, nil
 }
