Separate the records of streams, wake their writer only when due, renew at once

Reading the change again: the writer of records woke four times a second without anything to do; a gateway renewed its row up to 2 s after the first limit and used three quarters of its share until then; a failed write of fleet rows waited for the next renewal; a search for the version that began a stream could last 850 ms while the table is silent, now 400 ms.

--- a/internal/core/fleet/streams.go
+++ b/internal/core/fleet/streams.go
@@ -101,6 +101,9 @@
 	return s.older[id]
 }
 
+// Pending reports whether Flush has a row to write.
+func (s *Streams) Pending() bool { return s.pending }
+
 // Flush returns the row to write, if there is one.
 func (s *Streams) Flush(now time.Time) (row Row, ok bool, err error) {
 	if !s.pending {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -84,21 +84,26 @@
 	ticker := time.NewTicker(fleet.RenewInterval)
 	defer ticker.Stop()
 	var renewal int64
-	for due := true; ; {
-		if due {
+	for renew := true; ; {
+		if renew {
 			renewal++
 			g.publishRenewal(renewal)
+			ticker.Reset(fleet.RenewInterval)
 		}
-		if !g.writeFleetRows(ctx) && !timing.Sleep(ctx, fleetRetryDelay) {
-			return
+		for !g.writeFleetRows(ctx) {
+			if !timing.Sleep(ctx, fleetRetryDelay) {
+				return
+			}
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.publications.wake:
-			due = false
+			renew = false
+		case <-g.activated:
+			renew = true
 		case <-ticker.C:
-			due = g.inspectFleet()
+			renew = g.inspectFleet()
 		}
 	}
 }
@@ -182,10 +187,17 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	wasActive := g.fleet.Active()
 	changed, err := g.fleet.Apply(now, changes)
 	if err != nil {
 		g.opt.Logger.Error("failed to decode a fleet row", "err", err)
 	}
+	if g.fleet.Active() && !wasActive {
+		select {
+		case g.activated <- struct{}{}:
+		default:
+		}
+	}
 	g.fleetReadAt = now
 	g.divideLimits(now)
 	g.recordStreams()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,11 +98,14 @@
 	fleet        *fleet.State
 	fleetReadAt  time.Time // when fleet was last known to be up to date
 	streams      *fleet.Streams
-	// severalVersions are the services whose streams are recorded.
+	// severalVersions are the services whose streams are recorded, because targets of
+	// several versions serve or served lately.
 	severalVersions map[string]bool
 
-	records      streamRecords
 	publications publications
+	activated    chan struct{} // signals that the fleet has become active
+	records      streamRecords
+	recordsDue   chan struct{} // signals that streams are to be recorded
 }
 
 // Phases of the process.
@@ -126,6 +129,8 @@
 
 		severalVersions: map[string]bool{},
 		publications:    newPublications(),
+		activated:       make(chan struct{}, 1),
+		recordsDue:      make(chan struct{}, 1),
 	}
 	o.Metrics.Registry.MustRegister(g)
 	return g
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/explain"
-	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/timing"
 )
 
@@ -29,16 +27,8 @@
 	originOnlyVersion = "only_version" // no other version has served lately
 )
 
-// Timing of the records of streams.
+// Times for which versions are remembered.
 const (
-	minFlushInterval = 250 * time.Millisecond
-	// flushIntervalPerGateway keeps the writes of all gateways to half of what a part of
-	// the table accepts, 200 a second.
-	flushIntervalPerGateway = 10 * time.Millisecond
-	// recordReadInterval is the pause between two reads of the records by a request that
-	// waits for one.
-	recordReadInterval = 100 * time.Millisecond
-	recordReadTimeout  = 500 * time.Millisecond
 	// maxFleetAge is the age from which what is known of other gateways may lack versions.
 	maxFleetAge = 2 * longPollWait
 	// minStreamRetention is the least time for which versions and streams are remembered.
@@ -95,7 +85,8 @@
 	}
 	if req.sentFrom == nil && req.route.Resumable {
 		g.mu.Lock()
-		g.streams.Begin(time.Now(), req.streamID(), t.Service, t.Version, len(g.versions(t.Service)) > 1, g.streamRetention())
+		g.streams.Begin(time.Now(), req.streamID(), t.Service, t.Version, g.severalVersions[t.Service], g.streamRetention())
+		g.signalRecords()
 		g.mu.Unlock()
 	}
 	req.sentFrom = t
@@ -132,6 +123,18 @@
 		}
 		g.severalVersions[service] = several
 	}
+	g.signalRecords()
+}
+
+// signalRecords wakes RecordStreams if there is something to write. g.mu is held.
+func (g *Gateway) signalRecords() {
+	if !g.streams.Pending() {
+		return
+	}
+	select {
+	case g.recordsDue <- struct{}{}:
+	default:
+	}
 }
 
 // findOrigin returns the version at which a stream that a caller takes up must go on. It
@@ -155,7 +158,8 @@
 // findRecordedOrigin reads the records of all gateways until one names the stream, or
 // until the gateway that began it must have recorded it.
 func (g *Gateway) findRecordedOrigin(ctx context.Context, req *request) (streamOrigin, error) {
-	deadline := time.Now().Add(2 * g.flushInterval())
+	ctx, cancel := context.WithTimeout(ctx, g.flushInterval()+recordWriteTime)
+	defer cancel()
 	for {
 		recorded, err := g.records.read(ctx, g.opt.FleetTable, time.Now())
 		if version, ok := recorded.Version(req.meta.BegunBy); ok {
@@ -166,7 +170,7 @@
 				return streamOrigin{originOnlyVersion, version}, nil
 			}
 		}
-		if time.Now().Add(recordReadInterval).Before(deadline) && timing.Sleep(ctx, recordReadInterval) {
+		if timing.Sleep(ctx, recordReadInterval) {
 			continue
 		}
 		if err != nil {
@@ -187,115 +191,3 @@
 	}
 	return versions[0], true
 }
-
-// streamRecords are the records of streams of all gateways as last read.
-type streamRecords struct {
-	mu       sync.Mutex // held while they are read
-	readFrom time.Time  // when the read began
-	latest   fleet.Recorded
-}
-
-// read returns the records as of a time or later. Requests that wait for the same read
-// share it.
-func (s *streamRecords) read(ctx context.Context, table platform.Table, asOf time.Time) (fleet.Recorded, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.readFrom.Before(asOf) {
-		return s.latest, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, recordReadTimeout)
-	defer cancel()
-	began := time.Now()
-	stored, err := platform.ScanAll(ctx, table, fleet.StreamPrefix)
-	if err != nil {
-		return s.latest, err
-	}
-	rows := make([]fleet.Row, len(stored))
-	for i, row := range stored {
-		rows[i] = fleet.Row{Key: row.Key, Value: row.Value}
-	}
-	recorded, err := fleet.DecodeStreams(rows)
-	s.readFrom, s.latest = began, recorded
-	return recorded, err
-}
-
-// flushInterval returns the time between two writes of this gateway's records.
-func (g *Gateway) flushInterval() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return max(minFlushInterval, time.Duration(len(g.fleet.Routers(time.Now())))*flushIntervalPerGateway)
-}
-
-// RecordStreams writes the versions that began this gateway's streams until ctx ends, and
-// removes records that are too old.
-func (g *Gateway) RecordStreams(ctx context.Context) {
-	var sweep recordSweep
-	for timing.Sleep(ctx, g.flushInterval()) {
-		g.flushStreams(ctx)
-		if g.mayRemoveRecords() {
-			if err := sweep.run(ctx, g.opt.FleetTable, time.Now(), g.streamRetention()); err != nil {
-				g.opt.Logger.Debug("failed to remove old records of streams", "err", err)
-			}
-		}
-	}
-}
-
-func (g *Gateway) flushStreams(ctx context.Context) {
-	g.mu.Lock()
-	row, ok, err := g.streams.Flush(time.Now())
-	g.mu.Unlock()
-	if err != nil {
-		g.opt.Logger.Error("failed to encode the records of streams", "err", err)
-	}
-	for ok && ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, fleetWriteTimeout)
-		_, err := g.opt.FleetTable.Commit(callCtx, platform.Txn{Puts: []platform.Put{{Key: row.Key, Value: row.Value}}})
-		cancel()
-		if err == nil {
-			return
-		}
-		g.opt.Logger.Debug("failed to record streams", "err", err)
-		timing.Sleep(ctx, fleetRetryDelay)
-	}
-}
-
-// mayRemoveRecords reports whether this gateway is the one that removes old records.
-func (g *Gateway) mayRemoveRecords() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.fleet.Routers(time.Now())[0] == g.opt.Host
-}
-
-// recordSweep removes records that have not changed between two of its reads.
-type recordSweep struct {
-	readAt time.Time
-	rows   map[string]platform.Version
-}
-
-func (s *recordSweep) run(ctx context.Context, table platform.Table, now time.Time, retention time.Duration) error {
-	if now.Sub(s.readAt) < retention {
-		return nil
-	}
-	s.readAt = now
-	ctx, cancel := context.WithTimeout(ctx, fleetWriteTimeout)
-	defer cancel()
-	rows, err := platform.ScanAll(ctx, table, fleet.StreamPrefix)
-	if err != nil {
-		return err
-	}
-	before := s.rows
-	s.rows = map[string]platform.Version{}
-	var txn platform.Txn
-	for _, row := range rows {
-		if version, ok := before[row.Key]; ok && version == row.Version && len(txn.Deletes) < maxFleetWrites {
-			txn.Deletes = append(txn.Deletes, row.Key)
-			continue
-		}
-		s.rows[row.Key] = row.Version
-	}
-	if len(txn.Deletes) == 0 {
-		return nil
-	}
-	_, err = table.Commit(ctx, txn)
-	return err
-}
