Keep a stream that is taken up at the service that began it

A route may divide its requests among services by the id of the request, and a caller that takes a stream up sends another id. Found while reading: the stream could go on at another service, whose targets may have other versions, or be refused because that service has none of its version.

What gateways remember and record of a stream is now service and version, and a request that continues it goes to that service as long as its route leads there.

--- a/internal/core/fleet/streams.go
+++ b/internal/core/fleet/streams.go
@@ -28,34 +28,34 @@
 	keyPrefix string
 	slot      int64
 	slotBegan time.Time
-	recorded  map[string][]byte // hashes of the ids in the current slot, by version
-	pending   bool              // recorded has changed since the last call of Flush
+	recorded  map[ServiceVersion][]byte // hashes of the ids in the current slot
+	pending   bool                      // recorded has changed since the last call of Flush
 	rotatedAt time.Time
 	recent    map[string]*stream // by id of the request that began it
 	older     map[string]*stream
 }
 
 type stream struct {
-	service, version string
-	ended            bool
-	recorded         bool
+	begunAt  ServiceVersion
+	ended    bool
+	recorded bool
 }
 
 // NewStreams returns the streams of a router process, none so far.
 func NewStreams(host, incarnation string) *Streams {
 	return &Streams{
 		keyPrefix: StreamPrefix + host + "/" + incarnation + "/",
-		recorded:  map[string][]byte{}, recent: map[string]*stream{}, older: map[string]*stream{},
+		recorded:  map[ServiceVersion][]byte{}, recent: map[string]*stream{}, older: map[string]*stream{},
 	}
 }
 
 // Begin remembers the version that began a stream, identified by the request that did,
 // for at least retention. If record is set, the next Flush records it.
-func (s *Streams) Begin(now time.Time, id, service, version string, record bool, retention time.Duration) {
+func (s *Streams) Begin(now time.Time, id string, at ServiceVersion, record bool, retention time.Duration) {
 	if now.Sub(s.rotatedAt) > retention {
 		s.recent, s.older, s.rotatedAt = map[string]*stream{}, s.recent, now
 	}
-	began := &stream{service: service, version: version}
+	began := &stream{begunAt: at}
 	s.recent[id] = began
 	if record {
 		s.record(id, began)
@@ -73,7 +73,7 @@
 func (s *Streams) RecordAll(service string) {
 	for _, streams := range []map[string]*stream{s.recent, s.older} {
 		for id, began := range streams {
-			if began.service == service && !began.ended && !began.recorded {
+			if began.begunAt.Service == service && !began.ended && !began.recorded {
 				s.record(id, began)
 			}
 		}
@@ -82,16 +82,16 @@
 
 func (s *Streams) record(id string, began *stream) {
 	began.recorded = true
-	s.recorded[began.version] = binary.BigEndian.AppendUint64(s.recorded[began.version], xxhash.Sum64String(id))
+	s.recorded[began.begunAt] = binary.BigEndian.AppendUint64(s.recorded[began.begunAt], xxhash.Sum64String(id))
 	s.pending = true
 }
 
-// Version returns the version that began a stream of this router.
-func (s *Streams) Version(id string) (version string, ok bool) {
+// Origin returns what began a stream of this router.
+func (s *Streams) Origin(id string) (at ServiceVersion, ok bool) {
 	if began := s.find(id); began != nil {
-		return began.version, true
+		return began.begunAt, true
 	}
-	return "", false
+	return ServiceVersion{}, false
 }
 
 func (s *Streams) find(id string) *stream {
@@ -120,38 +120,38 @@
 	s.pending = false
 	if now.Sub(s.slotBegan) >= slotDuration {
 		s.slot++
-		s.slotBegan, s.recorded = time.Time{}, map[string][]byte{}
+		s.slotBegan, s.recorded = time.Time{}, map[ServiceVersion][]byte{}
 	}
 	return row, true, nil
 }
 
 // Recorded are the recorded versions of the streams of all routers.
 type Recorded struct {
-	versions map[uint64]string
+	origins map[uint64]ServiceVersion // by the hash of the id
 }
 
 // DecodeStreams decodes the rows with StreamPrefix. It fails for rows that cannot be
 // decoded, after it has decoded the others.
 func DecodeStreams(rows []Row) (Recorded, error) {
-	all := Recorded{versions: map[uint64]string{}}
+	all := Recorded{origins: map[uint64]ServiceVersion{}}
 	var failed error
 	for _, row := range rows {
-		var recorded map[string][]byte
+		var recorded map[ServiceVersion][]byte
 		if err := json.Unmarshal(row.Value, &recorded); err != nil {
 			failed = errkind.Wrap(err, errkind.Internal, "row %s", row.Key)
 			continue
 		}
-		for version, ids := range recorded {
+		for at, ids := range recorded {
 			for ; len(ids) >= idBytes; ids = ids[idBytes:] {
-				all.versions[binary.BigEndian.Uint64(ids)] = version
+				all.origins[binary.BigEndian.Uint64(ids)] = at
 			}
 		}
 	}
 	return all, failed
 }
 
-// Version returns the version that began a stream.
-func (r Recorded) Version(id string) (version string, ok bool) {
-	version, ok = r.versions[xxhash.Sum64String(id)]
-	return version, ok
+// Origin returns what began a stream.
+func (r Recorded) Origin(id string) (at ServiceVersion, ok bool) {
+	at, ok = r.origins[xxhash.Sum64String(id)]
+	return at, ok
 }
--- a/internal/core/fleet/streams_test.go
+++ b/internal/core/fleet/streams_test.go
@@ -31,7 +31,7 @@
 		s := NewStreams("host", incarnation)
 		for i := range 100 {
 			now := start.Add(time.Duration(i) * 100 * time.Millisecond)
-			s.Begin(now, fmt.Sprintf("%s-%d", incarnation, i), "s", fmt.Sprint("v", i%2), true, testRetention)
+			s.Begin(now, fmt.Sprintf("%s-%d", incarnation, i), ServiceVersion{"s", fmt.Sprint("v", i%2)}, true, testRetention)
 			rows = append(rows, flush(t, s, now)...)
 		}
 	}
@@ -48,12 +48,12 @@
 	assert.NilError(t, err)
 	for _, incarnation := range []string{"1", "2"} {
 		for i := range 100 {
-			version, ok := recorded.Version(fmt.Sprintf("%s-%d", incarnation, i))
+			at, ok := recorded.Origin(fmt.Sprintf("%s-%d", incarnation, i))
 			assert.Assert(t, ok)
-			assert.Equal(t, version, fmt.Sprint("v", i%2))
+			assert.Equal(t, at, ServiceVersion{"s", fmt.Sprint("v", i%2)})
 		}
 	}
-	_, ok := recorded.Version("never seen")
+	_, ok := recorded.Origin("never seen")
 	assert.Assert(t, !ok)
 }
 
@@ -61,17 +61,17 @@
 // came into sight, and against rows while there is none.
 func TestStreamsInProgressAreRecordedWhenASecondVersionComes(t *testing.T) {
 	s := NewStreams("host", "1")
-	s.Begin(start, "running", "s", "v1", false, testRetention)
-	s.Begin(start, "ended", "s", "v1", false, testRetention)
-	s.Begin(start, "elsewhere", "other", "v1", false, testRetention)
+	s.Begin(start, "running", ServiceVersion{"s", "v1"}, false, testRetention)
+	s.Begin(start, "ended", ServiceVersion{"s", "v1"}, false, testRetention)
+	s.Begin(start, "elsewhere", ServiceVersion{"other", "v1"}, false, testRetention)
 	s.End("ended")
 	assert.Equal(t, len(flush(t, s, start)), 0)
 	s.RecordAll("s")
 	recorded, err := DecodeStreams(flush(t, s, start))
 	assert.NilError(t, err)
-	assert.Equal(t, len(recorded.versions), 1)
-	version, ok := recorded.Version("running")
-	assert.Assert(t, ok && version == "v1")
+	assert.Equal(t, len(recorded.origins), 1)
+	at, ok := recorded.Origin("running")
+	assert.Assert(t, ok && at == ServiceVersion{"s", "v1"}, "%v", at)
 	s.RecordAll("s")
 	assert.Equal(t, len(flush(t, s, start)), 0, "it is recorded already")
 }
@@ -80,25 +80,25 @@
 // against streams that are remembered for ever.
 func TestStreamsAreRememberedForTheRetention(t *testing.T) {
 	s := NewStreams("host", "1")
-	s.Begin(start, "first", "s", "v1", false, testRetention)
+	s.Begin(start, "first", ServiceVersion{"s", "v1"}, false, testRetention)
 	for at := time.Second; at < testRetention; at += time.Second {
-		s.Begin(start.Add(at), fmt.Sprint(at), "s", "v2", false, testRetention)
+		s.Begin(start.Add(at), fmt.Sprint(at), ServiceVersion{"s", "v2"}, false, testRetention)
 	}
-	version, ok := s.Version("first")
-	assert.Assert(t, ok && version == "v1")
-	s.Begin(start.Add(2*testRetention), "a", "s", "v2", false, testRetention)
-	s.Begin(start.Add(4*testRetention), "b", "s", "v2", false, testRetention)
-	_, ok = s.Version("first")
+	at, ok := s.Origin("first")
+	assert.Assert(t, ok && at == ServiceVersion{"s", "v1"}, "%v", at)
+	s.Begin(start.Add(2*testRetention), "a", ServiceVersion{"s", "v2"}, false, testRetention)
+	s.Begin(start.Add(4*testRetention), "b", ServiceVersion{"s", "v2"}, false, testRetention)
+	_, ok = s.Origin("first")
 	assert.Assert(t, !ok)
 }
 
 // Guards against records that are lost because one row cannot be decoded.
 func TestUnreadableRecordsAreSkipped(t *testing.T) {
 	s := NewStreams("host", "1")
-	s.Begin(start, "id", "s", "v1", true, testRetention)
+	s.Begin(start, "id", ServiceVersion{"s", "v1"}, true, testRetention)
 	recorded, err := DecodeStreams(append([]Row{{Key: "streams/x", Value: []byte("rubbish")}}, flush(t, s, start)...))
 	assert.ErrorContains(t, err, "streams/x")
-	_, ok := recorded.Version("id")
+	_, ok := recorded.Origin("id")
 	assert.Assert(t, ok)
 }
 
--- a/internal/core/fleet/version.go
+++ b/internal/core/fleet/version.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
 )
 
 // versionPrefix is followed by a service, a slash and a version of its targets.
@@ -17,14 +19,26 @@
 type ServiceVersion struct{ Service, Version string }
 
 // Key returns the key of the row that says that the version serves or served lately.
-func (v ServiceVersion) Key() string { return versionPrefix + v.Service + "/" + v.Version }
+func (v ServiceVersion) Key() string { return versionPrefix + v.String() }
+
+// String returns the service and the version, separated by a slash.
+func (v ServiceVersion) String() string { return v.Service + "/" + v.Version }
+
+// MarshalText implements encoding.TextMarshaler.
+func (v ServiceVersion) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (v *ServiceVersion) UnmarshalText(text []byte) error {
+	var ok bool
+	if v.Service, v.Version, ok = strings.Cut(string(text), "/"); !ok {
+		return errkind.New(errkind.Internal, "%q has no service and version", text)
+	}
+	return nil
+}
 
 func parseVersionKey(key string) (v ServiceVersion, ok bool) {
 	rest, ok := strings.CutPrefix(key, versionPrefix)
-	if !ok {
-		return ServiceVersion{}, false
-	}
-	v.Service, v.Version, ok = strings.Cut(rest, "/")
+	ok = ok && v.UnmarshalText([]byte(rest)) == nil
 	return v, ok
 }
 
--- a/internal/core/httproute/document.go
+++ b/internal/core/httproute/document.go
@@ -36,6 +36,11 @@
 	Resumable        bool              // another target may continue a stream
 }
 
+// LeadsTo reports whether a service gets requests of the route.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s WeightedService) bool { return s.Service == service })
+}
+
 // WeightedService is a service that gets a part of a route's requests.
 type WeightedService struct {
 	Service string
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -43,17 +43,16 @@
 // forward sends the request to one target after another until one has served it
 // or no further attempt is allowed.
 func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) error {
+	if req.meta.LastEventID >= 0 && req.route.Resumable {
+		if err := g.continueStream(ctx, req); err != nil {
+			return err
+		}
+	}
 	g.countForRetries(req)
 	unsent := 0
 	if g.isQuarantined(req) {
 		return errkind.New(errkind.RequestQuarantined, "it has crashed the targets that ran it")
 	}
-	if req.meta.LastEventID >= 0 && req.route.Resumable {
-		var err error
-		if req.origin, err = g.findOrigin(ctx, req); err != nil {
-			return err
-		}
-	}
 	for {
 		if err := ctx.Err(); err != nil {
 			return g.endedError(r, req, err)
@@ -157,7 +156,7 @@
 func (req *request) targetQuery() targets.Query {
 	q := targets.Query{Service: req.service.Name, Exclude: req.triedTargets}
 	if req.origin.source != "" {
-		q.Version = &req.origin.version
+		q.Version = &req.origin.Version
 	}
 	if req.route.Affinity && len(req.meta.SharedPromptParts) > 0 {
 		q.PrefixHash = xxhash.Sum64String(strings.Join(req.meta.SharedPromptParts, ","))
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -11,13 +11,13 @@
 	"tarragonridge.example/tarragonridge/internal/timing"
 )
 
-// streamOrigin is what is known of the software version that began a stream.
+// streamOrigin is what is known of the targets that began a stream.
 type streamOrigin struct {
-	source  string // one of the sources below; "" if nothing is known
-	version string
+	source string // one of the sources below; "" if nothing is known
+	fleet.ServiceVersion
 }
 
-// Sources of the version that began a stream. They are also the values of a metric
+// Sources of the origin of a stream. They are also the values of a metric
 // label.
 const (
 	originUnknown     = "unknown"
@@ -73,19 +73,20 @@
 		switch {
 		case source == "":
 			source, version = originUnknown, "unknown"
-		case req.origin.version == t.Version:
+		case req.origin.Version == t.Version:
 			version = "same"
 		}
 		g.opt.Metrics.continued.WithLabelValues(source, version).Inc()
 		g.opt.Logger.Info(explain.MessageContinues, "request", req.meta.RequestID, "begun_by", req.meta.BegunBy, "event", req.lastEvent,
-			"target", t.ID, "version", t.Version, "origin", source, "began_at", req.origin.version)
+			"target", t.ID, "version", t.Version, "origin", source, "began_at", req.origin.Version)
 	}
+	at := fleet.ServiceVersion{Service: t.Service, Version: t.Version}
 	if req.origin.source == "" {
-		req.origin = streamOrigin{originAnswer, t.Version}
+		req.origin = streamOrigin{originAnswer, at}
 	}
 	if req.sentFrom == nil && req.route.Resumable {
 		g.mu.Lock()
-		g.streams.Begin(time.Now(), req.streamID(), t.Service, t.Version, g.severalVersions[t.Service], g.streamRetention())
+		g.streams.Begin(time.Now(), req.streamID(), at, g.severalVersions[t.Service], g.streamRetention())
 		g.signalRecords()
 		g.mu.Unlock()
 	}
@@ -137,20 +138,36 @@
 	}
 }
 
-// findOrigin returns the version at which a stream that a caller takes up must go on. It
-// fails if that is not known: "unknown" must not become "any".
+// continueStream finds the origin of a stream that a caller takes up, and binds the request
+// to its service and version. It fails if the origin is not known, since the stream must
+// not go on at any version then. If the route no longer leads to the service, the targets
+// of another one continue the stream.
+func (g *Gateway) continueStream(ctx context.Context, req *request) error {
+	origin, err := g.findOrigin(ctx, req)
+	if err != nil {
+		return err
+	}
+	if !req.route.LeadsTo(origin.Service) {
+		return nil
+	}
+	req.origin = origin
+	req.service = g.config.Load().Services[origin.Service]
+	return nil
+}
+
 func (g *Gateway) findOrigin(ctx context.Context, req *request) (streamOrigin, error) {
+	service := req.service.Name
 	g.mu.Lock()
-	version, ok := g.streams.Version(req.streamID())
-	versions := g.versions(req.service.Name)
+	at, ok := g.streams.Origin(req.streamID())
+	versions := g.versions(service)
 	g.mu.Unlock()
 	switch {
 	case ok:
-		return streamOrigin{originGateway, version}, nil
+		return streamOrigin{originGateway, at}, nil
 	case req.meta.BegunBy != "":
 		return g.findRecordedOrigin(ctx, req)
 	case len(versions) == 1:
-		return streamOrigin{originOnlyVersion, versions[0]}, nil
+		return streamOrigin{originOnlyVersion, fleet.ServiceVersion{Service: service, Version: versions[0]}}, nil
 	}
 	return streamOrigin{}, errkind.New(errkind.VersionUnknown, "several versions serve, and the caller does not name the request that began the stream")
 }
@@ -162,12 +179,12 @@
 	defer cancel()
 	for {
 		recorded, err := g.records.read(ctx, g.opt.FleetTable, time.Now())
-		if version, ok := recorded.Version(req.meta.BegunBy); ok {
-			return streamOrigin{originTable, version}, nil
+		if at, ok := recorded.Origin(req.meta.BegunBy); ok {
+			return streamOrigin{originTable, at}, nil
 		}
 		if err == nil {
-			if version, ok := g.onlyVersion(req.service.Name); ok {
-				return streamOrigin{originOnlyVersion, version}, nil
+			if at, ok := g.onlyVersion(req.service.Name); ok {
+				return streamOrigin{originOnlyVersion, at}, nil
 			}
 		}
 		if timing.Sleep(ctx, recordReadInterval) {
@@ -182,12 +199,12 @@
 
 // onlyVersion returns the version of a service if it is certain that no other serves or
 // served lately.
-func (g *Gateway) onlyVersion(service string) (version string, ok bool) {
+func (g *Gateway) onlyVersion(service string) (at fleet.ServiceVersion, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	versions := g.versions(service)
 	if len(versions) != 1 || time.Since(g.fleetReadAt) > maxFleetAge {
-		return "", false
+		return fleet.ServiceVersion{}, false
 	}
-	return versions[0], true
+	return fleet.ServiceVersion{Service: service, Version: versions[0]}, true
 }
