Refuse a request at once when its gateway loses its share while it waits

The sum of the time that a request has waited and the wait for a permit that never comes overflowed, so that the request was held until its deadline. Found while reading. TestRequestWithoutAShareIsNotHeld failed before.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -130,12 +130,12 @@
 			g.publications.add(fleet.RouterKey(host), nil)
 		}
 		for _, target := range g.fleet.LimitedTargets() {
-			t := g.targetView.Target(target)
-			if t == nil {
-				g.publications.add(fleet.LimitKey(target), nil)
-			} else if _, ok := g.fleetLimit(t); !ok {
-				g.publications.add(fleet.LimitKey(target), nil)
+			if t := g.targetView.Target(target); t != nil {
+				if _, ok := g.fleetLimit(t); ok {
+					continue
+				}
 			}
+			g.publications.add(fleet.LimitKey(target), nil)
 		}
 		for _, v := range g.fleet.ExpiredVersions(now, g.targetView.HasVersion, g.streamRetention()) {
 			g.publications.add(v.Key(), nil)
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -22,7 +22,7 @@
 	g.mu.Lock()
 	wait, ok := g.targetView.PermitWait(time.Now(), req.targetQuery())
 	g.mu.Unlock()
-	if !ok || req.permitWait+wait > req.route.LatencyObjective/permitWaitDivisor {
+	if !ok || wait > req.route.LatencyObjective/permitWaitDivisor-req.permitWait {
 		return false
 	}
 	req.permitWait += wait
--- /dev/null
+++ b/internal/gateway/limit_test.go
@@ -0,0 +1,27 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/core/httproute"
+	"tarragonridge.example/tarragonridge/internal/core/targets"
+)
+
+// Guards against a request that has waited for a permit and is then held until its
+// deadline, because this gateway has no share of any limit any more.
+func TestRequestWithoutAShareIsNotHeld(t *testing.T) {
+	g := &Gateway{targetView: targets.NewView(1)}
+	g.targetView.SetLimit(g.targetView.Put(targets.Registration{ID: "1", Service: "s"}), 1)
+	g.targetView.SetShares(func(string, float64) float64 { return 0 })
+	req := &request{
+		route: &httproute.Route{LatencyObjective: time.Second}, service: httproute.Service{Name: "s"}, permitWait: time.Millisecond,
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	assert.Assert(t, !g.awaitPermit(ctx, req))
+	assert.NilError(t, ctx.Err())
+}
