Remember a limit while the registration of its target is missing

The first gateway removed the row of a limit as soon as it did not see the target, so that an outage of the store, or a start of that gateway, withdrew limits that are in force. Found while reading. The row now stays for the retention, as those of versions do; TestLimitOutlivesAMissingRegistration.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -73,14 +73,16 @@
 	countFrom time.Time
 	division  division // as last returned by Shares
 
-	versions    map[ServiceVersion]bool
-	unusedSince map[ServiceVersion]time.Time // those of versions without targets
+	versions map[ServiceVersion]bool
+	// Rows whose targets this router does not see, and since when.
+	unusedVersions map[ServiceVersion]time.Time
+	unusedLimits   map[string]time.Time
 }
 
 // NewState returns the state of the router on a host before it has read any rows.
 func NewState(host string) *State {
 	return &State{self: host, renewedAt: map[string]time.Time{}, limits: map[string]Limit{},
-		versions: map[ServiceVersion]bool{}, unusedSince: map[ServiceVersion]time.Time{}}
+		versions: map[ServiceVersion]bool{}, unusedVersions: map[ServiceVersion]time.Time{}, unusedLimits: map[string]time.Time{}}
 }
 
 // Apply applies changes and returns the targets whose limits have changed. It fails for
@@ -156,9 +158,6 @@
 	return limit, ok
 }
 
-// LimitedTargets returns the ids of the targets with a limit, in order.
-func (s *State) LimitedTargets() []string { return slices.Sorted(maps.Keys(s.limits)) }
-
 // Active reports whether routers need to know of each other: a limit is in force, or
 // several versions of a service serve or served lately. While it is, they renew their
 // rows.
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -145,10 +145,23 @@
 	changed, err := s.Apply(start, Changes{Rows: []Row{limitRow("bad", "rubbish"), limitRow("u", `{"started":2,"per_second":2.5}`)}, Removed: []string{LimitKey("t")}})
 	assert.ErrorContains(t, err, "invalid character")
 	assert.DeepEqual(t, changed, []string{"t", "u"})
-	assert.DeepEqual(t, s.LimitedTargets(), []string{"u"})
+	_, ok := s.Limit("t")
+	assert.Assert(t, !ok)
 	limit, ok := s.Limit("u")
 	assert.Assert(t, ok && limit == Limit{StartedMS: 2, PerSecond: 2.5}, "%v", limit)
 	changed, err = s.Apply(start, Changes{Complete: true})
 	assert.NilError(t, err)
 	assert.DeepEqual(t, changed, []string{"u"})
 }
+
+// Guards against a limit that is forgotten while the registration of its target is missing
+// for some seconds, as after an outage of the store.
+func TestLimitOutlivesAMissingRegistration(t *testing.T) {
+	s := newSyncedState(t, hosts(1))
+	missing := func(string) bool { return false }
+	assert.Equal(t, len(s.ExpiredLimits(start, missing, testRetention)), 0)
+	assert.Equal(t, len(s.ExpiredLimits(start.Add(testRetention-1), missing, testRetention)), 0)
+	assert.Equal(t, len(s.ExpiredLimits(start.Add(testRetention), func(string) bool { return true }, testRetention)), 0)
+	assert.Equal(t, len(s.ExpiredLimits(start.Add(testRetention), missing, testRetention)), 0, "it was in use meanwhile")
+	assert.DeepEqual(t, s.ExpiredLimits(start.Add(2*testRetention), missing, testRetention), []string{"t"})
+}
--- a/internal/core/fleet/version.go
+++ b/internal/core/fleet/version.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -59,21 +60,34 @@
 
 // ExpiredVersions returns the versions that have not been in use, as this router sees
 // it, for at least retention.
-func (s *State) ExpiredVersions(now time.Time, inUse func(ServiceVersion) bool, retention time.Duration) (expired []ServiceVersion) {
-	for v := range s.versions {
-		if inUse(v) {
-			delete(s.unusedSince, v)
+func (s *State) ExpiredVersions(now time.Time, inUse func(ServiceVersion) bool, retention time.Duration) []ServiceVersion {
+	return expired(s.unusedVersions, maps.Keys(s.versions), now, inUse, retention)
+}
+
+// ExpiredLimits returns the targets with a limit that have not been in use, as this
+// router sees it, for at least retention.
+func (s *State) ExpiredLimits(now time.Time, inUse func(target string) bool, retention time.Duration) []string {
+	return expired(s.unusedLimits, maps.Keys(s.limits), now, inUse, retention)
+}
+
+// expired returns the keys that have not been in use for at least retention. since holds
+// from when on each of them was not, and is brought up to date.
+func expired[K comparable](since map[K]time.Time, keys iter.Seq[K], now time.Time, inUse func(K) bool, retention time.Duration) (out []K) {
+	present := map[K]bool{}
+	for key := range keys {
+		if inUse(key) {
 			continue
 		}
-		if _, ok := s.unusedSince[v]; !ok {
-			s.unusedSince[v] = now
+		present[key] = true
+		if _, ok := since[key]; !ok {
+			since[key] = now
 		}
-		if now.Sub(s.unusedSince[v]) >= retention {
-			expired = append(expired, v)
+		if now.Sub(since[key]) >= retention {
+			out = append(out, key)
 		}
 	}
-	maps.DeleteFunc(s.unusedSince, func(v ServiceVersion, _ time.Time) bool { return !s.versions[v] })
-	return expired
+	maps.DeleteFunc(since, func(key K, _ time.Time) bool { return !present[key] })
+	return out
 }
 
 // severalVersions reports whether targets of several versions of a service serve or
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -129,12 +129,7 @@
 		for _, host := range g.fleet.Gone(now) {
 			g.publications.add(fleet.RouterKey(host), nil)
 		}
-		for _, target := range g.fleet.LimitedTargets() {
-			if t := g.targetView.Target(target); t != nil {
-				if _, ok := g.fleetLimit(t); ok {
-					continue
-				}
-			}
+		for _, target := range g.fleet.ExpiredLimits(now, g.hasLimitedTarget, g.streamRetention()) {
 			g.publications.add(fleet.LimitKey(target), nil)
 		}
 		for _, v := range g.fleet.ExpiredVersions(now, g.targetView.HasVersion, g.streamRetention()) {
@@ -144,6 +139,17 @@
 	return g.fleet.Active()
 }
 
+// hasLimitedTarget reports whether the start of a target that has named a limit is known
+// here. g.mu is held.
+func (g *Gateway) hasLimitedTarget(id string) bool {
+	t := g.targetView.Target(id)
+	if t == nil {
+		return false
+	}
+	_, ok := g.fleetLimit(t)
+	return ok
+}
+
 // writeFleetRows writes all rows that are to be written and reports whether that
 // succeeded.
 func (g *Gateway) writeFleetRows(ctx context.Context) bool {
