Count the versions of targets instead of collecting them

Each registration collected and sorted the versions of all targets of all services, which at 2,800 targets is half a second of a gateway's start. The view of targets now counts targets by service and version; gateways publish versions when one comes into sight, and again every 2 s if its row is not there. No change of behaviour otherwise.

--- a/internal/core/fleet/version.go
+++ b/internal/core/fleet/version.go
@@ -3,7 +3,6 @@
 import (
 	"iter"
 	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -44,14 +43,13 @@
 }
 
 // Versions returns the versions of a service that serve or served lately according to
-// any router, in order.
+// any router.
 func (s *State) Versions(service string) (versions []string) {
 	for v := range s.versions {
 		if v.Service == service {
 			versions = append(versions, v.Version)
 		}
 	}
-	slices.Sort(versions)
 	return versions
 }
 
--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -4,6 +4,8 @@
 package targets
 
 import (
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +26,11 @@
 	StartedMS     int64 // start time of the target in Unix milliseconds; 0 if unknown
 }
 
+// ServiceVersion returns the service and the software version of the target.
+func (r Registration) ServiceVersion() fleet.ServiceVersion {
+	return fleet.ServiceVersion{Service: r.Service, Version: r.Version}
+}
+
 // Target is a registered target with this router's requests in flight and its
 // recent failures.
 type Target struct {
@@ -43,14 +50,15 @@
 	byService map[string][]*Target
 	byID      map[string]*Target
 	chooser   *route.Chooser
-	share     fleet.ShareFunc         // of limits; nil for no share
-	returns   map[string]*returnTimes // of refused callers, by service
+	versions  map[fleet.ServiceVersion]int // number of targets
+	share     fleet.ShareFunc              // of limits; nil for no share
+	returns   map[string]*returnTimes      // of refused callers, by service
 }
 
 // NewView returns an empty view. seed initializes the random choice between equal
 // targets.
 func NewView(seed uint64) *View {
-	return &View{byService: map[string][]*Target{}, byID: map[string]*Target{}, chooser: route.NewChooser(seed), returns: map[string]*returnTimes{}}
+	return &View{byService: map[string][]*Target{}, byID: map[string]*Target{}, chooser: route.NewChooser(seed), versions: map[fleet.ServiceVersion]int{}, returns: map[string]*returnTimes{}}
 }
 
 // Put adds or replaces a registration. A target that has started again under the
@@ -66,6 +74,7 @@
 		t = &Target{Registration: r, limit: noLimit}
 		v.byID[r.ID] = t
 		v.byService[r.Service] = append(v.byService[r.Service], t)
+		v.countVersion(t.ServiceVersion(), 1)
 	}
 	if t.StartedMS != r.StartedMS {
 		t.consecutiveFailures, t.avoidedUntil, t.probing = 0, time.Time{}, false
@@ -102,6 +111,7 @@
 		return
 	}
 	delete(v.byID, id)
+	v.countVersion(t.ServiceVersion(), -1)
 	v.byService[t.Service] = slices.DeleteFunc(v.byService[t.Service], func(o *Target) bool { return o == t })
 }
 
@@ -117,18 +127,16 @@
 func (v *View) Target(id string) *Target { return v.byID[id] }
 
 // HasVersion reports whether a target of a service has a version, whatever its state.
-func (v *View) HasVersion(sv fleet.ServiceVersion) bool {
-	return slices.ContainsFunc(v.byService[sv.Service], func(t *Target) bool { return t.Version == sv.Version })
-}
+func (v *View) HasVersion(sv fleet.ServiceVersion) bool { return v.versions[sv] > 0 }
+
+// Versions returns the versions that targets have, whatever their state.
+func (v *View) Versions() iter.Seq[fleet.ServiceVersion] { return maps.Keys(v.versions) }
 
-// Versions returns the versions of a service's targets, in order, whatever their state.
-func (v *View) Versions(service string) []string {
-	var versions []string
-	for _, t := range v.byService[service] {
-		versions = append(versions, t.Version)
+// countVersion adds n to the number of targets with a version.
+func (v *View) countVersion(sv fleet.ServiceVersion, n int) {
+	if v.versions[sv] += n; v.versions[sv] == 0 {
+		delete(v.versions, sv)
 	}
-	slices.Sort(versions)
-	return slices.Compact(versions)
 }
 
 // IDs returns the ids of all targets.
--- a/internal/core/targets/targets_test.go
+++ b/internal/core/targets/targets_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/core/fleet"
 )
 
 func registration(id string) Registration {
@@ -171,3 +174,21 @@
 	v.byID["3"].RecordFailure(now)
 	assert.DeepEqual(t, v.CountByState(now), map[string]int{StateUsable: 1, StateAvoided: 1, StateDraining: 1, StateMissing: 1})
 }
+
+// Guards against a version that counts as in use after its last target has gone, or as gone
+// while one is left.
+func TestVersionsInUse(t *testing.T) {
+	v := NewView(1)
+	versioned := func(id, version string) Registration {
+		r := registration(id)
+		r.Version = version
+		return r
+	}
+	v.Put(versioned("1", "v1"))
+	v.Put(versioned("2", "v1"))
+	v.Put(versioned("2", "v2")) // starts again with other software
+	assert.Equal(t, len(v.byService["s"]), 2)
+	assert.Assert(t, v.HasVersion(fleet.ServiceVersion{Service: "s", Version: "v1"}))
+	v.Remove("1")
+	assert.DeepEqual(t, slices.Collect(v.Versions()), []fleet.ServiceVersion{{Service: "s", Version: "v2"}})
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -125,6 +125,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.divideLimits(now)
+	g.publishVersions()
 	if g.fleet.Routers(now)[0] == g.opt.Host {
 		for _, host := range g.fleet.Gone(now) {
 			g.publications.add(fleet.RouterKey(host), nil)
@@ -150,6 +151,16 @@
 	return ok
 }
 
+// publishVersions tells the other gateways of versions that they have not told. g.mu is
+// held.
+func (g *Gateway) publishVersions() {
+	for v := range g.targetView.Versions() {
+		if !g.fleet.KnowsVersion(v) {
+			g.publications.add(v.Key(), fleet.VersionValue)
+		}
+	}
+}
+
 // writeFleetRows writes all rows that are to be written and reports whether that
 // succeeded.
 func (g *Gateway) writeFleetRows(ctx context.Context) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -163,14 +163,15 @@
 func (g *Gateway) PutTarget(registration targets.Registration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	newVersion := !g.targetView.HasVersion(registration.ServiceVersion())
 	t := g.targetView.Put(registration)
 	if limit, ok := g.fleetLimit(t); ok {
 		g.setLimit(t, limit, toldToOther)
 	}
-	if v := (fleet.ServiceVersion{Service: t.Service, Version: t.Version}); !g.fleet.KnowsVersion(v) {
-		g.publications.add(v.Key(), fleet.VersionValue)
+	if newVersion {
+		g.publishVersions()
+		g.recordStreams()
 	}
-	g.recordStreams()
 }
 
 // MarkTargetMissing records that the registration of a target is gone.
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
@@ -51,15 +52,16 @@
 }
 
 // versions returns the versions of a service that serve or served lately, as far as this
-// gateway knows. g.mu is held.
+// gateway knows, in order. g.mu is held.
 func (g *Gateway) versions(service string) []string {
-	versions := g.targetView.Versions(service)
-	for _, v := range g.fleet.Versions(service) {
-		if !g.targetView.HasVersion(fleet.ServiceVersion{Service: service, Version: v}) {
-			versions = append(versions, v)
+	versions := g.fleet.Versions(service)
+	for v := range g.targetView.Versions() {
+		if v.Service == service {
+			versions = append(versions, v.Version)
 		}
 	}
-	return versions
+	slices.Sort(versions)
+	return slices.Compact(versions)
 }
 
 // recordVersion remembers which version begins a stream, and logs a stream that continues
@@ -80,13 +82,12 @@
 		g.opt.Logger.Info(explain.MessageContinues, "request", req.meta.RequestID, "begun_by", req.meta.BegunBy, "event", req.lastEvent,
 			"target", t.ID, "version", t.Version, "origin", source, "began_at", req.origin.Version)
 	}
-	at := fleet.ServiceVersion{Service: t.Service, Version: t.Version}
 	if req.origin.source == "" {
-		req.origin = streamOrigin{originAnswer, at}
+		req.origin = streamOrigin{originAnswer, t.ServiceVersion()}
 	}
 	if req.sentFrom == nil && req.route.Resumable {
 		g.mu.Lock()
-		g.streams.Begin(time.Now(), req.streamID(), at, g.severalVersions[t.Service], g.streamRetention())
+		g.streams.Begin(time.Now(), req.streamID(), t.ServiceVersion(), g.severalVersions[t.Service], g.streamRetention())
 		g.signalRecords()
 		g.mu.Unlock()
 	}
