Spread refused callers without moving what others were given

A caller without room within its horizon moved the next time of return that callers with more time are given.

--- a/internal/core/targets/limit.go
+++ b/internal/core/targets/limit.go
@@ -131,19 +131,24 @@
 	}
 	wait, _ := v.PermitWait(now, q)
 	if wait >= horizon {
-		wait = 0 // there is no room within the horizon
-		times.next = now.Add(horizon)
+		return times.spread(0, horizon)
 	}
 	if earliest := now.Add(wait); times.next.Before(earliest) {
 		times.next = earliest
 	}
-	if after := times.next.Sub(now); after < horizon {
-		times.next = times.next.Add(v.permitInterval(q))
-		return after
+	after := times.next.Sub(now)
+	if after >= horizon {
+		return times.spread(wait, horizon)
 	}
-	times.refused++
-	_, fraction := math.Modf(float64(times.refused) * goldenRatio)
-	return wait + time.Duration(fraction*float64(horizon-wait))
+	times.next = times.next.Add(v.permitInterval(q))
+	return after
+}
+
+// spread returns times between two others that lie evenly over consecutive calls.
+func (r *returnTimes) spread(from, to time.Duration) time.Duration {
+	r.refused++
+	_, fraction := math.Modf(float64(r.refused) * goldenRatio)
+	return from + time.Duration(fraction*float64(to-from))
 }
 
 // permitInterval returns the mean time between two requests that the limits of a
