--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -48,8 +48,7 @@
 	}
 }
 
-// Guards against shares that together exceed a target's limit, or its bound in any 4 s
-// with what routers have saved up, and against a limit of which a part is lost.
+// Guards against shares that together exceed a limit or its bound in 4 s, or lose a part of it.
 func TestSharesOfALimit(t *testing.T) {
 	for _, n := range []int{1, 3, 23, 300} {
 		for _, perSecond := range []float64{0.5, 1, 1.5, 4, 10, 100} {
@@ -85,8 +84,7 @@
 	assert.DeepEqual(t, s.Gone(now), []string{"host-002"})
 }
 
-// Guards against routers that all take the whole limit while the table is down, because
-// none sees the others' renewals.
+// Guards against routers that all take the whole limit while the table is down.
 func TestRoutersStayDuringAnOutageOfTheTable(t *testing.T) {
 	s := newSyncedState(t, hosts(3))
 	assert.Equal(t, len(s.Routers(start.Add(time.Minute))), 3)
@@ -95,8 +93,7 @@
 	assert.Equal(t, len(s.Routers(start.Add(time.Minute+RenewInterval))), 3, "the others may renew later")
 }
 
-// Guards against routers that count as gone because none renews its row while no limit
-// is in force.
+// Guards against routers that count as gone because none has renewed its row before a limit.
 func TestRenewalsCountFromTheFirstLimit(t *testing.T) {
 	s := NewState("host-000")
 	c := Changes{Complete: true}
@@ -111,8 +108,7 @@
 	assert.Equal(t, len(s.Routers(later.Add(RenewInterval))), 3)
 }
 
-// Guards against more than the bound of the users while a router that the table turns
-// away goes on with its old share and the others divide the limit without it.
+// Guards against too many requests while a cut-off router and the others divide a limit apart.
 func TestSharesWithARouterOutOfTouch(t *testing.T) {
 	now := start.Add(routerTimeout + RenewInterval)
 	for _, n := range []int{2, 3, 23, 300} {
@@ -138,8 +134,7 @@
 	}
 }
 
-// Guards against a limit that outlives its row, and against rows that are lost because
-// another cannot be decoded.
+// Guards against a limit that outlives its row, and rows lost beside one that is unreadable.
 func TestLimitsFollowTheirRows(t *testing.T) {
 	s := newSyncedState(t, hosts(1))
 	changed, err := s.Apply(start, Changes{Rows: []Row{limitRow("bad", "rubbish"), limitRow("u", `{"started":2,"per_second":2.5}`)}, Removed: []string{LimitKey("t")}})
@@ -154,8 +149,7 @@
 	assert.DeepEqual(t, changed, []string{"u"})
 }
 
-// Guards against a limit that is forgotten while the registration of its target is missing
-// for some seconds, as after an outage of the store.
+// Guards against a limit that is forgotten while the registration of its target is missing.
 func TestLimitOutlivesAMissingRegistration(t *testing.T) {
 	s := newSyncedState(t, hosts(1))
 	missing := func(string) bool { return false }
--- a/internal/core/targets/limit_test.go
+++ b/internal/core/targets/limit_test.go
@@ -12,8 +12,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
 )
 
-// Guards against requests to a target beyond this router's share of its limit, while it
-// still gets as many as the share permits.
+// Guards against a router that sends more or less than its share of a limit.
 func TestChooseKeepsTheRequestLimit(t *testing.T) {
 	v := newTestView("1", "2")
 	v.SetShares(func(string, float64) float64 { return 2 })
@@ -33,8 +32,7 @@
 	assert.Assert(t, limited >= 19 && limited <= 21, "%d requests in 10 s under a share of 2 a second", limited)
 }
 
-// Guards against a limit that stays in force at a new start of the target, or after it
-// was withdrawn.
+// Guards against a limit that outlasts its withdrawal or a new start of the target.
 func TestRequestLimitEnds(t *testing.T) {
 	v := newTestView("1")
 	v.SetShares(func(string, float64) float64 { return 0 })
@@ -62,8 +60,7 @@
 	assert.Equal(t, v.Choose(now, Query{Service: "s"}), target)
 }
 
-// Guards against refused callers who are told to return at the same moment, before there
-// is room, or beyond the time that they have.
+// Guards against refused callers who return together, before there is room or too late.
 func TestRefusedCallersReturnOneAfterAnother(t *testing.T) {
 	v := newTestView("1")
 	v.SetShares(func(string, float64) float64 { return 10 })
@@ -146,8 +143,7 @@
 	return sent, refused
 }
 
-// Guards against the bound of the users being exceeded, and against limits that are not
-// used, when callers ask for twice of what all targets of a service accept.
+// Guards against limits that are exceeded, or not used, under twice the load that they allow.
 func TestFleetUnderTwiceItsLimits(t *testing.T) {
 	const (
 		duration = 30 * time.Second
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -11,8 +11,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/targets"
 )
 
-// Guards against a request that has waited for a permit and is then held until its
-// deadline, because this gateway has no share of any limit any more.
+// Guards against a request that is held until its deadline for a permit that never comes.
 func TestRequestWithoutAShareIsNotHeld(t *testing.T) {
 	g := &Gateway{targetView: targets.NewView(1)}
 	g.targetView.SetLimit(g.targetView.Put(targets.Registration{ID: "1", Service: "s"}), 1)
