--- a/internal/core/fleet/streams_test.go
+++ b/internal/core/fleet/streams_test.go
@@ -24,8 +24,7 @@
 	}
 }
 
-// Guards against a stream whose version another router, or the next process of the same
-// host, cannot find.
+// Guards against a stream whose version another router or process cannot find.
 func TestRecordedStreamsAreFoundByOtherRouters(t *testing.T) {
 	var rows []Row
 	for _, incarnation := range []string{"1", "2"} {
@@ -58,8 +57,7 @@
 	assert.Assert(t, !ok)
 }
 
-// Guards against streams that are not recorded because they began before a second version
-// came into sight, and against rows while there is none.
+// Guards against streams that are not recorded because they began under one version.
 func TestStreamsInProgressAreRecordedWhenASecondVersionComes(t *testing.T) {
 	s := NewStreams("host", "1")
 	s.Begin(start, "running", ServiceVersion{"s", "v1"}, false, testRetention)
@@ -77,8 +75,7 @@
 	assert.Equal(t, len(flush(t, s, start)), 0, "it is recorded already")
 }
 
-// Guards against a stream that its own gateway forgets while it may be taken up, and
-// against streams that are remembered for ever.
+// Guards against streams that are forgotten too soon or never.
 func TestStreamsAreRememberedForTheRetention(t *testing.T) {
 	s := NewStreams("host", "1")
 	s.Begin(start, "first", ServiceVersion{"s", "v1"}, false, testRetention)
@@ -103,8 +100,7 @@
 	assert.Assert(t, ok)
 }
 
-// Guards against a version that counts as the only one while streams of another may still
-// be taken up, and against versions that stay for ever.
+// Guards against a version that counts as the only one too soon, and one that stays for ever.
 func TestVersionsExpireAfterTheRetention(t *testing.T) {
 	s := NewState("host")
 	v1, v2 := ServiceVersion{"s", "v1"}, ServiceVersion{"s", "v2"}
--- a/internal/core/targets/targets_test.go
+++ b/internal/core/targets/targets_test.go
@@ -175,8 +175,7 @@
 	assert.DeepEqual(t, v.CountByState(now), map[string]int{StateUsable: 1, StateAvoided: 1, StateDraining: 1, StateMissing: 1})
 }
 
-// Guards against a version that counts as in use after its last target has gone, or as gone
-// while one is left.
+// Guards against a version that counts as in use without targets, or as gone with one left.
 func TestVersionsInUse(t *testing.T) {
 	v := NewView(1)
 	versioned := func(id, version string) Registration {
