Obey targets that say in an answer that they leave or want no requests for a while

Cause: the gateway read neither Server-Leaving nor Retry-After of a target's 503. It learned of a stop from the registration alone, forgot it when the registration was missing or rewritten, and offered requests to a target again at once after it had turned one away. What forbids a request was held in three places (draining, limits, avoidance).

That a target leaves is told to all gateways by a fleet row; that it wants no requests concerns this gateway alone. A request looks once more before it is sent on a connection it waited for (upstream.Request.BeforeSend). If all targets turn this gateway away, callers are refused at once and spread from the earliest time on. Connections in use count in the same place, so a full target is not chosen and then found full.

Values that make no sense are ignored and counted.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -19,6 +19,8 @@
 	Prefix       = "fleet/"
 	routerPrefix = Prefix + "router/" // followed by the host of the router
 	limitPrefix  = Prefix + "limit/"  // followed by the id of the target
+
+	drainingPrefix = Prefix + "draining/" // followed by the id of the target
 )
 
 // RouterRow is the value of a router's row. Only its change matters to other routers.
@@ -33,6 +35,15 @@
 	PerSecond float64 `json:"per_second"` // requests that the target accepts from all routers together
 }
 
+// Draining is the value of the row of a target that has said in an answer that it is
+// about to stop.
+type Draining struct {
+	StartedMS int64 `json:"started"` // start of the target, Unix milliseconds
+}
+
+// DrainingKey returns the key of the row of a target that is about to stop.
+func DrainingKey(target string) string { return drainingPrefix + target }
+
 // RouterKey returns the key of a router's row.
 func RouterKey(host string) string { return routerPrefix + host }
 
@@ -68,6 +79,7 @@
 	synced    bool                 // all rows have been read once
 	renewedAt map[string]time.Time // when a renewal was last seen, by host
 	limits    map[string]Limit     // by target
+	draining  map[string]Draining  // by target
 	// countFrom is the time from which missing renewals count: when the state became
 	// active, or the renewals of this router were seen again after an interruption.
 	countFrom time.Time
@@ -77,21 +89,25 @@
 	// Rows whose targets this router does not see, and since when.
 	unusedVersions map[ServiceVersion]time.Time
 	unusedLimits   map[string]time.Time
+	unusedDraining map[string]time.Time
 }
 
 // NewState returns the state of the router on a host before it has read any rows.
 func NewState(host string) *State {
-	return &State{self: host, renewedAt: map[string]time.Time{}, limits: map[string]Limit{},
-		versions: map[ServiceVersion]bool{}, unusedVersions: map[ServiceVersion]time.Time{}, unusedLimits: map[string]time.Time{}}
+	return &State{self: host, renewedAt: map[string]time.Time{}, limits: map[string]Limit{}, draining: map[string]Draining{},
+		versions: map[ServiceVersion]bool{}, unusedVersions: map[ServiceVersion]time.Time{}, unusedLimits: map[string]time.Time{},
+		unusedDraining: map[string]time.Time{}}
 }
 
-// Apply applies changes and returns the targets whose limits have changed. It fails for
-// rows that cannot be decoded, after it has applied the others.
+// Apply applies changes and returns the targets whose limits have changed, or that are
+// newly known to be draining. It fails for rows that cannot be decoded, after it has
+// applied the others.
 func (s *State) Apply(now time.Time, c Changes) (changedTargets []string, err error) {
-	before, wasActive := maps.Clone(s.limits), s.Active()
+	before, wasDraining, wasActive := maps.Clone(s.limits), maps.Clone(s.draining), s.Active()
 	if c.Complete {
 		s.synced = true
 		clear(s.limits)
+		clear(s.draining)
 		clear(s.versions)
 		present := map[string]bool{}
 		for _, row := range c.Rows {
@@ -111,6 +127,9 @@
 		if target, ok := strings.CutPrefix(key, limitPrefix); ok {
 			delete(s.limits, target)
 		}
+		if target, ok := strings.CutPrefix(key, drainingPrefix); ok {
+			delete(s.draining, target)
+		}
 		if v, ok := parseVersionKey(key); ok {
 			delete(s.versions, v)
 		}
@@ -128,6 +147,11 @@
 			changedTargets = append(changedTargets, target)
 		}
 	}
+	for target, draining := range s.draining {
+		if wasDraining[target] != draining {
+			changedTargets = append(changedTargets, target)
+		}
+	}
 	slices.Sort(changedTargets)
 	return changedTargets, err
 }
@@ -146,6 +170,13 @@
 		}
 		s.limits[target] = limit
 	}
+	if target, ok := strings.CutPrefix(row.Key, drainingPrefix); ok {
+		var draining Draining
+		if err := json.Unmarshal(row.Value, &draining); err != nil {
+			return err
+		}
+		s.draining[target] = draining
+	}
 	if v, ok := parseVersionKey(row.Key); ok {
 		s.versions[v] = true
 	}
@@ -158,6 +189,13 @@
 	return limit, ok
 }
 
+// Draining returns the start of a target that has told any router that it is about to
+// stop.
+func (s *State) Draining(target string) (draining Draining, ok bool) {
+	draining, ok = s.draining[target]
+	return draining, ok
+}
+
 // Active reports whether routers need to know of each other: a limit is in force, or
 // several versions of a service serve or served lately. While it is, they renew their
 // rows.
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -159,3 +159,22 @@
 	assert.Equal(t, len(s.ExpiredLimits(start.Add(testRetention), missing, testRetention)), 0, "it was in use meanwhile")
 	assert.DeepEqual(t, s.ExpiredLimits(start.Add(2*testRetention), missing, testRetention), []string{"t"})
 }
+
+// Guards against a router that does not hear, or forgets too soon, that a target is about
+// to stop, and against rows about targets that are gone for good.
+func TestDrainingTargetsFollowTheirRows(t *testing.T) {
+	s := NewState("r1")
+	changed, err := s.Apply(start, Changes{Complete: true, Rows: []Row{{DrainingKey("t"), []byte(`{"started":7}`)}, {DrainingKey("u"), []byte("x")}}})
+	assert.ErrorContains(t, err, "invalid")
+	assert.DeepEqual(t, changed, []string{"t"})
+	draining, ok := s.Draining("t")
+	assert.Assert(t, ok && draining.StartedMS == 7)
+	assert.Assert(t, !s.Active(), "nothing is to be divided")
+	missing := func(string) bool { return false }
+	assert.Equal(t, len(s.ExpiredDraining(start, missing, testRetention)), 0)
+	assert.DeepEqual(t, s.ExpiredDraining(start.Add(testRetention), missing, testRetention), []string{"t"})
+	_, err = s.Apply(start, Changes{Removed: []string{DrainingKey("t")}})
+	assert.NilError(t, err)
+	_, ok = s.Draining("t")
+	assert.Assert(t, !ok)
+}
--- a/internal/core/fleet/version.go
+++ b/internal/core/fleet/version.go
@@ -68,6 +68,12 @@
 	return expired(s.unusedLimits, maps.Keys(s.limits), now, inUse, retention)
 }
 
+// ExpiredDraining returns the targets with a row about their stop that have not been in
+// use, as this router sees it, for at least retention.
+func (s *State) ExpiredDraining(now time.Time, inUse func(target string) bool, retention time.Duration) []string {
+	return expired(s.unusedDraining, maps.Keys(s.draining), now, inUse, retention)
+}
+
 // expired returns the keys that have not been in use for at least retention. since holds
 // from when on each of them was not, and is brought up to date.
 func expired[K comparable](since map[K]time.Time, keys iter.Seq[K], now time.Time, inUse func(K) bool, retention time.Duration) (out []K) {
--- a/internal/core/targets/limit.go
+++ b/internal/core/targets/limit.go
@@ -98,20 +98,8 @@
 	return targets, share
 }
 
-// PermitWait returns the time until a target that Choose left out only for its limit
-// permits a request. ok is false if there is no such target.
-func (v *View) PermitWait(now time.Time, q Query) (wait time.Duration, ok bool) {
-	wait = math.MaxInt64
-	for _, t := range v.byService[q.Service] {
-		if t.Limited() && v.accepts(t, q) {
-			wait, ok = min(wait, t.limit.wait(now)), true
-		}
-	}
-	return wait, ok
-}
-
-// returnTimes spreads the callers that were refused because of limits over the time in
-// which there is room for them.
+// returnTimes spreads the callers that were refused, because all targets are limited or
+// turn this router away, over the time in which there is room for them.
 type returnTimes struct {
 	next    time.Time // when the next caller may return
 	refused int       // callers for whom there was no room within their horizon
@@ -120,19 +108,23 @@
 // goldenRatio spreads consecutive multiples evenly over the unit interval.
 const goldenRatio = 0.6180339887498949
 
-// ReturnAfter returns when a caller that was refused because of the limits of a service
-// should return: at the next time that no other caller was given and at which the limits
-// permit a request, or, if that lies beyond horizon, at some time within it.
+// ReturnAfter returns when a caller that was refused because Wait was too long should
+// return: at the next time that no other caller was given and at which a target takes a
+// request, or, if that lies beyond horizon, at some time within it.
 func (v *View) ReturnAfter(now time.Time, q Query, horizon time.Duration) time.Duration {
 	times := v.returns[q.Service]
 	if times == nil {
 		times = &returnTimes{}
 		v.returns[q.Service] = times
 	}
-	wait, _ := v.PermitWait(now, q)
+	wait, _ := v.Wait(now, q)
 	if wait >= horizon {
 		return times.spread(0, horizon)
 	}
+	interval := v.permitInterval(now, q)
+	if interval == 0 {
+		return times.spread(wait, horizon)
+	}
 	if earliest := now.Add(wait); times.next.Before(earliest) {
 		times.next = earliest
 	}
@@ -140,7 +132,7 @@
 	if after >= horizon {
 		return times.spread(wait, horizon)
 	}
-	times.next = times.next.Add(v.permitInterval(q))
+	times.next = times.next.Add(interval)
 	return after
 }
 
@@ -152,11 +144,11 @@
 }
 
 // permitInterval returns the mean time between two requests that the limits of a
-// service permit this router.
-func (v *View) permitInterval(q Query) time.Duration {
+// service permit this router, 0 if no limit is the reason.
+func (v *View) permitInterval(now time.Time, q Query) time.Duration {
 	var rate float64
 	for _, t := range v.byService[q.Service] {
-		if t.Limited() && v.accepts(t, q) {
+		if t.Availability(now, q) == ReasonLimited {
 			rate += t.limit.share
 		}
 	}
--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -38,6 +38,7 @@
 	InFlight int // requests of this router at the target
 
 	limit               requestLimit
+	wish                *wish // of this start of the target
 	consecutiveFailures int
 	avoidedSince        time.Time
 	avoidedUntil        time.Time // until then other targets are preferred
@@ -53,16 +54,17 @@
 	versions  map[fleet.ServiceVersion]int // number of targets
 	share     fleet.ShareFunc              // of limits; nil for no share
 	returns   map[string]*returnTimes      // of refused callers, by service
+	wishes    map[string]*wish             // by id, also of targets that are not known any more
 }
 
 // NewView returns an empty view. seed initializes the random choice between equal
 // targets.
 func NewView(seed uint64) *View {
-	return &View{byService: map[string][]*Target{}, byID: map[string]*Target{}, chooser: route.NewChooser(seed), versions: map[fleet.ServiceVersion]int{}, returns: map[string]*returnTimes{}}
+	return &View{byService: map[string][]*Target{}, byID: map[string]*Target{}, chooser: route.NewChooser(seed), versions: map[fleet.ServiceVersion]int{}, returns: map[string]*returnTimes{}, wishes: map[string]*wish{}}
 }
 
 // Put adds or replaces a registration. A target that has started again under the
-// same id has no failures. An id with another service, address or version than before
+// same id has no failures and no wishes; until then it stays draining once it was. An id with another service, address or version than before
 // counts as a new target, without requests in flight.
 func (v *View) Put(r Registration) *Target {
 	t := v.byID[r.ID]
@@ -82,6 +84,7 @@
 	}
 	// The other fields do not change: requests read them without the caller's lock.
 	t.FailureDomain, t.Draining, t.Slots, t.StartedMS = r.FailureDomain, r.Draining, r.Slots, r.StartedMS
+	t.wish = v.wishOf(r)
 	t.missingSince = time.Time{}
 	return t
 }
@@ -89,6 +92,7 @@
 // MarkMissing records that a registration is gone. SweepMissing removes its target
 // later.
 func (v *View) MarkMissing(now time.Time, id string) {
+	v.forgetWishes(now)
 	if t := v.byID[id]; t != nil && t.missingSince.IsZero() {
 		t.missingSince = now
 	}
@@ -160,30 +164,15 @@
 	return addresses
 }
 
-// States of a target in the result of CountByState. They are also the values of a
-// metric label.
-const (
-	StateUsable   = "usable"
-	StateAvoided  = "avoided"  // has failed recently
-	StateDraining = "draining" // has announced that it will stop
-	StateMissing  = "missing"  // its registration is gone
-)
-
-// CountByState returns the number of targets in each state. A target in several
-// states is counted in the first of draining, missing and avoided.
-func (v *View) CountByState(now time.Time) map[string]int {
-	counts := map[string]int{StateUsable: 0, StateAvoided: 0, StateDraining: 0, StateMissing: 0}
+// CountByState returns the number of targets for each reason for which they are not sent
+// a request, ReasonNone among them. The reasons are also the values of a metric label.
+func (v *View) CountByState(now time.Time) map[Reason]int {
+	counts := map[Reason]int{}
+	for _, reason := range []Reason{ReasonNone, ReasonDraining, ReasonTurnedAway, ReasonLimited, ReasonMissing, ReasonAvoided} {
+		counts[reason] = 0
+	}
 	for _, t := range v.byID {
-		switch {
-		case t.Draining:
-			counts[StateDraining]++
-		case !t.missingSince.IsZero():
-			counts[StateMissing]++
-		case t.avoided(now):
-			counts[StateAvoided]++
-		default:
-			counts[StateUsable]++
-		}
+		counts[t.Availability(now, Query{})]++
 	}
 	return counts
 }
@@ -194,6 +183,8 @@
 	PrefixHash uint64   // hash of the shared parts of the prompt; 0 if there are none
 	Exclude    []string // ids of targets that this request has already tried
 	Version    *string  // of the targets' software; nil for any
+	// MaxInFlight limits this router's requests in flight at a target; 0 means no limit.
+	MaxInFlight int
 }
 
 // AffinityLoadBound is the load up to which a target still gets the requests of its
@@ -207,22 +198,19 @@
 // request with the same prefix to another target.
 const AffinitySlack = 3
 
-// Choose returns a target for a request, or nil if none accepts requests. A target that
-// names a request limit accepts none beyond this router's share of it. Targets that
+// Choose returns a target for a request, or nil if none accepts requests. Targets that
 // are avoided or missing are chosen only if there is no other. The first
 // request for which a target is chosen after it was avoided is its probe: the
 // target is avoided again until the result of a request is recorded.
 func (v *View) Choose(now time.Time, q Query) *Target {
 	var preferred, fallback []*Target
 	for _, t := range v.byService[q.Service] {
-		if !v.accepts(t, q) || !t.limit.permits(now) {
-			continue
-		}
-		if t.avoided(now) || !t.missingSince.IsZero() {
+		switch reason := t.Availability(now, q); {
+		case reason == ReasonNone:
+			preferred = append(preferred, t)
+		case reason.lastResort():
 			fallback = append(fallback, t)
-			continue
 		}
-		preferred = append(preferred, t)
 	}
 	if len(preferred) == 0 {
 		preferred = fallback
@@ -249,11 +237,6 @@
 	return t
 }
 
-// accepts reports whether a target accepts the request, apart from its limit.
-func (v *View) accepts(t *Target, q Query) bool {
-	return !t.Draining && !slices.Contains(q.Exclude, t.ID) && (q.Version == nil || *q.Version == t.Version)
-}
-
 // avoided reports whether other targets are preferred because this one has failed.
 // After avoidedUntil, one request at a time is let through until one succeeds.
 func (t *Target) avoided(now time.Time) bool {
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -101,9 +101,6 @@
 	present := map[string]bool{}
 	for _, registration := range changes.Present {
 		present[registration.ID] = true
-		if changes.Restored && g.isDraining(registration) {
-			registration.Draining = true // the older copy does not know it yet
-		}
 		g.PutTarget(registration)
 		g.opt.Logger.Debug("target registered", "target", registration.ID, "service", registration.Service,
 			"address", registration.Address, "draining", registration.Draining)
@@ -128,14 +125,6 @@
 	}
 }
 
-// isDraining reports whether the same start of a target is known to be draining.
-func (g *Gateway) isDraining(registration targets.Registration) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	known, ok := g.targetView.Registration(registration.ID)
-	return ok && known.Draining && known.StartedMS == registration.StartedMS
-}
-
 // watch calls poll repeatedly until ctx ends and logs when the source fails and
 // when it is back.
 func (g *Gateway) watch(ctx context.Context, name string, poll func(ctx context.Context, after platform.Version) (platform.Version, error)) {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -133,6 +133,9 @@
 		for _, target := range g.fleet.ExpiredLimits(now, g.hasLimitedTarget, g.streamRetention()) {
 			g.publications.add(fleet.LimitKey(target), nil)
 		}
+		for _, target := range g.fleet.ExpiredDraining(now, g.hasDrainingTarget, g.streamRetention()) {
+			g.publications.add(fleet.DrainingKey(target), nil)
+		}
 		for _, v := range g.fleet.ExpiredVersions(now, g.targetView.HasVersion, g.streamRetention()) {
 			g.publications.add(v.Key(), nil)
 		}
@@ -151,6 +154,13 @@
 	return ok
 }
 
+// hasDrainingTarget reports whether the start of a target that has said that it is about
+// to stop is known here. g.mu is held.
+func (g *Gateway) hasDrainingTarget(id string) bool {
+	t := g.targetView.Target(id)
+	return t != nil && g.fleetDraining(t)
+}
+
 // publishVersions tells the other gateways of versions that they have not told. g.mu is
 // held.
 func (g *Gateway) publishVersions() {
@@ -223,6 +233,9 @@
 		if t == nil {
 			continue
 		}
+		if g.fleetDraining(t) {
+			g.setDraining(t, toldToOther)
+		}
 		limit, ok := g.fleetLimit(t)
 		if !ok {
 			limit = targets.NoRequestLimit
@@ -238,6 +251,13 @@
 	}
 }
 
+// fleetDraining reports whether this start of a target has told any gateway that it is
+// about to stop. g.mu is held.
+func (g *Gateway) fleetDraining(t *targets.Target) bool {
+	draining, ok := g.fleet.Draining(t.ID)
+	return ok && draining.StartedMS == t.StartedMS
+}
+
 // fleetLimit returns the limit that this start of a target has named to any gateway.
 // g.mu is held.
 func (g *Gateway) fleetLimit(t *targets.Target) (perSecond float64, ok bool) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -59,7 +59,7 @@
 		}
 		t := g.chooseTarget(req)
 		if t == nil {
-			if g.awaitPermit(ctx, req) {
+			if g.awaitTarget(ctx, req) {
 				continue
 			}
 			return g.finalError(req, g.noTargetError(req))
@@ -153,8 +153,8 @@
 }
 
 // targetQuery returns the query for the target of the next attempt.
-func (req *request) targetQuery() targets.Query {
-	q := targets.Query{Service: req.service.Name, Exclude: req.triedTargets}
+func (g *Gateway) targetQuery(req *request) targets.Query {
+	q := targets.Query{Service: req.service.Name, Exclude: req.triedTargets, MaxInFlight: g.maxTargetConns(req.service)}
 	if req.origin.source != "" {
 		q.Version = &req.origin.Version
 	}
@@ -167,7 +167,7 @@
 // chooseTarget chooses a target and counts the request as in flight there. It
 // returns nil if there is none.
 func (g *Gateway) chooseTarget(req *request) *targets.Target {
-	q, now := req.targetQuery(), time.Now()
+	q, now := g.targetQuery(req), time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := g.targetView.Choose(now, q)
@@ -183,7 +183,7 @@
 
 // attempt sends the request to one target and records what the outcome says about
 // the target. An attempt is inconclusive if it was abandoned or rejected, got an
-// answer with a failure, or would have exceeded the limit of connections. But a
+// answer with a failure, was not wanted any more, or would have exceeded the limit of connections. But a
 // rejection by another target that now uses the address counts as a failure.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request, t *targets.Target) (outcome, error) {
 	result, cause := g.exchange(ctx, w, r, req, t)
@@ -197,7 +197,7 @@
 	switch {
 	case result == outcomeServed:
 		t.RecordSuccess()
-	case errors.Is(cause, upstream.ErrConnLimit), result == outcomeAbandoned, errors.Is(cause, errFailedAnswer):
+	case errors.Is(cause, upstream.ErrConnLimit), errors.Is(cause, errNotWanted), result == outcomeAbandoned, errors.Is(cause, errFailedAnswer):
 		t.RecordInconclusive()
 	case result == outcomeRejected && !errors.Is(cause, errTargetReplaced):
 		t.RecordInconclusive()
@@ -236,8 +236,10 @@
 		Matches: func(resp *http.Response) bool {
 			var matches bool
 			info, matches = g.opt.Codec.ParseAnswer(resp, req.meta.RequestID)
+			g.hearWishes(t, resp.StatusCode, info)
 			return matches
 		},
+		BeforeSend: func() error { return g.checkWish(t) },
 	})
 	if err != nil {
 		return g.classifyFailure(ctx, req, err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,9 @@
 	// RequestLimit is the number of requests a second that the target accepts from all
 	// routers together, targets.NoRequestLimit if it names none.
 	RequestLimit float64
+	Draining     bool          // the target is about to stop
+	TurnedAway   time.Duration // the target wants no request from this router for so long; 0 if it does not say so
+	Invalid      int           // headers about the target whose values make no sense
 }
 
 // Codec translates headers between the gateway and the deployment platform.
@@ -165,6 +168,9 @@
 	defer g.mu.Unlock()
 	newVersion := !g.targetView.HasVersion(registration.ServiceVersion())
 	t := g.targetView.Put(registration)
+	if g.fleetDraining(t) {
+		g.setDraining(t, toldToOther)
+	}
 	if limit, ok := g.fleetLimit(t); ok {
 		g.setLimit(t, limit, toldToOther)
 	}
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -12,36 +12,41 @@
 	"tarragonridge.example/tarragonridge/internal/timing"
 )
 
-// permitWaitDivisor gives the longest time that a request waits for a permit of a
-// limited target, as a fraction of its route's latency objective.
-const permitWaitDivisor = 8
+// targetWaitDivisor gives the longest time that a request waits until a target takes it,
+// as a fraction of its route's latency objective.
+const targetWaitDivisor = 8
 
-// awaitPermit waits until a limited target permits a request. It reports false at once
-// if that would take too long.
-func (g *Gateway) awaitPermit(ctx context.Context, req *request) bool {
+// awaitTarget waits until a target that is limited or turns this gateway away takes a
+// request. It reports false at once if that would take too long.
+func (g *Gateway) awaitTarget(ctx context.Context, req *request) bool {
 	g.mu.Lock()
-	wait, ok := g.targetView.PermitWait(time.Now(), req.targetQuery())
+	wait, ok := g.targetView.Wait(time.Now(), g.targetQuery(req))
 	g.mu.Unlock()
-	if !ok || wait > req.route.LatencyObjective/permitWaitDivisor-req.permitWait {
+	if !ok || wait > req.route.LatencyObjective/targetWaitDivisor-req.targetWait {
 		return false
 	}
-	req.permitWait += wait
+	req.targetWait += wait
 	return timing.Sleep(ctx, wait)
 }
 
 // noTargetError returns the error of a request for which no target is left. If some
-// are left out for their limits, the caller is told when there will be room.
+// are left out only for a while, the caller is told when there will be room.
 func (g *Gateway) noTargetError(req *request) *errkind.Error {
-	q, now := req.targetQuery(), time.Now()
+	q, now := g.targetQuery(req), time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, limited := g.targetView.PermitWait(now, q); !limited {
-		if q.Version != nil {
-			return errkind.New(errkind.NoTarget, "no target of %s with version %s takes work", req.service.Name, *q.Version)
-		}
-		return errkind.New(errkind.NoTarget, "no target of %s takes work", req.service.Name)
+	reasons := g.targetView.Reasons(now, q)
+	var e *errkind.Error
+	switch {
+	case reasons[targets.ReasonLimited] > 0:
+		e = errkind.New(errkind.TargetsLimited, "the targets of %s are at their limits: %s", req.service.Name, reasons)
+	case reasons[targets.ReasonTurnedAway] > 0:
+		e = errkind.New(errkind.Overloaded, "the targets of %s want no requests for now: %s", req.service.Name, reasons)
+	case q.Version != nil:
+		return errkind.New(errkind.NoTarget, "no target of %s with version %s takes work: %s", req.service.Name, *q.Version, reasons)
+	default:
+		return errkind.New(errkind.NoTarget, "no target of %s takes work: %s", req.service.Name, reasons)
 	}
-	e := errkind.New(errkind.TargetsLimited, "the targets of %s are at their limits", req.service.Name)
 	e.RetryAfter = g.targetView.ReturnAfter(now, q, req.deadline.Sub(now)/retryAfterDivisor)
 	return e
 }
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -17,10 +17,10 @@
 	g.targetView.SetLimit(g.targetView.Put(targets.Registration{ID: "1", Service: "s"}), 1)
 	g.targetView.SetShares(func(string, float64) float64 { return 0 })
 	req := &request{
-		route: &httproute.Route{LatencyObjective: time.Second}, service: httproute.Service{Name: "s"}, permitWait: time.Millisecond,
+		route: &httproute.Route{LatencyObjective: time.Second}, service: httproute.Service{Name: "s"}, targetWait: time.Millisecond,
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	assert.Assert(t, !g.awaitPermit(ctx, req))
+	assert.Assert(t, !g.awaitTarget(ctx, req))
 	assert.NilError(t, ctx.Err())
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,13 +11,16 @@
 // Metrics are the gateway's Prometheus collectors. Label values come from fixed
 // lists, never from callers.
 type Metrics struct {
-	Registry      *prometheus.Registry
-	requests      *prometheus.CounterVec
-	attempts      *prometheus.CounterVec
-	limited       prometheus.Counter
-	continued     *prometheus.CounterVec
-	duration      prometheus.Histogram
-	configVersion prometheus.Gauge
+	Registry   *prometheus.Registry
+	requests   *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+	limited    prometheus.Counter
+	turnedAway prometheus.Counter
+	// invalidHeaders counts headers about a target whose values make no sense.
+	invalidHeaders prometheus.Counter
+	continued      *prometheus.CounterVec
+	duration       prometheus.Histogram
+	configVersion  prometheus.Gauge
 }
 
 // NewMetrics returns collectors that are registered with a new registry.
@@ -36,6 +39,14 @@
 			Name: "tarragonridge_http_limited_attempts_total",
 			Help: "Attempts at targets that had named a request limit to this gateway.",
 		}),
+		turnedAway: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tarragonridge_http_turned_away_total",
+			Help: "Answers in which a target asked this gateway for no requests for a while.",
+		}),
+		invalidHeaders: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tarragonridge_http_invalid_target_headers_total",
+			Help: "Headers in which targets state limits, a pause or their stop with values that make no sense.",
+		}),
 		continued: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tarragonridge_http_continued_streams_total",
 			Help: "Streams that continue at another target, by how the version that began them is known, and whether the target has it.",
@@ -48,7 +59,7 @@
 			Name: "tarragonridge_http_config_version", Help: "Version of the routes in force here.",
 		}),
 	}
-	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.continued, m.duration, m.configVersion, collectors.NewGoCollector())
+	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.continued, m.duration, m.configVersion, collectors.NewGoCollector())
 	return m
 }
 
@@ -62,7 +73,7 @@
 
 // targetsDesc describes the gauge of known targets.
 var targetsDesc = prometheus.NewDesc("tarragonridge_http_targets",
-	"Known targets by belief: usable, avoided, draining or missing.", []string{"belief"}, nil)
+	"Known targets by belief: usable, or why they are not sent requests.", []string{"belief"}, nil)
 
 // limitedTargetsDesc describes the gauge of targets that name a request limit.
 var limitedTargetsDesc = prometheus.NewDesc("tarragonridge_http_limited_targets",
@@ -87,8 +98,8 @@
 	g.mu.Unlock()
 	ch <- prometheus.MustNewConstMetric(limitShareDesc, prometheus.GaugeValue, share)
 	ch <- prometheus.MustNewConstMetric(limitedTargetsDesc, prometheus.GaugeValue, float64(limited))
-	for belief, n := range counts {
-		ch <- prometheus.MustNewConstMetric(targetsDesc, prometheus.GaugeValue, float64(n), belief)
+	for reason, n := range counts {
+		ch <- prometheus.MustNewConstMetric(targetsDesc, prometheus.GaugeValue, float64(n), string(reason))
 	}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -34,7 +34,7 @@
 	triedTargets []string      // IDs of targets that are not tried again
 	runs         int           // attempts that may have run
 	rejections   int           // attempts that targets stated not to have run
-	permitWait   time.Duration // spent waiting for limited targets
+	targetWait   time.Duration // spent waiting until a target takes the request
 	ran          errkind.Ran   // whether any attempt has run, as far as is known
 
 	headSent   bool // the head of the answer was sent to the caller
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -70,6 +70,9 @@
 	ResponseHeaderDeadline time.Time
 	// Matches reports whether a response belongs to this request.
 	Matches func(*http.Response) bool
+	// BeforeSend is called when there is a connection and before anything is sent on it.
+	// If it fails, nothing is sent. nil allows every request.
+	BeforeSend func() error
 	// MaxConns limits the connections to the address, idle and in use; 0 means
 	// no limit.
 	MaxConns int
@@ -85,6 +88,12 @@
 	if err != nil {
 		return nil, &Failure{TimedOut: IsTimeout(err), Cause: err}
 	}
+	if req.BeforeSend != nil {
+		if err := req.BeforeSend(); err != nil {
+			p.release(c, true)
+			return nil, &Failure{Cause: err}
+		}
+	}
 	return p.roundTrip(ctx, c, req)
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -95,6 +95,20 @@
 	}
 }
 
+// Guards against a request to a target that has asked for none since it was chosen, and
+// against the loss of the connection on which it would have been sent.
+func TestNothingIsSentIfBeforeSendFails(t *testing.T) {
+	address := startTarget(t, respondToEach(okResponse))
+	p := NewPool(Options{})
+	req := request(address, "a", "x")
+	req.BeforeSend = func() error { return io.EOF }
+	_, err := do(t, p, req)
+	assert.Assert(t, errors.Is(err, io.EOF) && !asFailure(t, err).Sent, "%v", err)
+	body, err := do(t, p, request(address, "b", "x"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+}
+
 // Guards against a response delivered to the wrong caller: the target sends two
 // responses to one request.
 func TestResponseToEarlierRequestIsSkipped(t *testing.T) {
