Bound everything that a target or another process may send

Responses to other requests were read whole, a plain answer went on until the deadline, an unfinished event was searched from its start with each read, and any byte of a stream counted as progress, so a flood of comments or of events that the caller had kept a dead stream alive and was charged. The answer of a refusal was drained without a time limit. The clients of the store, of the platform and of the sidecar's target accepted 10 MB of headers; a body without a configured limit had none.

Change: bounds of the head (32 KiB, 200 names), of skipped answers (64 KiB), of bytes without an event (64 KiB), of plain answers (16 MiB), of headers of other processes (64 KiB), of bodies without a configured limit (16 MiB). Beyond one the connection is closed, the target counts as failed, the request goes on elsewhere if it may, and the log names the bound. Only an event that the caller lacks is progress; comments are forwarded and not charged.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -22,6 +22,7 @@
 	"tarragonridge.example/tarragonridge/internal/logqueue"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
+	"tarragonridge.example/tarragonridge/internal/readlimit"
 	"tarragonridge.example/tarragonridge/internal/settings"
 	adapter "tarragonridge.example/tarragonridge/platform"
 )
@@ -186,7 +187,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: auxiliaryHeaderTimeout}
+	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: auxiliaryHeaderTimeout, MaxHeaderBytes: readlimit.HeaderBytes}
 	go func() {
 		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			log.Error("auxiliary listener failed", "address", l.address, "err", err)
--- a/internal/core/sse/sse.go
+++ b/internal/core/sse/sse.go
@@ -16,6 +16,7 @@
 type Splitter struct {
 	maxEventBytes int
 	pending       []byte // start of an incomplete event
+	searched      int    // length of the part of pending that has no end of an event
 }
 
 // NewSplitter returns a splitter for events of at most maxEventBytes.
@@ -26,23 +27,29 @@
 func (s *Splitter) Add(p []byte) ([]byte, error) {
 	if len(s.pending) == 0 {
 		if end := completeLen(p); end > 0 {
-			s.pending = append(s.pending, p[end:]...)
+			s.keep(append(s.pending, p[end:]...))
 			return p[:end], nil
 		}
 	}
 	s.pending = append(s.pending, p...)
-	end := completeLen(s.pending)
-	if end == 0 {
+	if !bytes.Contains(s.pending[s.searched:], separator) {
 		if len(s.pending) > s.maxEventBytes {
 			return nil, errkind.New(errkind.TargetFailed, "event exceeds %d bytes", s.maxEventBytes)
 		}
+		s.keep(s.pending)
 		return nil, nil
 	}
+	end := completeLen(s.pending)
 	complete := bytes.Clone(s.pending[:end])
-	s.pending = append(s.pending[:0], s.pending[end:]...)
+	s.keep(append(s.pending[:0], s.pending[end:]...))
 	return complete, nil
 }
 
+// keep sets the start of an incomplete event. Its last byte may begin a separator.
+func (s *Splitter) keep(pending []byte) {
+	s.pending, s.searched = pending, max(len(pending)-1, 0)
+}
+
 // completeLen returns the length of the complete events at the start of p. Like
 // Events it searches from the start. A search for the last separator could cut at
 // another place: in a run of newlines, the last separator may overlap the one that
@@ -75,6 +82,16 @@
 	}
 }
 
+// HasData reports whether an event has data. A comment has none.
+func HasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, []byte("data")) {
+			return true
+		}
+	}
+	return false
+}
+
 // ID returns the id of an event and reports whether it has one that is an integer.
 func ID(event []byte) (int64, bool) {
 	for line := range bytes.Lines(event) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -54,6 +54,9 @@
 // bodyTimeout bounds the time in which a caller must send the body.
 const bodyTimeout = 10 * time.Second
 
+// defaultMaxBodyBytes bounds the body of a request if the configuration does not.
+const defaultMaxBodyBytes = 16 << 20
+
 // defaultDeadline is the time that a request has if it states none and no route
 // matches it.
 const defaultDeadline = 2 * time.Second
@@ -139,12 +142,15 @@
 }
 
 // readBody reads the body of a request. limit is its largest size in bytes; 0 means
-// no limit.
+// defaultMaxBodyBytes.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	if limit > 0 && r.ContentLength > limit {
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	if r.ContentLength > limit {
 		w.Header().Set("Connection", "close")
 		return nil, errkind.New(errkind.BodyTooLarge, "%d bytes", r.ContentLength)
 	}
@@ -152,10 +158,7 @@
 	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, errkind.Wrap(err, errkind.Internal, "read deadline")
 	}
-	src := r.Body
-	if limit > 0 {
-		src = http.MaxBytesReader(w, r.Body, limit)
-	}
+	src := http.MaxBytesReader(w, r.Body, limit)
 	var body []byte
 	var err error
 	if r.ContentLength > 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -19,8 +19,11 @@
 	maxBufferedBytes = 256 << 10
 	// streamReadBytes is the size of a read from a stream. Events have about ten bytes.
 	streamReadBytes = 2 << 10
-	// maxEventBytes bounds the size of an event.
-	maxEventBytes = 1 << 20
+	// maxPlainBytes bounds a plain answer.
+	maxPlainBytes = 16 << 20
+	// maxEventBytes bounds what a target may send between two events that the caller does
+	// not have: an event, comments, and events that the caller has.
+	maxEventBytes = 64 << 10
 	// minStallTimeout is the least silence within a stream after which it is continued
 	// at another target.
 	minStallTimeout = 1500 * time.Millisecond
@@ -30,12 +33,16 @@
 	stallGapFactor = 4
 	// writeMargin is how long after the deadline a write to the caller may last.
 	writeMargin = 500 * time.Millisecond
-	// maxDrainBytes bounds the bytes that are read from an answer that is discarded.
+	// maxDrainBytes and maxDrainTime bound what is read of an answer that is discarded.
 	maxDrainBytes = 64 << 10
+	maxDrainTime  = 20 * time.Millisecond
 )
 
 // drainBody reads a short body to its end, so that the connection can be reused.
 func drainBody(answer *upstream.Response) {
+	if answer.SetReadDeadline(time.Now().Add(maxDrainTime)) != nil {
+		return
+	}
 	// The error does not matter: the connection is reused only if the end was reached.
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxDrainBytes))
 }
@@ -64,10 +71,15 @@
 	if _, err := w.Write(body); err != nil {
 		return outcomeAbandoned, err
 	}
-	if len(body) > maxBufferedBytes {
-		if _, err := io.Copy(w, answer.Body); err != nil {
-			return g.classifyBrokenAnswer(ctx, req, err)
-		}
+	if len(body) <= maxBufferedBytes {
+		return outcomeServed, nil
+	}
+	const maxRest = maxPlainBytes - maxBufferedBytes - 1
+	switch n, err := io.Copy(w, io.LimitReader(answer.Body, maxRest+1)); {
+	case err != nil:
+		return g.classifyBrokenAnswer(ctx, req, err)
+	case n > maxRest:
+		return outcomeBroken, &upstream.TooLongError{What: "plain answer", Limit: maxPlainBytes}
 	}
 	return outcomeServed, nil
 }
@@ -105,8 +117,10 @@
 	control := http.NewResponseController(w)
 	splitter := sse.NewSplitter(maxEventBytes)
 	buf := make([]byte, streamReadBytes)
+	// Bytes that bring the caller no event are no sign of progress.
+	silentBytes, stallDeadline := 0, g.stallDeadline(req)
 	for {
-		if err := answer.SetReadDeadline(g.stallDeadline(req)); err != nil {
+		if err := answer.SetReadDeadline(stallDeadline); err != nil {
 			return g.classifyBrokenAnswer(ctx, req, err)
 		}
 		n, readErr := answer.Body.Read(buf)
@@ -115,9 +129,16 @@
 			if err != nil {
 				return g.classifyBrokenAnswer(ctx, req, err)
 			}
+			sentBefore := req.eventsSent
 			if err := g.sendEvents(w, control, req, answer, t, complete); err != nil {
 				return outcomeAbandoned, err
 			}
+			if silentBytes += n; req.eventsSent > sentBefore {
+				silentBytes, stallDeadline = 0, g.stallDeadline(req)
+			}
+			if silentBytes > maxEventBytes {
+				return g.classifyBrokenAnswer(ctx, req, &upstream.TooLongError{What: "bytes without an event", Limit: maxEventBytes})
+			}
 		}
 		switch {
 		case readErr == nil:
@@ -150,7 +171,7 @@
 }
 
 // sendEvents forwards those of the complete events that the caller does not have
-// yet.
+// yet, and comments, which do not count as events.
 func (g *Gateway) sendEvents(w http.ResponseWriter, control *http.ResponseController, req *request, answer *upstream.Response, t *targets.Target, complete []byte) error {
 	var out []byte
 	newEvents := int64(0)
@@ -160,9 +181,11 @@
 				continue
 			}
 			req.lastEvent = id
+			newEvents++
+		} else if sse.HasData(event) {
+			newEvents++
 		}
 		out = append(out, event...)
-		newEvents++
 	}
 	if len(out) == 0 {
 		return nil
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -82,10 +82,11 @@
 func newHTTPClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{}).DialContext,
-			MaxIdleConns:        maxIdleConnections,
-			MaxIdleConnsPerHost: maxIdleConnections,
-			IdleConnTimeout:     idleConnTimeout,
+			MaxResponseHeaderBytes: readlimit.HeaderBytes,
+			DialContext:            (&net.Dialer{}).DialContext,
+			MaxIdleConns:           maxIdleConnections,
+			MaxIdleConnsPerHost:    maxIdleConnections,
+			IdleConnTimeout:        idleConnTimeout,
 		},
 		// A redirect would send a write a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -15,3 +15,7 @@
 	}
 	return data, err
 }
+
+// HeaderBytes bounds the headers of a response or request of another process of the
+// system, of the platform, or of a target.
+const HeaderBytes = 64 << 10
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,6 +35,7 @@
 // conn is a connection to a target. One request uses it at a time.
 type conn struct {
 	net.Conn
+	bound     *boundedReader // of the bytes that reader reads from Conn
 	reader    *bufio.Reader
 	address   string
 	idleSince time.Time
@@ -175,7 +176,7 @@
 		}()
 	}
 	for range maxUnmatchedResponses {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
+		resp, err := c.readHead(req.Method)
 		if err != nil {
 			return fail(true, err)
 		}
@@ -186,8 +187,11 @@
 			if !framed(resp) {
 				return fail(true, errUnmatchedResponses)
 			}
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			switch n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, MaxSkippedBytes+1)); {
+			case err != nil:
 				return fail(true, err)
+			case n > MaxSkippedBytes:
+				return fail(true, &TooLongError{"answer to another request", MaxSkippedBytes})
 			}
 			continue
 		}
@@ -205,6 +209,17 @@
 	return fail(true, errUnmatchedResponses)
 }
 
+// readHead reads the status line and the headers of a response.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.boundHead()
+	defer c.liftBound()
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err == nil && len(resp.Header) > MaxHeaderFields {
+		err = &TooLongError{"number of headers", MaxHeaderFields}
+	}
+	return resp, err
+}
+
 // framed reports whether a response has a Content-Length or is chunked, so that
 // its end is distinct from the end of the connection.
 func framed(r *http.Response) bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -143,7 +143,9 @@
 		p.mu.Unlock()
 		return nil, fmt.Errorf("dial: %w", err)
 	}
-	return &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes), address: req.Address}, nil
+	c := &conn{Conn: netConn, bound: &boundedReader{Reader: netConn}, address: req.Address}
+	c.reader = bufio.NewReaderSize(c.bound, readBufferBytes)
+	return c, nil
 }
 
 // Probe reports whether the address accepts a connection. The connection is
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -296,3 +297,37 @@
 	p.mu.Unlock()
 	assert.Equal(t, n, 0)
 }
+
+// Guards against bytes of a target that crash the client, that it reads beyond its bounds,
+// or that it takes for an answer with more headers than it allows.
+func FuzzResponse(f *testing.F) {
+	f.Add([]byte(strings.ReplaceAll(okResponse, "%s", "a")))
+	f.Add([]byte("HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\nbytes\r\n0\r\nX: x\r\n\r\n"))
+	f.Add(bytes.Repeat([]byte("X: x\r\n"), 10_000))
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		ours, theirs := net.Pipe()
+		defer theirs.Close()
+		go func() {
+			_, _ = io.CopyN(io.Discard, theirs, int64(len(request("", "a", "x").Head)+1))
+			_, _ = theirs.Write(answer)
+			_ = theirs.Close()
+		}()
+		p := NewPool(Options{})
+		c := &conn{Conn: ours, bound: &boundedReader{Reader: ours}, address: "a"}
+		c.reader = bufio.NewReaderSize(c.bound, readBufferBytes)
+		resp, err := p.roundTrip(context.Background(), c, request("a", "a", "x"))
+		if err != nil {
+			if !asFailure(t, err).Sent {
+				t.Fatal("the request was sent")
+			}
+			return
+		}
+		defer resp.Close()
+		if resp.Header.Get("Id") != "a" || len(resp.Header) > MaxHeaderFields {
+			t.Fatalf("answer with headers %v", resp.Header)
+		}
+		if n, _ := io.Copy(io.Discard, resp.Body); n > int64(len(answer)) {
+			t.Fatalf("%d bytes of body in %d", n, len(answer))
+		}
+	})
+}
