Place prompts by what all gateways together have put before an engine

Cause: each gateway counted its own requests, which with 103 gateways is less than one at an engine.

Change: the relay beside each engine counts the uncached prompt tokens of all gateways that wait there (internal/core/placement); a gateway asks the relays of three engines, first by affinity, in one round trip of datagrams and chooses the one with the least delay, where a token that has to be read again counts twice. Messages per request do not depend on the number of gateways. A relay that does not answer within 1/32 of the objective is not asked for a while; without answers the choice is the one before. placement.disabled turns it off.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -20,6 +20,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/retry"
 	"tarragonridge.example/tarragonridge/internal/gateway"
 	"tarragonridge.example/tarragonridge/internal/logqueue"
+	"tarragonridge.example/tarragonridge/internal/placement"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
 	"tarragonridge.example/tarragonridge/internal/readlimit"
@@ -128,9 +129,18 @@
 		Metrics: prepaid.NewMetrics(metrics.Registry),
 	})
 	budgets.Export(metrics.Registry)
+	var placements *placement.Client
+	if cfg.Store.RelayPort > 0 && !cfg.Placement.Disabled {
+		var err error
+		if placements, err = placement.NewClient(int(cfg.Store.RelayPort), log, metrics.Registry); err != nil {
+			return err
+		}
+		defer placements.Close()
+		go placements.Run()
+	}
 	g := gateway.New(gateway.Options{
 		Codec: adapter.Headers{}, Budgets: budgets, Paths: storePaths, Table: table, Logger: log, Metrics: metrics, GracePeriod: cfg.GracePeriod(),
-		FleetTable: instrumented, Host: cfg.Host, Incarnation: incarnation,
+		FleetTable: instrumented, Placement: placements, Host: cfg.Host, Incarnation: incarnation,
 		Retries: retry.Limits{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window()},
 	})
 	callers, err := net.Listen("tcp", cfg.Listen.Callers)
--- a/internal/cli/relay.go
+++ b/internal/cli/relay.go
@@ -5,6 +5,10 @@
 	"os/signal"
 	"syscall"
 
+	"golang.org/x/sync/errgroup"
+
+	coreplacement "tarragonridge.example/tarragonridge/internal/core/placement"
+	"tarragonridge.example/tarragonridge/internal/placement"
 	"tarragonridge.example/tarragonridge/internal/relay"
 	"tarragonridge.example/tarragonridge/internal/settings"
 )
@@ -33,9 +37,21 @@
 	if err != nil {
 		return err
 	}
+	udpAddress, err := net.ResolveUDPAddr("udp", ln.Addr().String())
+	if err != nil {
+		return err
+	}
+	messages, err := net.ListenUDP("udp", udpAddress)
+	if err != nil {
+		return err
+	}
 	log.Info("started", "host", cfg.Host, "listen", ln.Addr(), "store", cfg.Store.Address)
 	server := &relay.Server{StoreAddress: cfg.Store.Address, Logger: log}
-	err = server.Serve(ctx, ln)
+	queue := &placement.Server{Queue: coreplacement.NewQueue(), Logger: log}
+	servers, serversCtx := errgroup.WithContext(ctx)
+	servers.Go(func() error { return server.Serve(serversCtx, ln) })
+	servers.Go(func() error { return queue.Serve(serversCtx, messages) })
+	err = servers.Wait()
 	log.Info("stopped")
 	return err
 }
--- a/internal/core/httproute/document.go
+++ b/internal/core/httproute/document.go
@@ -72,6 +72,7 @@
 	Name           string
 	MaxConnections int   // to one target, from all clients together
 	Slots          int   // requests that an engine runs at once; 0 if the targets are not engines
+	MemoryTokens   int64 // that an engine can hold
 	TokensPerEvent int64 // tokens in each event of an engine's stream
 }
 
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -2,8 +2,10 @@
 package route
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -156,6 +158,18 @@
 	return best
 }
 
+// Ranked returns the indexes of the n targets that come first for a prefix, the first one
+// first. All routers rank the same targets in the same order.
+func Ranked(prefix uint64, targets []string, n int) []int {
+	scores := make([]uint64, len(targets))
+	indexes := make([]int, len(targets))
+	for i, target := range targets {
+		scores[i], indexes[i] = rendezvousScore(prefix, target), i
+	}
+	slices.SortFunc(indexes, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	return indexes[:min(n, len(indexes))]
+}
+
 func rendezvousScore(prefix uint64, target string) uint64 {
 	var buf [8]byte
 	binary.LittleEndian.PutUint64(buf[:], prefix)
--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -231,10 +231,42 @@
 		return nil
 	}
 	t := preferred[index]
+	t.beginProbe(now)
+	return t
+}
+
+// Ranked returns the first n targets by affinity to the prefix of a request, among those
+// that may be sent the request and have not failed recently.
+func (v *View) Ranked(now time.Time, q Query, n int) []*Target {
+	var usable []*Target
+	var ids []string
+	for _, t := range v.byService[q.Service] {
+		if t.Availability(now, q) == ReasonNone {
+			usable, ids = append(usable, t), append(ids, t.ID)
+		}
+	}
+	var ranked []*Target
+	for _, i := range route.Ranked(q.PrefixHash, ids, n) {
+		ranked = append(ranked, usable[i])
+	}
+	return ranked
+}
+
+// Take reports whether a target that Ranked returned earlier may still be sent the
+// request. If so, the request is its probe if it was avoided before.
+func (v *View) Take(now time.Time, t *Target, q Query) bool {
+	if v.byID[t.ID] != t || t.Availability(now, q) != ReasonNone {
+		return false
+	}
+	t.beginProbe(now)
+	return true
+}
+
+// beginProbe makes the next request the probe of a target that was avoided.
+func (t *Target) beginProbe(now time.Time) {
 	if t.consecutiveFailures > 0 && !t.avoided(now) {
 		t.probing = true
 	}
-	return t
 }
 
 // avoided reports whether other targets are preferred because this one has failed.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -6,11 +6,8 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/retry"
@@ -57,7 +54,7 @@
 		if err := ctx.Err(); err != nil {
 			return g.endedError(r, req, err)
 		}
-		t := g.chooseTarget(req)
+		t := g.chooseTarget(ctx, req)
 		if t == nil {
 			if g.awaitTarget(ctx, req) {
 				continue
@@ -158,19 +155,24 @@
 	if req.origin.source != "" {
 		q.Version = &req.origin.Version
 	}
-	if req.route.Affinity && len(req.meta.SharedPromptParts) > 0 {
-		q.PrefixHash = xxhash.Sum64String(strings.Join(req.meta.SharedPromptParts, ","))
+	if parts := req.prompt().Parts; req.route.Affinity && len(parts) > 0 {
+		q.PrefixHash = parts[len(parts)-1].Hash
 	}
 	return q
 }
 
 // chooseTarget chooses a target and counts the request as in flight there. It
 // returns nil if there is none.
-func (g *Gateway) chooseTarget(req *request) *targets.Target {
-	q, now := g.targetQuery(req), time.Now()
+func (g *Gateway) chooseTarget(ctx context.Context, req *request) *targets.Target {
+	q := g.targetQuery(req)
+	placed := g.placePrompt(ctx, req, q)
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t := g.targetView.Choose(now, q)
+	t := placed
+	if t == nil || !g.targetView.Take(now, t, q) {
+		t = g.targetView.Choose(now, q)
+	}
 	if t != nil {
 		t.BeginRequest()
 		t.TakePermit(now)
@@ -186,7 +188,9 @@
 // answer with a failure, was not wanted any more, or would have exceeded the limit of connections. But a
 // rejection by another target that now uses the address counts as a failure.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request, t *targets.Target) (outcome, error) {
+	req.placed = g.beginPlacement(req, t)
 	result, cause := g.exchange(ctx, w, r, req, t)
+	req.placed.End()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.EndRequest()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/retry"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
+	"tarragonridge.example/tarragonridge/internal/placement"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
 	"tarragonridge.example/tarragonridge/internal/upstream"
@@ -29,10 +30,16 @@
 	TeamKey           string        // authenticates the team
 	Deadline          time.Duration // how long the caller waits; 0 if not stated
 	PromptTokens      int64
-	OutputTokens      int64    // the most that the answer may have
-	SharedPromptParts []string // prompt parts that others may share; excludes the request's own part
-	LastEventID       int64    // -1 if the request does not resume a stream
-	BegunBy           string   // ID of the request that brought the first event of a resumed stream, if the caller names it
+	OutputTokens      int64        // the most that the answer may have
+	SharedPromptParts []PromptPart // prompt parts that others may share; excludes the request's own part
+	LastEventID       int64        // -1 if the request does not resume a stream
+	BegunBy           string       // ID of the request that brought the first event of a resumed stream, if the caller names it
+}
+
+// PromptPart is a part of a prompt.
+type PromptPart struct {
+	ID     string
+	Tokens int64
 }
 
 // AttemptInfo is the information about an attempt that the target receives.
@@ -73,11 +80,12 @@
 type Options struct {
 	Codec       Codec
 	Budgets     *prepaid.Manager
-	Paths       *StorePaths    // nil if the path to the store is fixed
-	Table       platform.Table // for crash reports
-	FleetTable  platform.Table // for the rows of internal/core/fleet
-	Host        string         // this gateway's, unique in the fleet
-	Incarnation string         // of this process
+	Paths       *StorePaths       // nil if the path to the store is fixed
+	Table       platform.Table    // for crash reports
+	FleetTable  platform.Table    // for the rows of internal/core/fleet
+	Host        string            // this gateway's, unique in the fleet
+	Incarnation string            // of this process
+	Placement   *placement.Client // nil if no relays tell the load of engines
 	Retries     retry.Limits
 	Logger      *slog.Logger
 	Metrics     *Metrics
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -16,6 +16,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/explain"
+	"tarragonridge.example/tarragonridge/internal/placement"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
 )
 
@@ -40,9 +41,10 @@
 	headSent   bool // the head of the answer was sent to the caller
 	framed     bool // the head of the streamed answer says where the answer ends
 	origin     streamOrigin
-	sentFrom   *targets.Target // whose events were sent last
-	lastEvent  int64           // ID of the last event that the caller has; -1 if none
-	eventsSent int64           // events that were sent to the caller
+	sentFrom   *targets.Target    // whose events were sent last
+	placed     *placement.Request // the attempt in progress, at the relay of its engine
+	lastEvent  int64              // ID of the last event that the caller has; -1 if none
+	eventsSent int64              // events that were sent to the caller
 	firstAt    time.Time
 	latestAt   time.Time     // of the events that were sent to the caller
 	longestGap time.Duration // between two of them
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -197,6 +197,9 @@
 	// Events are counted before the write, because all that may have reached the
 	// caller is charged.
 	req.eventsSent += newEvents
+	if newEvents > 0 {
+		req.placed.FirstEvent()
+	}
 	req.recordSent(time.Now())
 	if _, err := w.Write(out); err != nil {
 		return err
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -14,6 +14,7 @@
 	Listen        GatewayListen      `json:"listen" check:"required"`
 	Store         Store              `json:"store" check:"required"`
 	Budgets       GatewayBudgets     `json:"budgets"`
+	Placement     GatewayPlacement   `json:"placement"`
 	Retries       GatewayRetryLimits `json:"retries"`
 	Limits        GatewayLimits      `json:"limits"`
 	GraceS        float64            `json:"grace_s"`   // time from SIGTERM to the end of the process; default 8
@@ -46,6 +47,13 @@
 // OldestCopy returns the greatest age of a copy from which the store is restored.
 func (b GatewayBudgets) OldestCopy() time.Duration { return secondsToDuration(b.OldestCopyS) }
 
+// GatewayPlacement says how engines are chosen for prompts.
+type GatewayPlacement struct {
+	// Disabled makes the gateway choose engines without asking relays for their loads, as
+	// it does where store.relay_port is 0.
+	Disabled bool `json:"disabled"`
+}
+
 // Relay holds the settings of a relay to the platform's store.
 type Relay struct {
 	Role          string      `json:"role" check:"required"`
