Do not call the store once for each heartbeat of each target

Cause: the watch of registrations returns with each heartbeat.

Change: after a read in which nothing but heartbeats changed, a gateway waits 200 ms before the next. A change is read at once when no heartbeat came just before, and 200 ms late at most otherwise; drain-ms is 2 s or more. Known registrations are not applied again.

--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -119,12 +119,10 @@
 	v.byService[t.Service] = slices.DeleteFunc(v.byService[t.Service], func(o *Target) bool { return o == t })
 }
 
-// Registration returns the registration of a target.
-func (v *View) Registration(id string) (r Registration, ok bool) {
-	if t := v.byID[id]; t != nil {
-		return t.Registration, true
-	}
-	return Registration{}, false
+// Has reports whether a target is known exactly as registered, and not missing.
+func (v *View) Has(r Registration) bool {
+	t := v.byID[r.ID]
+	return t != nil && t.Registration == r && t.missingSince.IsZero()
 }
 
 // Target returns the target with an id, nil if there is none.
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -49,6 +49,10 @@
 	// connection that stays silent for longPollMargin more is given up.
 	longPollWait   = time.Second
 	longPollMargin = 600 * time.Millisecond
+	// heartbeatPause is the pause after a read of registrations that differ from the known
+	// ones in nothing but their heartbeats. With many targets a heartbeat comes every few
+	// milliseconds, and each gateway would read each by a call of its own.
+	heartbeatPause = 200 * time.Millisecond
 	// feedRetryDelay is the pause after a failed call.
 	feedRetryDelay = 150 * time.Millisecond
 	// reregisterGrace is how long a registration may be missing after an outage of
@@ -85,22 +89,31 @@
 			// write them again.
 			lastFailure = now
 		}
-		g.applyTargets(changes)
+		news := g.applyTargets(changes)
 		if now.Sub(lastFailure) < outageAftermath {
 			g.RemoveMissingTargets(now.Add(-reregisterGrace))
 		} else {
 			g.RemoveMissingTargets(now)
 		}
+		if !news && len(changes.Present) > 0 {
+			timing.Sleep(ctx, heartbeatPause)
+		}
 		return next, nil
 	})
 }
 
 // applyTargets applies changes of registrations and derives the addresses of
-// the relays, which run on the hosts of engines, from those of the targets.
-func (g *Gateway) applyTargets(changes TargetChanges) {
+// the relays, which run on the hosts of engines, from those of the targets. news reports
+// whether there was more than heartbeats.
+func (g *Gateway) applyTargets(changes TargetChanges) (news bool) {
+	news = len(changes.Missing) > 0 || changes.Complete
 	present := map[string]bool{}
 	for _, registration := range changes.Present {
 		present[registration.ID] = true
+		if g.hasTarget(registration) {
+			continue
+		}
+		news = true
 		g.PutTarget(registration)
 		g.opt.Logger.Debug("target registered", "target", registration.ID, "service", registration.Service,
 			"address", registration.Address, "draining", registration.Draining)
@@ -123,6 +136,14 @@
 	if g.opt.Paths != nil && len(changes.Present) > 0 {
 		g.opt.Paths.setTargets(g.engineAddresses())
 	}
+	return news
+}
+
+// hasTarget reports whether a target is known exactly as registered.
+func (g *Gateway) hasTarget(registration targets.Registration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.targetView.Has(registration)
 }
 
 // watch calls poll repeatedly until ctx ends and logs when the source fails and
