--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -124,7 +124,7 @@
 	table := platform.NewContentGuard(instrumented, store.Era)
 	incarnation := ulid.Make().String()
 	budgets := prepaid.New(prepaid.Options{
-		Table: table, Host: cfg.Host, Incarnation: incarnation, Logger: log, Clock: time.Now,
+		Table: table, Host: cfg.Host, Incarnation: incarnation, Stripes: cfg.Store.Stripes(), Logger: log, Clock: time.Now,
 		TableClock: store, Eras: store, OldestCopy: cfg.Budgets.OldestCopy(), Started: started, Sleep: time.Sleep,
 		Metrics: prepaid.NewMetrics(metrics.Registry),
 	})
--- a/internal/core/budget/share.go
+++ b/internal/core/budget/share.go
@@ -20,6 +20,9 @@
 	// minTargetDivisor, so that the first requests of all routers do not contend
 	// for the row of the total.
 	minTargetDivisor = 64
+	// All routers without demand together hold up to the free tokens divided by
+	// idleHoldersDivisor.
+	idleHoldersDivisor = 8
 	// rateWeight is the weight of the latest second in the moving average of the
 	// demand, which gives it a time constant of about 6 s.
 	rateWeight = 0.16
@@ -54,12 +57,12 @@
 	a.requestSize += sizeWeight * (float64(tokens) - a.requestSize)
 }
 
-// Demand returns the averages. Before the first full second with demand, the rate
-// is the tokens requested so far.
+// Demand returns the averages. The rate grows from 0: after one request of a team that
+// sends a router few, a rate of one request a second would be many times too high.
 func (a *DemandAverage) Demand(now time.Time) Demand {
 	a.advance(now)
 	if a.tokensPerSecond == 0 {
-		return Demand{a.currentSecondTokens, int64(a.requestSize)}
+		return Demand{rateWeight * a.currentSecondTokens, int64(a.requestSize)}
 	}
 	return Demand{a.tokensPerSecond, int64(a.requestSize)}
 }
@@ -74,23 +77,47 @@
 		if now.Sub(a.secondStartedAt) < time.Second {
 			return
 		}
-		if a.tokensPerSecond == 0 {
-			a.tokensPerSecond = a.currentSecondTokens
-		} else {
-			a.tokensPerSecond += rateWeight * (a.currentSecondTokens - a.tokensPerSecond)
-		}
+		a.tokensPerSecond += rateWeight * (a.currentSecondTokens - a.tokensPerSecond)
 		a.currentSecondTokens = 0
 		a.secondStartedAt = a.secondStartedAt.Add(time.Second)
 	}
 	*a = DemandAverage{secondStartedAt: now} // idle for a minute
 }
 
+// maxHeldFraction is the part of the unspent tokens above which all shares shrink.
+const maxHeldFraction = 0.75
+
+// Pool is the state of a budget as far as it bounds the shares.
+type Pool struct {
+	Left    int64 // tokens that holders can still draw
+	Held    int64 // tokens that all holders together may spend, and those not reported as spent
+	Holders int
+}
+
+// shareScale returns the factor of the shares at which holders together hold at most
+// maxHeldFraction of the unspent tokens. Demand moves between routers; what the others hold, a router
+// that has nothing left cannot get.
+func (p Pool) shareScale() float64 {
+	unspent := p.Left + p.Held
+	if p.Held <= 0 || float64(p.Held) <= maxHeldFraction*float64(unspent) {
+		return 1
+	}
+	return maxHeldFraction * float64(unspent) / float64(p.Held)
+}
+
 // TargetSize returns the tokens that the share should have available, given the
-// router's average demand, how long it should cover that, the tokens left in the
-// budget and the number of holders.
-func (s *LocalShare) TargetSize(d Demand, horizon time.Duration, left int64, holders int) int64 {
+// router's average demand, how long it should cover that, and the state of the budget.
+func (s *LocalShare) TargetSize(d Demand, horizon time.Duration, p Pool) int64 {
+	left, holders := p.Left, p.Holders
 	free := left + max(s.Available(), 0)
-	minimum := min(free/minTargetDivisor, free/int64(max(holders, 1))/2)
+	if scale := p.shareScale(); scale < 1 {
+		wanted := int64(scale * d.TokensPerSecond * horizon.Seconds())
+		if wanted < d.RequestSize {
+			return 0 // less than a request is of no use here, and another router may need it
+		}
+		return min(wanted, free/maxShareDivisor)
+	}
+	minimum := min(free/minTargetDivisor, free/int64(max(holders, 1))/idleHoldersDivisor)
 	wanted := max(int64(d.TokensPerSecond*horizon.Seconds()), minDemandRequests*d.RequestSize)
 	return min(max(wanted, minimum), free/maxShareDivisor)
 }
@@ -99,8 +126,8 @@
 // negative. need is the number of tokens that the waiting requests lack; if left
 // does not cover it, the result is 0. Without waiting requests, small
 // differences from TargetSize are ignored, so that a steady demand draws rarely.
-func (s *LocalShare) GrantChange(d Demand, horizon time.Duration, need, left int64, holders int) int64 {
-	target := s.TargetSize(d, horizon, left, holders)
+func (s *LocalShare) GrantChange(d Demand, horizon time.Duration, need int64, p Pool) int64 {
+	target, left := s.TargetSize(d, horizon, p), p.Left
 	available := s.Available()
 	switch {
 	case need > 0 && need > left:
--- a/internal/core/budget/share_test.go
+++ b/internal/core/budget/share_test.go
@@ -43,7 +43,7 @@
 			case "exchange":
 				demand := Demand{float64(rapid.IntRange(0, 50_000).Draw(t, "rate")), rapid.Int64Range(0, 20_000).Draw(t, "size")}
 				pledge := share.NewPledge(demand, math.MaxInt64, 0, knownMS)
-				g := share.BeginPledged(share.GrantChange(demand, ShareHorizon, 0, total.Left(), 1), share.Consumed()-share.Stored().Settled, pledge)
+				g := share.BeginPledged(share.GrantChange(demand, ShareHorizon, 0, Pool{Left: total.Left(), Holders: 1}), share.Consumed()-share.Stored().Settled, pledge)
 				store(g)
 				share.Confirm()
 			case "lost":
@@ -79,7 +79,7 @@
 	total := Total{}.RaisePrepaid(3_000_000)
 	share := &LocalShare{}
 	pledge := share.NewPledge(demand, math.MaxInt64, 0, 0)
-	g := share.BeginPledged(share.GrantChange(demand, ShareHorizon, 0, total.Left(), 1), 0, pledge)
+	g := share.BeginPledged(share.GrantChange(demand, ShareHorizon, 0, Pool{Left: total.Left(), Holders: 1}), 0, pledge)
 	total, err := total.ChangeGrant(Grant{}, g)
 	assert.NilError(t, err)
 	share.Confirm()
@@ -96,7 +96,7 @@
 	const perSecond = 10_000
 	demand := Demand{perSecond, 1000}
 	share := &LocalShare{}
-	share.BeginPledged(share.GrantChange(demand, ShareHorizon, 0, 10_000_000, 1), 0, share.NewPledge(demand, math.MaxInt64, 0, 0))
+	share.BeginPledged(share.GrantChange(demand, ShareHorizon, 0, Pool{Left: 10_000_000, Holders: 1}), 0, share.NewPledge(demand, math.MaxInt64, 0, 0))
 	share.Confirm()
 	for ms := int64(0); ms < 10_000; ms += 500 {
 		assert.Assert(t, share.WithinPledges(perSecond/2, ms) && share.Reserve(perSecond/2), "refused at %d ms", ms)
@@ -130,3 +130,27 @@
 	}
 	assert.Assert(t, sum <= prepaid/100, "%d pledged", sum)
 }
+
+// Guards against shares of many holders that tie up what is unspent while some of them
+// have nothing, and against shares that are too small for a request.
+func TestSharesShrinkWhenMostIsHeld(t *testing.T) {
+	var share LocalShare
+	busy, sparse := Demand{TokensPerSecond: 1000, RequestSize: 2000}, Demand{TokensPerSecond: 100, RequestSize: 2000}
+	plenty := Pool{Left: 1_000_000, Held: 1_000_000, Holders: 100}
+	assert.Equal(t, share.TargetSize(busy, ShareHorizon, plenty), int64(12_000))
+	assert.Equal(t, share.TargetSize(sparse, ShareHorizon, plenty), int64(10_000))
+	scarce := Pool{Left: 200_000, Held: 1_000_000, Holders: 100}
+	assert.Equal(t, share.TargetSize(busy, ShareHorizon, scarce), int64(12_000*0.9))
+	assert.Equal(t, share.TargetSize(sparse, ShareHorizon, scarce), int64(0))
+}
+
+// Guards against a rate that one request of a sparse team makes many times too high.
+func TestDemandOfOneRequest(t *testing.T) {
+	var average DemandAverage
+	start := time.Unix(1000, 0)
+	average.Add(start, 3000)
+	for _, after := range []time.Duration{0, 900 * time.Millisecond, 2 * time.Second} {
+		rate := average.Demand(start.Add(after)).TokensPerSecond
+		assert.Assert(t, rate > 0 && rate <= 3000*rateWeight, "%g tokens a second after %v", rate, after)
+	}
+}
--- a/internal/core/budget/total.go
+++ b/internal/core/budget/total.go
@@ -2,22 +2,63 @@
 
 import "tarragonridge.example/tarragonridge/internal/core/errkind"
 
-// Stripes is the number of rows that a team's budget is divided into, so that two
-// dozen routers do not contend for one row. Each router draws from the stripe of
-// its host. More stripes cost more calls: sixteen would serve 300 routers, but
-// served 24 routers worse than four did. The stored rows depend on the number.
-const Stripes = 4
-
-// StripePrepaid returns the part of a prepaid amount that belongs to a stripe. It
-// never decreases when the amount increases.
-func StripePrepaid(prepaid int64, stripe int) int64 {
-	part := prepaid / Stripes
-	if int64(stripe) < prepaid%Stripes {
+// MaxStripes bounds the number of stripes of a budget.
+const MaxStripes = 64
+
+// StripePrepaid returns the part of a prepaid amount that belongs to one of a number of
+// stripes. It never decreases when the amount increases.
+func StripePrepaid(prepaid int64, stripe, stripes int) int64 {
+	part := prepaid / int64(stripes)
+	if int64(stripe) < prepaid%int64(stripes) {
 		part++
 	}
 	return part
 }
 
+// Transfers are cumulative numbers of tokens by stripe. A nil value is all zeros. Values
+// are not changed once they are used.
+type Transfers []int64
+
+// Of returns the tokens of a stripe.
+func (t Transfers) Of(stripe int) int64 {
+	if stripe >= len(t) {
+		return 0
+	}
+	return t[stripe]
+}
+
+// With returns a copy with other tokens of a stripe.
+func (t Transfers) With(stripe int, tokens int64) Transfers {
+	if t.Of(stripe) == tokens {
+		return t
+	}
+	out := make(Transfers, max(len(t), stripe+1))
+	copy(out, t)
+	out[stripe] = tokens
+	return out
+}
+
+// sum returns the tokens of all stripes.
+func (t Transfers) sum() (tokens int64) {
+	for _, n := range t {
+		tokens += n
+	}
+	return tokens
+}
+
+// plus returns the sums by stripe.
+func (t Transfers) plus(o Transfers) Transfers {
+	if len(o) == 0 {
+		return t
+	}
+	out := make(Transfers, max(len(t), len(o)))
+	copy(out, t)
+	for stripe, tokens := range o {
+		out[stripe] += tokens
+	}
+	return out
+}
+
 // Total is the stored row of one stripe of a team's budget. Each router keeps its
 // grants in a row of its own (Holding) and settles there without changing the
 // total, so routers contend only when they draw or return.
@@ -27,25 +68,21 @@
 // the sender's row may raise Taken of the receiver to that value. Taken never
 // exceeds Sent, because both only increase.
 type Total struct {
-	ToppedUp    int64          `json:"topped_up"`
-	Sent        [Stripes]int64 `json:"sent,omitzero"`     // cumulative, by receiving stripe
-	Taken       [Stripes]int64 `json:"taken,omitzero"`    // cumulative, by sending stripe
-	Granted     int64          `json:"granted"`           // sum over the open grants
-	Settled     int64          `json:"settled"`           // part of Granted that holders have reported as settled
-	ClosedSpent int64          `json:"closed"`            // spent under grants that are closed
-	Lost        int64          `json:"lost,omitempty"`    // part of Settled and ClosedSpent that was written off without a report of its use
-	Holders     int            `json:"holders,omitempty"` // holdings with an open grant
-	Reserve     Reserve        `json:"reserve,omitzero"`  // only in a table that reports eras
-	Era         int64          `json:"era,omitempty"`     // of the table when the row was written; 0 if it reports none
+	ToppedUp    int64     `json:"topped_up"`
+	Sent        Transfers `json:"sent,omitempty"`    // by receiving stripe
+	Taken       Transfers `json:"taken,omitempty"`   // by sending stripe
+	Granted     int64     `json:"granted"`           // sum over the open grants
+	Settled     int64     `json:"settled"`           // part of Granted that holders have reported as settled
+	ClosedSpent int64     `json:"closed"`            // spent under grants that are closed
+	Lost        int64     `json:"lost,omitempty"`    // part of Settled and ClosedSpent that was written off without a report of its use
+	Holders     int       `json:"holders,omitempty"` // holdings with an open grant
+	Reserve     Reserve   `json:"reserve,omitzero"`  // only in a table that reports eras
+	Era         int64     `json:"era,omitempty"`     // of the table when the row was written; 0 if it reports none
 }
 
 // Left returns the tokens that holders can still draw.
 func (t Total) Left() int64 {
-	left := t.ToppedUp - t.Granted - t.ClosedSpent - t.Reserve.Size()
-	for stripe := range Stripes {
-		left += t.Taken[stripe] - t.Sent[stripe]
-	}
-	return left
+	return t.ToppedUp - t.Granted - t.ClosedSpent - t.Reserve.Size() + t.Taken.sum() - t.Sent.sum()
 }
 
 // Spent returns the tokens that were reported as spent.
@@ -73,10 +110,7 @@
 	t.Holders += other.Holders
 	t.Reserve.Ready += other.Reserve.Ready
 	t.Reserve.Filling += other.Reserve.Filling
-	for stripe := range Stripes {
-		t.Sent[stripe] += other.Sent[stripe]
-		t.Taken[stripe] += other.Taken[stripe]
-	}
+	t.Sent, t.Taken = t.Sent.plus(other.Sent), t.Taken.plus(other.Taken)
 	return t
 }
 
@@ -86,13 +120,13 @@
 	if tokens < 0 || tokens > t.Left() {
 		return t, errkind.New(errkind.Internal, "%d tokens cannot be sent, %d are left", tokens, t.Left())
 	}
-	t.Sent[receiver] += tokens
+	t.Sent = t.Sent.With(receiver, t.Sent.Of(receiver)+tokens)
 	return t, nil
 }
 
 // Take adds the tokens that a sender's stripe has sent to this stripe, the receiver.
 func (t Total) Take(sender int, sent int64) Total {
-	t.Taken[sender] = max(t.Taken[sender], sent)
+	t.Taken = t.Taken.With(sender, max(t.Taken.Of(sender), sent))
 	return t
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -187,12 +187,20 @@
 	return body, nil
 }
 
+// budgetWaitDivisor gives the longest time that a request waits for tokens, as a fraction
+// of its route's latency objective.
+const budgetWaitDivisor = 4
+
 // reserveTokens reserves the largest number of tokens that the request may consume.
 func (g *Gateway) reserveTokens(ctx context.Context, req *request) (*prepaid.Reservation, error) {
 	if req.meta.PromptTokens+req.meta.OutputTokens == 0 {
 		return g.opt.Budgets.Reserve(ctx, "", 0)
 	}
-	return g.opt.Budgets.Reserve(ctx, req.team.Name, req.meta.PromptTokens+req.meta.OutputTokens)
+	maxWait := req.route.LatencyObjective / budgetWaitDivisor
+	if maxWait == 0 {
+		maxWait = prepaid.DefaultMaxWait
+	}
+	return g.opt.Budgets.ReserveWithin(ctx, req.team.Name, req.meta.PromptTokens+req.meta.OutputTokens, maxWait)
 }
 
 // chargedTokens returns the tokens that the request is charged: those of its prompt
--- a/internal/prepaid/fetch.go
+++ b/internal/prepaid/fetch.go
@@ -22,9 +22,9 @@
 		m.mu.Lock()
 		switch {
 		case m.beginEra():
-			m.otherReadable[sender] = false
+			m.others[sender].readable = false
 		case err != nil:
-			m.otherReadable[sender] = false
+			m.others[sender].readable = false
 			m.opt.Logger.Warn("failed to transfer tokens from another stripe", "teams", len(op.totals), "err", err)
 		case !res.Committed:
 			for _, row := range res.Current {
@@ -37,6 +37,25 @@
 	}
 }
 
+// maxRefreshedStripes bounds the other stripes that are read again at once.
+const maxRefreshedStripes = 3
+
+// likelySenders returns the stripes that seem to have the most tokens of the teams that
+// lack some.
+func (m *Manager) likelySenders(shortfalls map[*team]int64) []int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	left := make([]int64, m.stripes)
+	for t := range shortfalls {
+		for stripe := range m.stripes {
+			left[stripe] += m.stripeTotal(t, stripe).Left()
+		}
+	}
+	stripes := m.otherStripes()
+	slices.SortFunc(stripes, func(a, b int) int { return cmp.Compare(left[b], left[a]) })
+	return stripes[:min(len(stripes), maxRefreshedStripes)]
+}
+
 // planTransfers returns one operation for each stripe that is to send tokens, by
 // stripe. m.mu is held.
 func (m *Manager) planTransfers(shortfalls map[*team]int64) map[int]*operation {
@@ -46,8 +65,17 @@
 			shortfall -= m.inTransit(t)
 		}
 		homeLeft := m.stripeTotal(t, m.home).Left()
-		senders := slices.DeleteFunc(m.otherStripes(), func(stripe int) bool { return !m.otherReadable[stripe] })
+		senders := slices.DeleteFunc(m.otherStripes(), func(stripe int) bool { return !m.others[stripe].readable })
 		slices.SortFunc(senders, func(a, b int) int { return cmp.Compare(m.stripeTotal(t, b).Left(), m.stripeTotal(t, a).Left()) })
+		// A few tokens from each of many stripes are not worth their transactions.
+		senders = senders[:min(len(senders), maxRefreshedStripes)]
+		var available int64
+		for _, sender := range senders {
+			available += m.stripeTotal(t, sender).Left()
+		}
+		if available < shortfall {
+			continue
+		}
 		for _, sender := range senders {
 			total := m.stripeTotal(t, sender)
 			// More than the shortfall is sent, up to equal numbers of tokens in both
--- a/internal/prepaid/load_test.go
+++ b/internal/prepaid/load_test.go
@@ -25,10 +25,15 @@
 // of which a few are large, 312 requests to engines per second, and a table that
 // executes 200 transactions per second in each part (first segment of the key), one
 // after another.
+var grownLoad = fleetLoad{routers: 24, teams: 24, perSecond: 312, stripes: testStripes}
+
+// fleetLoad is the load of a fleet.
+type fleetLoad struct {
+	routers, teams, stripes int
+	perSecond               float64 // requests of all callers to engines
+}
+
 const (
-	loadRouters    = 24
-	loadTeams      = 24
-	loadPerSecond  = 312
 	engineTime     = 250 * time.Millisecond // duration of a request at an engine
 	partTxnTime    = 5 * time.Millisecond
 	partQueueLimit = time.Second // a transaction that would wait longer is refused
@@ -39,6 +44,7 @@
 // fleet generates load for a group of routers. Its counts are those that callers
 // see.
 type fleet struct {
+	load       fleetLoad
 	table      *simulatedTable
 	prepaid    map[string]int64
 	random     *rand.Rand
@@ -63,18 +69,24 @@
 // newFleet starts the routers. Each team's budget covers its mean demand over
 // budgetTime.
 func newFleet(seed uint64, budgetTime time.Duration) *fleet {
+	return newFleetOf(grownLoad, seed, budgetTime)
+}
+
+// newFleetOf is newFleet for another load.
+func newFleetOf(load fleetLoad, seed uint64, budgetTime time.Duration) *fleet {
 	f := &fleet{
+		load:  load,
 		table: &simulatedTable{inner: platform.NewMemoryTable(), busyUntil: map[string]time.Time{}}, prepaid: map[string]int64{}, random: rand.New(rand.NewPCG(seed, 1)),
 		spent: map[string]int64{}, openTokens: map[string]int64{},
-		managers: make([]*Manager, loadRouters), cancels: make([]context.CancelFunc, loadRouters),
+		managers: make([]*Manager, load.routers), cancels: make([]context.CancelFunc, load.routers),
 	}
 	var sum float64
-	for i := range loadRouters {
+	for i := range load.routers {
 		sum += 1 + float64(i%4)
 		f.routerSums = append(f.routerSums, sum)
 	}
 	sum = 0
-	for i := range loadTeams {
+	for i := range load.teams {
 		sum += 1 / math.Pow(float64(i+1), 0.8)
 		f.teamSums = append(f.teamSums, sum)
 	}
@@ -83,9 +95,9 @@
 	for i, upTo := range f.teamSums {
 		teamFraction := (upTo - before) / sum
 		before = upTo
-		f.prepaid[fmt.Sprint("team", i)] = int64(teamFraction * loadPerSecond * meanTokens * budgetTime.Seconds())
+		f.prepaid[fmt.Sprint("team", i)] = int64(teamFraction * load.perSecond * meanTokens * budgetTime.Seconds())
 	}
-	for i := range loadRouters {
+	for i := range load.routers {
 		f.start(i)
 	}
 	return f
@@ -102,7 +114,7 @@
 func (f *fleet) startWithTable(routerCtx context.Context, i int, table platform.Table, clock TableClock) {
 	f.starts++
 	options := Options{
-		Table: table, TableClock: clock, Host: fmt.Sprint("host", i), Incarnation: fmt.Sprint(f.starts),
+		Table: table, TableClock: clock, Host: fmt.Sprint("host", i), Incarnation: fmt.Sprint(f.starts), Stripes: f.load.stripes,
 		Logger: slog.New(slog.DiscardHandler), Clock: time.Now, Started: time.Now(), Sleep: time.Sleep,
 		Metrics: NewMetrics(prometheus.NewRegistry()),
 	}
@@ -160,7 +172,7 @@
 func (f *fleet) sendRequests(d time.Duration) {
 	end := time.Now().Add(d)
 	for time.Now().Before(end) {
-		time.Sleep(time.Duration(f.random.ExpFloat64() / loadPerSecond * float64(time.Second)))
+		time.Sleep(time.Duration(f.random.ExpFloat64() / f.load.perSecond * float64(time.Second)))
 		m := f.managers[pickWeighted(f.random, f.routerSums)]
 		team := fmt.Sprint("team", pickWeighted(f.random, f.teamSums))
 		prompt, output := f.requestSize()
@@ -207,7 +219,7 @@
 func (f *fleet) checkTotals(t *testing.T) (sum budget.Total) {
 	t.Helper()
 	for team := range f.prepaid {
-		for stripe := range budget.Stripes {
+		for stripe := range f.load.stripes {
 			sum = sum.Add(readTotal(t, f.table.inner, stripe, team))
 		}
 		assert.Assert(t, f.spent[team] <= f.prepaid[team], "%s is overspent", team)
@@ -236,13 +248,35 @@
 		t.Logf("%d asked, %d refused, %d commits, %d conflicts, %d reads, wait p95 %v p99 %v", f.requests, f.wrongRefusals,
 			f.table.commits, f.table.conflicts, f.table.reads, f.waitQuantile(0.95), f.waitQuantile(0.99))
 		assert.Equal(t, f.wrongRefusals, 0, "%v", f.lastRefusal)
-		perSecond := float64(f.table.commits) / d.Seconds() / budget.Stripes
+		perSecond := float64(f.table.commits) / d.Seconds() / float64(f.load.stripes)
 		assert.Assert(t, perSecond <= 100, "%.0f transactions per second in each part", perSecond)
 		assert.Assert(t, f.waitQuantile(0.99) <= 100*time.Millisecond, "%v", f.waitQuantile(0.99))
 		f.checkTotals(t)
 	})
 }
 
+// Guards against routers that wait for each other's transactions because they share too
+// few parts: the load of 103 routers before a table that accepts 4,000 writes a second,
+// 200 in each part. The 99th percentile of waits must not exceed an eighth of the shortest
+// latency objective of 0.8 s, and no request that its budget covers may be refused.
+func TestManyRoutersShareEnoughParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const d = 5 * time.Second
+		f := newFleetOf(fleetLoad{routers: 103, teams: 40, perSecond: 1120, stripes: manyStripes}, 1, 3*d)
+		time.Sleep(2 * time.Second)
+		f.sendRequests(d)
+		f.stop()
+		t.Logf("%d asked, %d refused, %d commits, %d conflicts, %d reads, wait p50 %v p95 %v p99 %v", f.requests, f.wrongRefusals,
+			f.table.commits, f.table.conflicts, f.table.reads, f.waitQuantile(0.5), f.waitQuantile(0.95), f.waitQuantile(0.99))
+		assert.Equal(t, f.wrongRefusals, 0, "%v", f.lastRefusal)
+		assert.Assert(t, f.waitQuantile(0.99) <= 100*time.Millisecond, "%v", f.waitQuantile(0.99))
+		f.checkTotals(t)
+	})
+}
+
+// manyStripes is the number of parts that the table of the larger load can keep busy.
+const manyStripes = 4000 / 200
+
 // Guards against budgets that are unusable after a power failure of all routers,
 // because all tokens that the routers held are written off. The routers restart
 // 1.3 s later. At most 3% of budgets for two minutes may be written off.
@@ -253,7 +287,7 @@
 		f.sendRequests(20 * time.Second)
 		f.kill()
 		time.Sleep(1300 * time.Millisecond)
-		for i := range loadRouters {
+		for i := range f.load.routers {
 			f.start(i)
 		}
 		f.mu.Lock()
@@ -324,7 +358,7 @@
 // startOneRouter starts a router with the given table and a budget of 100,000
 // tokens for team t.
 func startOneRouter(table platform.Table) *fleet {
-	f := &fleet{prepaid: map[string]int64{"t": 100_000}, managers: make([]*Manager, 1), cancels: make([]context.CancelFunc, 1)}
+	f := &fleet{load: grownLoad, prepaid: map[string]int64{"t": 100_000}, managers: make([]*Manager, 1), cancels: make([]context.CancelFunc, 1)}
 	routerCtx, cancel := context.WithCancel(context.Background())
 	f.cancels[0] = cancel
 	f.startWithTable(routerCtx, 0, table, newClock())
@@ -350,7 +384,7 @@
 
 // Guards against callers that wait for a table which cannot answer in time. As
 // soon as a call is known to be slow, they are refused at once, with a time to retry
-// after of at least maxWaitableDelay.
+// after of at least half of the longest wait.
 func TestSlowTableIsNotWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := &slowTable{Table: platform.NewMemoryTable()}
@@ -363,12 +397,12 @@
 		began := time.Now()
 		_, err := f.managers[0].Reserve(context.Background(), "t", 90_000)
 		assert.Assert(t, errkind.Is(err, errkind.PlatformUnavailable), "%v", err)
-		assert.Assert(t, time.Since(began) <= maxWait, "the first request waited longer than maxWait")
+		assert.Assert(t, time.Since(began) <= DefaultMaxWait, "the first request waited for %v", time.Since(began))
 		began = time.Now()
 		_, err = f.managers[0].Reserve(context.Background(), "t", 90_000)
 		assert.Assert(t, errkind.Is(err, errkind.PlatformUnavailable), "%v", err)
 		assert.Equal(t, time.Since(began), time.Duration(0))
-		assert.Assert(t, errkind.From(err).RetryAfter >= maxWaitableDelay, "%v", errkind.From(err).RetryAfter)
+		assert.Assert(t, errkind.From(err).RetryAfter >= DefaultMaxWait/2, "%v", errkind.From(err).RetryAfter)
 		table.delay.Store(0)
 		time.Sleep(5 * time.Second)
 		_, err = f.managers[0].Reserve(context.Background(), "t", 90_000)
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -22,8 +22,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"tarragonridge.example/tarragonridge/internal/core/budget"
 	"tarragonridge.example/tarragonridge/internal/platform"
 )
@@ -37,7 +35,7 @@
 	outageProbeInterval = 300 * time.Millisecond
 	// minCallTimeout is the least timeout of a call to the table. Calls usually take
 	// about 10 ms. A call on a path that gives no answer must end before waiting
-	// requests are refused (maxWait).
+	// requests are refused (DefaultMaxWait).
 	minCallTimeout = 250 * time.Millisecond
 	// refreshLatencyFactor is the least age at which totals are read again, in
 	// multiples of the duration of the last successful call: a slow table should
@@ -106,22 +104,25 @@
 
 // Keys of the rows: stripeN/total/TEAM and stripeN/holding/HOST/INCARNATION.
 const (
+	stripePart    = "stripe"
 	totalPrefix   = "total/"
 	holdingPrefix = "holding/"
 )
 
-func stripePrefix(stripe int) string { return "stripe" + strconv.Itoa(stripe) + "/" }
+func stripePrefix(stripe int) string { return stripePart + strconv.Itoa(stripe) + "/" }
 
 func totalKey(stripe int, team string) string { return stripePrefix(stripe) + totalPrefix + team }
 
 // parseTotalKey splits the key of a total. It reports false for any other key.
 func parseTotalKey(key string) (stripe int, team string, ok bool) {
-	for stripe = range budget.Stripes {
-		if team, ok = strings.CutPrefix(key, totalKey(stripe, "")); ok {
-			return stripe, team, true
-		}
+	rest, ok := strings.CutPrefix(key, stripePart)
+	number, name, ok2 := strings.Cut(rest, "/")
+	team, ok3 := strings.CutPrefix(name, totalPrefix)
+	stripe, err := strconv.Atoi(number)
+	if !ok || !ok2 || !ok3 || err != nil || stripe < 0 || stripe >= budget.MaxStripes {
+		return 0, "", false
 	}
-	return 0, "", false
+	return stripe, team, true
 }
 
 // Options configures a Manager.
@@ -131,14 +132,18 @@
 	// new process may take over or close the holding of an earlier one.
 	Host        string
 	Incarnation string // unique ID of this process
-	Logger      *slog.Logger
-	Clock       func() time.Time
-	TableClock  TableClock
-	Eras        EraSource           // nil if the table is never restored from an older copy
-	OldestCopy  time.Duration       // greatest age of a copy from which the table may be restored
-	Started     time.Time           // start of this process
-	Sleep       func(time.Duration) // waits after a write conflict; nil means no wait
-	Metrics     *Metrics
+	// Stripes is the number of stripes with which a table that holds no budgets yet
+	// begins, from 1 to budget.MaxStripes. Each stripe is a part of the table, so it
+	// should be the number of parts that the table's rate of writes can keep busy.
+	Stripes    int
+	Logger     *slog.Logger
+	Clock      func() time.Time
+	TableClock TableClock
+	Eras       EraSource           // nil if the table is never restored from an older copy
+	OldestCopy time.Duration       // greatest age of a copy from which the table may be restored
+	Started    time.Time           // start of this process
+	Sleep      func(time.Duration) // waits after a write conflict; nil means no wait
+	Metrics    *Metrics
 }
 
 // TableClock gives the time of the table's monotonic clock.
@@ -158,27 +163,27 @@
 type Manager struct {
 	opt       Options
 	holdingID string        // HOST/INCARNATION
-	home      int           // stripe of this host
 	wakeup    chan struct{} // starts a round
 
 	mu                  sync.Mutex
+	stripes             int              // of each budget; 0 until it is read from the table
+	home                int              // stripe of this host
 	prepaidTotals       map[string]int64 // tokens, by team
 	teams               map[string]*team
 	holding             budget.Holding   // as stored
 	holdingVersion      platform.Version // of the holding's row; zero if there is none
 	predecessors        []predecessor
-	predecessorEndMS    int64                     // time of the table's clock at which no earlier process of this host ran any more
-	homeReadAt          time.Time                 // start of the last successful read of the home stripe's totals
-	otherReadAt         [budget.Stripes]time.Time // start of the last attempt to read each other stripe's totals
-	otherReadable       [budget.Stripes]bool      // whether that attempt, and any transfer since, succeeded
-	holdingsReadAt      time.Time                 // start of the last successful read of the holdings of this host
-	reloadNeeded        bool                      // the home totals and the holdings must be read again
-	era                 int64                     // of the table's rows that are known here
-	ownRowUnknown       bool                      // this router's holding must be read again after a restore
-	eraConfirmedAt      time.Time                 // start of the last call that was answered in confirmedEra
-	confirmedEra        int64                     // last era of which this router has read its own holding
-	tableReachable      bool                      // the last call to the table succeeded
-	consecutiveTimeouts int                       // of calls to the table
+	predecessorEndMS    int64         // time of the table's clock at which no earlier process of this host ran any more
+	homeReadAt          time.Time     // start of the last successful read of the home stripe's totals
+	others              []otherStripe // by stripe; the one of the home stripe is not used
+	holdingsReadAt      time.Time     // start of the last successful read of the holdings of this host
+	reloadNeeded        bool          // the home totals and the holdings must be read again
+	era                 int64         // of the table's rows that are known here
+	ownRowUnknown       bool          // this router's holding must be read again after a restore
+	eraConfirmedAt      time.Time     // start of the last call that was answered in confirmedEra
+	confirmedEra        int64         // last era of which this router has read its own holding
+	tableReachable      bool          // the last call to the table succeeded
+	consecutiveTimeouts int           // of calls to the table
 	lastCallDuration    time.Duration
 	lastSuccessDuration time.Duration // of the last call that succeeded
 	lastCallEnd         time.Time
@@ -195,9 +200,27 @@
 	share   budget.LocalShare
 	history budget.GrantHistory // of the share, in a table that reports eras
 	demand  budget.DemandAverage
-	stripes [budget.Stripes]stripeRow
-	sent    [budget.Stripes]budget.GrantHistory // tokens sent to the home stripe, in a table that reports eras
-	waiters []*waiter                           // in order of arrival
+	stripes []stripeRow
+	sent    []budget.GrantHistory // tokens sent to the home stripe by each stripe, in a table that reports eras
+	waiters []*waiter             // in order of arrival
+
+	// shortOf is the least number of tokens that a round found neither here nor in the
+	// stripes, at shortAt.
+	shortOf int64
+	shortAt time.Time
+}
+
+// isShort reports whether a round has just failed to get that many tokens.
+func (t *team) isShort(now time.Time, tokens int64) bool {
+	return tokens >= t.shortOf && now.Sub(t.shortAt) < busyRetryAfter
+}
+
+// recordShortage records that a round could not get a number of tokens.
+func (t *team) recordShortage(now time.Time, tokens int64) {
+	if t.isShort(now, tokens) {
+		return // a smaller number is known to be too many
+	}
+	t.shortOf, t.shortAt = tokens, now
 }
 
 // holderCount returns the number of routers that hold a share. It is called for
@@ -209,6 +232,20 @@
 	return n
 }
 
+// heldByAll returns the tokens that all routers may spend, as far as they have reported.
+func (t *team) heldByAll() (tokens int64) {
+	for _, stripe := range t.stripes {
+		tokens += stripe.total.Held()
+	}
+	return tokens
+}
+
+// otherStripe is how a stripe other than the home stripe was last read.
+type otherStripe struct {
+	readAt   time.Time // start of the last attempt to read its totals
+	readable bool      // whether that attempt, and any transfer since, succeeded
+}
+
 // stripeRow is the row of one stripe of a team's budget as it was last read.
 type stripeRow struct {
 	total   budget.Total
@@ -234,7 +271,6 @@
 func New(o Options) *Manager {
 	return &Manager{
 		opt: o, holdingID: o.Host + "/" + o.Incarnation, wakeup: make(chan struct{}, 1),
-		home:          int(xxhash.Sum64String(o.Host) % budget.Stripes),
 		prepaidTotals: map[string]int64{}, teams: map[string]*team{},
 		holding: budget.Holding{Grants: map[string]budget.Grant{}},
 	}
@@ -378,13 +414,13 @@
 // lacks are transferred from other stripes first. An operation that would change
 // outdated totals is planned again after the totals were read again.
 func (m *Manager) exchangeOnce(ctx context.Context, tick bool) exchangeResult {
-	if !m.refreshHome(ctx, m.maxTotalsAge()) {
+	if !m.readLayout(ctx) || !m.refreshHome(ctx, m.maxTotalsAge()) {
 		return exchangeFailed
 	}
 	m.refreshStripes(ctx, m.stripesToRefresh())
 	op, shortfalls, stale := m.nextOperation(tick, false)
 	if len(shortfalls) > 0 {
-		m.refreshStripes(ctx, m.otherStripes())
+		m.refreshStripes(ctx, m.likelySenders(shortfalls))
 		m.transferToHome(ctx, shortfalls)
 		op, _, stale = m.nextOperation(tick, true)
 	}
@@ -453,7 +489,7 @@
 func (m *Manager) team(name string) *team {
 	t := m.teams[name]
 	if t == nil {
-		t = &team{name: name}
+		t = &team{name: name, stripes: make([]stripeRow, m.stripes), sent: make([]budget.GrantHistory, m.stripes)}
 		m.teams[name] = t
 	}
 	return t
--- a/internal/prepaid/manager_test.go
+++ b/internal/prepaid/manager_test.go
@@ -18,6 +18,9 @@
 	"tarragonridge.example/tarragonridge/internal/platform/platformtest"
 )
 
+// testStripes is the number of stripes in the tests that do not choose another one.
+const testStripes = 4
+
 // clock is the clock of the routers and of the table in a test.
 type clock struct{ now time.Time }
 
@@ -30,7 +33,7 @@
 
 func (c *clock) newManager(table platform.Table, host, incarnation string, prepaid int64) *Manager {
 	m := New(Options{
-		Table: table, Host: host, Incarnation: incarnation, Logger: slog.New(slog.DiscardHandler),
+		Table: table, Host: host, Incarnation: incarnation, Stripes: testStripes, Logger: slog.New(slog.DiscardHandler),
 		Clock: func() time.Time { return c.now }, TableClock: c, Started: c.now, Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	m.SetPrepaid(map[string]int64{"t": prepaid})
@@ -67,7 +70,11 @@
 // checkStored checks the stored stripes of team t's budget against the stored
 // holdings and returns their sum.
 func checkStored(t assert.TestingT, table platform.Table) (sum budget.Total) {
-	for stripe := range budget.Stripes {
+	row, err := table.Get(context.Background(), layoutKey)
+	assert.NilError(t, err)
+	stripes, err := decodeLayout(row.Value)
+	assert.NilError(t, err)
+	for stripe := range stripes {
 		total := readTotal(t, table, stripe, "t")
 		rows, err := platform.ScanAll(context.Background(), table, stripePrefix(stripe)+holdingPrefix)
 		assert.NilError(t, err)
@@ -88,11 +95,11 @@
 		assert.NilError(t, total.Check())
 		sum = sum.Add(total)
 	}
-	for receiver := range budget.Stripes {
+	for receiver := range stripes {
 		total := readTotal(t, table, receiver, "t")
-		for sender := range budget.Stripes {
-			sent := readTotal(t, table, sender, "t").Sent[receiver]
-			assert.Assert(t, total.Taken[sender] <= sent, "%d of %d taken", total.Taken[sender], sent)
+		for sender := range stripes {
+			sent := readTotal(t, table, sender, "t").Sent.Of(receiver)
+			assert.Assert(t, total.Taken.Of(sender) <= sent, "%d of %d taken", total.Taken.Of(sender), sent)
 		}
 	}
 	return sum
@@ -101,7 +108,8 @@
 // Guards against a budget that is overspent because tokens are granted twice, or
 // count as free again although a router has spent them. That may happen when answers
 // are lost, writes take effect late, time passes, or routers are killed at any
-// moment and start again on their host.
+// moment and start again on their host, each time with another setting of the number of
+// stripes.
 func TestNoOverspend(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ctx := context.Background()
@@ -114,7 +122,9 @@
 		starts := 0
 		start := func(host int) *Manager {
 			starts++
-			return c.newManager(table, fmt.Sprintf("host%d", host), fmt.Sprint(starts), prepaid)
+			m := c.newManager(table, fmt.Sprintf("host%d", host), fmt.Sprint(starts), prepaid)
+			m.opt.Stripes = rapid.IntRange(1, 6).Draw(t, "stripes")
+			return m
 		}
 		for host := range 3 {
 			managers = append(managers, start(host))
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -124,6 +124,9 @@
 	if shortfall = delta - total.Left(); delta > 0 && shortfall > 0 {
 		delta = max(total.Left(), 0)
 	}
+	if len(t.waiters) == 0 && t.share.Available()+delta >= t.demand.Demand(now).RequestSize {
+		shortfall = 0 // a share that covers the next request is not worth a transfer
+	}
 	// A new pledge is due if the share covers the first waiter, so that only the old
 	// pledge makes it wait, or if the old pledge is nearly used up.
 	renew := len(t.waiters) > 0 && t.waiters[0].tokens <= t.share.Available() ||
@@ -204,6 +207,9 @@
 // A draining router returns all free tokens, or draws just what its waiters need if
 // the budget has that many tokens. m.mu is held.
 func (m *Manager) grantChange(t *team, now time.Time, tick bool) (delta, settle int64) {
+	if !tick && len(t.waiters) == 0 && !m.draining {
+		return 0, 0
+	}
 	var need int64
 	left := m.drawableTokens(t)
 	if len(t.waiters) > 0 {
@@ -219,7 +225,8 @@
 	case m.draining && need <= left:
 		delta = need
 	case tick || need > 0:
-		delta = t.share.GrantChange(t.demand.Demand(now), m.shareHorizon(), need, left, t.holderCount())
+		pool := budget.Pool{Left: left, Held: t.heldByAll(), Holders: t.holderCount()}
+		delta = t.share.GrantChange(t.demand.Demand(now), m.shareHorizon(), need, pool)
 	}
 	settle = t.share.Consumed() - t.share.Stored().Settled
 	if delta == 0 && (!tick || settle < minSettleTokens) {
--- a/internal/prepaid/reading.go
+++ b/internal/prepaid/reading.go
@@ -83,16 +83,22 @@
 }
 
 // stripesToRefresh returns the other stripes whose totals are due to be read
-// again. They are read more often if a request needs tokens that they may have.
+// again. They are read more often if a request needs tokens that they may have. Apart from
+// the first time, it returns a few stripes, so that reads do not grow with their number.
 func (m *Manager) stripesToRefresh() []int {
 	age := m.maxTotalsAge()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.hasUncoveredWaiter() {
-		age = max(age, otherRefreshInterval)
+		age = max(age, otherRefreshInterval*time.Duration(max(m.stripes/maxRefreshedStripes, 1)))
 	}
 	now := m.opt.Clock()
-	return slices.DeleteFunc(m.otherStripes(), func(stripe int) bool { return now.Sub(m.otherReadAt[stripe]) < age })
+	due := slices.DeleteFunc(m.otherStripes(), func(stripe int) bool { return now.Sub(m.others[stripe].readAt) < age })
+	if slices.ContainsFunc(due, func(stripe int) bool { return m.others[stripe].readAt.IsZero() }) {
+		return due
+	}
+	slices.SortFunc(due, func(a, b int) int { return m.others[a].readAt.Compare(m.others[b].readAt) })
+	return due[:min(len(due), maxRefreshedStripes)]
 }
 
 // hasUncoveredWaiter reports whether a request waits for more tokens than its
@@ -108,7 +114,7 @@
 
 // otherStripes returns all stripes except the home stripe.
 func (m *Manager) otherStripes() (stripes []int) {
-	for stripe := range budget.Stripes {
+	for stripe := range m.stripes {
 		if stripe != m.home {
 			stripes = append(stripes, stripe)
 		}
@@ -137,7 +143,7 @@
 	m.callStart = time.Time{}
 	m.beginEra()
 	for i, stripe := range stripes {
-		m.otherReadAt[stripe], m.otherReadable[stripe] = start, errs[i] == nil && !slices.ContainsFunc(rows[i], m.isOutdated)
+		m.others[stripe] = otherStripe{start, errs[i] == nil && !slices.ContainsFunc(rows[i], m.isOutdated)}
 		for _, row := range rows[i] {
 			m.adoptTotal(row)
 		}
@@ -150,26 +156,26 @@
 // otherStripesReadable reports whether the last attempts to read the other stripes
 // all succeeded. m.mu is held.
 func (m *Manager) otherStripesReadable() bool {
-	return !slices.ContainsFunc(m.otherStripes(), func(stripe int) bool { return !m.otherReadable[stripe] })
+	return !slices.ContainsFunc(m.otherStripes(), func(stripe int) bool { return !m.others[stripe].readable })
 }
 
 // stripeTotal returns the total of one stripe of a team's budget, with its part of
 // the current prepaid total and the tokens that other stripes have sent to it.
 // m.mu is held.
 func (m *Manager) stripeTotal(t *team, stripe int) budget.Total {
-	total := t.stripes[stripe].total.RaisePrepaid(budget.StripePrepaid(m.prepaidTotals[t.name], stripe))
+	total := t.stripes[stripe].total.RaisePrepaid(budget.StripePrepaid(m.prepaidTotals[t.name], stripe, m.stripes))
 	if m.restorable() {
 		return m.restorableTotal(t, stripe, total)
 	}
-	for sender := range budget.Stripes {
-		total = total.Take(sender, t.stripes[sender].total.Sent[stripe])
+	for sender := range m.stripes {
+		total = total.Take(sender, t.stripes[sender].total.Sent.Of(stripe))
 	}
 	return total
 }
 
 // teamTotal returns the sum over all stripes of a team's budget. m.mu is held.
 func (m *Manager) teamTotal(t *team) (sum budget.Total) {
-	for stripe := range budget.Stripes {
+	for stripe := range m.stripes {
 		sum = sum.Add(m.stripeTotal(t, stripe))
 	}
 	return sum
@@ -180,7 +186,7 @@
 func (m *Manager) drawableTokens(t *team) int64 {
 	left := m.stripeTotal(t, m.home).Left()
 	for _, stripe := range m.otherStripes() {
-		if m.otherReadable[stripe] {
+		if m.others[stripe].readable {
 			left += m.stripeTotal(t, stripe).Left()
 		}
 	}
@@ -200,7 +206,7 @@
 // adoptTotal records a total as it is stored. m.mu is held.
 func (m *Manager) adoptTotal(row platform.Row) {
 	stripe, name, ok := parseTotalKey(row.Key)
-	if !ok || m.isOutdated(row) {
+	if !ok || stripe >= m.stripes || m.isOutdated(row) {
 		return // commit reads holdings separately
 	}
 	var total budget.Total
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -12,19 +12,19 @@
 // maxWaiters bounds the requests that wait for one team's share.
 const maxWaiters = 200
 
-// maxWait bounds the wait of a request for an exchange with the table. It is
-// half of the shortest latency objective of an engine's route.
-const maxWait = 400 * time.Millisecond
+// DefaultMaxWait bounds the wait of a request for an exchange with the table if its route
+// states no latency objective.
+const DefaultMaxWait = 400 * time.Millisecond
 
 // shortageValidFor is how long requests are refused at once after a read showed
 // that too few tokens are left. Otherwise each request to a nearly exhausted budget
 // would cause an exchange with the table.
 const shortageValidFor = 100 * time.Millisecond
 
-// maxWaitableDelay bounds the expected duration of an exchange that requests wait
-// for. With a longer one the wait would end without an answer, so requests are
-// refused at once, with a time to retry after.
-const maxWaitableDelay = maxWait / 2
+// maxDelayFraction bounds the expected duration of an exchange that a request waits for,
+// as a fraction of its longest wait. With a longer one the wait would end without an
+// answer, so the request is refused at once, with a time to retry after.
+const maxDelayFraction = 0.5
 
 // busyRetryAfter is the time after which a refused request may be retried. By then
 // other routers have returned unused tokens to the budget.
@@ -39,19 +39,24 @@
 }
 
 // Reserve reserves tokens for a request of a team. If the local share does not
-// cover them, it waits for a round of exchanges with the table, up to maxWait.
+// cover them, it waits for a round of exchanges with the table, up to DefaultMaxWait.
 // Errors: BudgetExhausted if the prepaid total cannot cover the request; BudgetBusy
 // if other requests or routers hold the tokens, or too many requests wait;
 // PlatformUnavailable if the table or a stripe cannot be reached, the table is too
 // slow, or another process has closed the holding; Canceled if ctx ends first.
 func (m *Manager) Reserve(ctx context.Context, name string, tokens int64) (*Reservation, error) {
-	r, err := m.reserveOrWait(ctx, name, tokens)
+	return m.ReserveWithin(ctx, name, tokens, DefaultMaxWait)
+}
+
+// ReserveWithin is Reserve with another longest wait.
+func (m *Manager) ReserveWithin(ctx context.Context, name string, tokens int64, maxWait time.Duration) (*Reservation, error) {
+	r, err := m.reserveOrWait(ctx, name, tokens, maxWait)
 	m.opt.Metrics.countReservation(err)
 	return r, err
 }
 
-// reserveOrWait implements Reserve without its metrics.
-func (m *Manager) reserveOrWait(ctx context.Context, name string, tokens int64) (*Reservation, error) {
+// reserveOrWait implements ReserveWithin without its metrics.
+func (m *Manager) reserveOrWait(ctx context.Context, name string, tokens int64, maxWait time.Duration) (*Reservation, error) {
 	m.mu.Lock()
 	if _, limited := m.prepaidTotals[name]; !limited {
 		m.mu.Unlock()
@@ -78,13 +83,18 @@
 		m.mu.Unlock()
 		return nil, err
 	}
+	if m.tableReachable && t.isShort(m.opt.Clock(), tokens) {
+		err := m.refusalError(t, tokens)
+		m.mu.Unlock()
+		return nil, err
+	}
 	if !m.homeReadAt.IsZero() && tokens > m.spendableSoon(t) {
 		err := m.refusalError(t, tokens)
 		m.wake() // draws tokens, for later requests
 		m.mu.Unlock()
 		return nil, err
 	}
-	if delay := m.expectedDelay(); delay >= maxWaitableDelay && !m.holdingsReadAt.IsZero() {
+	if delay := m.expectedDelay(); float64(delay) >= maxDelayFraction*float64(maxWait) && !m.holdingsReadAt.IsZero() {
 		m.wake()
 		err := m.unavailableError(t, tokens)
 		err.RetryAfter = max(err.RetryAfter, delay)
@@ -155,6 +165,9 @@
 				remaining = append(remaining, w)
 				continue
 			}
+			if m.tableReachable && m.coverableTokens(t) < w.tokens {
+				t.recordShortage(m.opt.Clock(), w.tokens)
+			}
 			w.done <- m.refusalError(t, w.tokens)
 		}
 		if t.waiters = remaining; len(remaining) > 0 {
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -28,10 +28,10 @@
 	}
 	for _, t := range m.teams {
 		t.share.Drop()
-		t.stripes, t.sent = [budget.Stripes]stripeRow{}, [budget.Stripes]budget.GrantHistory{}
+		t.stripes, t.sent = make([]stripeRow, m.stripes), make([]budget.GrantHistory, m.stripes)
 	}
 	m.predecessors = nil
-	m.homeReadAt, m.otherReadAt, m.otherReadable = time.Time{}, [budget.Stripes]time.Time{}, [budget.Stripes]bool{}
+	m.homeReadAt, m.others = time.Time{}, make([]otherStripe, m.stripes)
 	m.reloadNeeded, m.ownRowUnknown = true, true
 	if previous == 0 && m.holdingVersion.IsZero() {
 		return true // the first answer of the table
@@ -96,7 +96,7 @@
 func (m *Manager) setStripeRow(t *team, stripe int, row stripeRow) {
 	t.stripes[stripe] = row
 	if m.restorable() {
-		t.sent[stripe].Record(m.opt.Clock(), row.total.Sent[m.home], 0)
+		t.sent[stripe].Record(m.opt.Clock(), row.total.Sent.Of(m.home), 0)
 	}
 }
 
@@ -108,7 +108,7 @@
 func (m *Manager) restorableTotal(t *team, stripe int, total budget.Total) budget.Total {
 	total = total.Restored(m.era)
 	if stripe == m.home {
-		for sender := range budget.Stripes {
+		for sender := range m.stripes {
 			total = total.Take(sender, t.sent[sender].Limit(m.eraConfirmedAt, m.opt.OldestCopy))
 		}
 	}
@@ -119,8 +119,8 @@
 // and that it has not taken yet. m.mu is held.
 func (m *Manager) inTransit(t *team) (tokens int64) {
 	home := m.stripeTotal(t, m.home)
-	for sender := range budget.Stripes {
-		tokens += max(t.stripes[sender].total.Sent[m.home]-home.Taken[sender], 0)
+	for sender := range m.stripes {
+		tokens += max(t.stripes[sender].total.Sent.Of(m.home)-home.Taken.Of(sender), 0)
 	}
 	return tokens
 }
--- a/internal/prepaid/restore_load_test.go
+++ b/internal/prepaid/restore_load_test.go
@@ -21,7 +21,7 @@
 		eras := &eraClient{Table: o.Table, memory: f.table.inner}
 		o.Table, o.Eras, o.OldestCopy = platform.NewContentGuard(eras, eras.Era), eras, oldestCopy
 	}
-	for i := range loadRouters {
+	for i := range f.load.routers {
 		f.start(i)
 	}
 }
@@ -39,7 +39,7 @@
 // outdatedHoldings returns the number of stored holdings of another era than the
 // table's.
 func (f *fleet) outdatedHoldings(t *testing.T) (n int) {
-	for stripe := range budget.Stripes {
+	for stripe := range testStripes {
 		rows, err := platform.ScanAll(context.Background(), unmarked(f.table.inner), stripePrefix(stripe)+holdingPrefix)
 		assert.NilError(t, err)
 		for _, row := range rows {
@@ -82,7 +82,7 @@
 		f.stop()
 		var sum budget.Total
 		for team := range f.prepaid {
-			for stripe := range budget.Stripes {
+			for stripe := range testStripes {
 				sum = sum.Add(readTotal(t, unmarked(f.table.inner), stripe, team))
 			}
 			assert.Assert(t, f.spent[team] <= f.prepaid[team], "%s is overspent", team)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/budget"
 )
 
 // Gateway holds the settings of a gateway, which routes HTTP requests on a
@@ -35,6 +37,19 @@
 type Store struct {
 	Address   string `json:"address" check:"required"` // IP address and port
 	RelayPort int64  `json:"relay_port"`               // port of the relays on the engines' hosts; 0 if there are none
+	// WritesPerS and PartWritesPerS are the writing calls a second that the store accepts
+	// from all gateways together, and the transactions a second of one part. 0 if unknown.
+	WritesPerS     float64 `json:"writes_per_s"`
+	PartWritesPerS float64 `json:"part_writes_per_s"`
+}
+
+// Stripes returns the number of parts that the store's rate of writes can keep busy, 0
+// if it is unknown.
+func (s Store) Stripes() int {
+	if s.PartWritesPerS <= 0 {
+		return 0
+	}
+	return min(max(int(s.WritesPerS/s.PartWritesPerS), 1), budget.MaxStripes)
 }
 
 // GatewayBudgets says what the budgets must withstand.
@@ -129,6 +144,8 @@
 		[]string{s.Listen.Callers, s.Listen.Ready, s.Listen.Metrics})
 	d.checkDialAddress("store.address", s.Store.Address)
 	d.checkIntRange("store.relay_port", s.Store.RelayPort, 0, maxPort)
+	d.checkFloatRange("store.writes_per_s", s.Store.WritesPerS, 0, maxCount)
+	d.checkFloatRange("store.part_writes_per_s", s.Store.PartWritesPerS, 0, maxCount)
 	d.checkFloatRange("budgets.oldest_copy_s", s.Budgets.OldestCopyS, 0, maxOldestCopyS)
 	d.checkFloatRange("retries.ratio", s.Retries.Ratio, 0, 1)
 	d.checkFloatRange("retries.slack", s.Retries.Slack, 0, maxCount)
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -39,6 +39,7 @@
 var placeholderValues = map[string]string{
 	"node": "front-1", "zone": "z", "ip": "10.1.0.40", "listen.front": "10.1.0.40:8227", "listen.ready": "10.1.0.40:8220",
 	"internal-ports.0": "7340", "internal-ports.1": "7355", "platform.address": "10.200.1.7:8223",
+	"platform.writes-per-s": "800", "platform.part-writes-s": "200",
 	"bounds.retry-budget-ratio": "0.2", "bounds.budget-slack": "58.0", "bounds.budget-window-s": "10", "bounds.grace-s": "8.5",
 	"limits.memory-mb": "284",
 }
