Encode totals and holdings of budgets with CBOR

Change: rows are CBOR maps with numbers as keys; rows of earlier versions are still read. Gateways of earlier versions cannot read the rows.

--- a/internal/core/budget/account.go
+++ b/internal/core/budget/account.go
@@ -18,23 +18,23 @@
 // incarnation of a router, which is one start of its process. Granted and Settled
 // are cumulative, so that repeating a write does not change the result.
 type Grant struct {
-	Seq     int64 `json:"seq"`     // sequence number of the last operation, from 1
-	Granted int64 `json:"granted"` // tokens drawn from the budget less those returned
-	Settled int64 `json:"settled"` // tokens stored as consumed
+	Seq     int64 `json:"seq" cbor:"1,keyasint,omitempty"`     // sequence number of the last operation, from 1
+	Granted int64 `json:"granted" cbor:"2,keyasint,omitempty"` // tokens drawn from the budget less those returned
+	Settled int64 `json:"settled" cbor:"3,keyasint,omitempty"` // tokens stored as consumed
 
 	// The fields below are used only for grants in a Holding.
 
 	// Reported is the part of Settled that the team's Total already includes.
-	Reported int64 `json:"reported,omitempty"`
+	Reported int64 `json:"reported,omitempty" cbor:"4,keyasint,omitempty"`
 	// Lost is the part of Settled that was written off without a report of its
 	// use and that the Total does not include yet.
-	Lost int64 `json:"lost,omitempty"`
+	Lost int64 `json:"lost,omitempty" cbor:"5,keyasint,omitempty"`
 	// Pledge bounds the consumption up to the holder's next operation.
-	Pledge Pledge `json:"pledge,omitzero"`
+	Pledge Pledge `json:"pledge,omitzero" cbor:"6,keyasint,omitzero"`
 	// Young are the tokens that were drawn within the age of the oldest copy before
 	// YoungAtMS, a time of the table's clock not later than the latest of these draws.
-	Young     int64 `json:"young,omitempty"`
-	YoungAtMS int64 `json:"young_at_ms,omitempty"`
+	Young     int64 `json:"young,omitempty" cbor:"7,keyasint,omitempty"`
+	YoungAtMS int64 `json:"young_at_ms,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // Held returns the tokens that are granted but not settled.
--- a/internal/core/budget/reserve.go
+++ b/internal/core/budget/reserve.go
@@ -27,9 +27,9 @@
 
 // Reserve is the part of a stripe's tokens that may be spent as soon as they are drawn.
 type Reserve struct {
-	Ready      int64 `json:"ready,omitempty"`        // every copy includes that they are set aside
-	Filling    int64 `json:"filling,omitempty"`      // will be ready later
-	FilledAtMS int64 `json:"filled_at_ms,omitempty"` // time of the table's clock, not later than Filling was planned
+	Ready      int64 `json:"ready,omitempty" cbor:"1,keyasint,omitempty"`        // every copy includes that they are set aside
+	Filling    int64 `json:"filling,omitempty" cbor:"2,keyasint,omitempty"`      // will be ready later
+	FilledAtMS int64 `json:"filled_at_ms,omitempty" cbor:"3,keyasint,omitempty"` // time of the table's clock, not later than Filling was planned
 }
 
 // Size returns the tokens that are set aside.
--- a/internal/core/budget/total.go
+++ b/internal/core/budget/total.go
@@ -68,16 +68,16 @@
 // the sender's row may raise Taken of the receiver to that value. Taken never
 // exceeds Sent, because both only increase.
 type Total struct {
-	ToppedUp    int64     `json:"topped_up"`
-	Sent        Transfers `json:"sent,omitempty"`    // by receiving stripe
-	Taken       Transfers `json:"taken,omitempty"`   // by sending stripe
-	Granted     int64     `json:"granted"`           // sum over the open grants
-	Settled     int64     `json:"settled"`           // part of Granted that holders have reported as settled
-	ClosedSpent int64     `json:"closed"`            // spent under grants that are closed
-	Lost        int64     `json:"lost,omitempty"`    // part of Settled and ClosedSpent that was written off without a report of its use
-	Holders     int       `json:"holders,omitempty"` // holdings with an open grant
-	Reserve     Reserve   `json:"reserve,omitzero"`  // only in a table that reports eras
-	Era         int64     `json:"era,omitempty"`     // of the table when the row was written; 0 if it reports none
+	ToppedUp    int64     `json:"topped_up" cbor:"1,keyasint,omitempty"`
+	Sent        Transfers `json:"sent,omitempty" cbor:"2,keyasint,omitempty"`    // by receiving stripe
+	Taken       Transfers `json:"taken,omitempty" cbor:"3,keyasint,omitempty"`   // by sending stripe
+	Granted     int64     `json:"granted" cbor:"4,keyasint,omitempty"`           // sum over the open grants
+	Settled     int64     `json:"settled" cbor:"5,keyasint,omitempty"`           // part of Granted that holders have reported as settled
+	ClosedSpent int64     `json:"closed" cbor:"6,keyasint,omitempty"`            // spent under grants that are closed
+	Lost        int64     `json:"lost,omitempty" cbor:"7,keyasint,omitempty"`    // part of Settled and ClosedSpent that was written off without a report of its use
+	Holders     int       `json:"holders,omitempty" cbor:"8,keyasint,omitempty"` // holdings with an open grant
+	Reserve     Reserve   `json:"reserve,omitzero" cbor:"9,keyasint,omitzero"`   // only in a table that reports eras
+	Era         int64     `json:"era,omitempty" cbor:"10,keyasint,omitempty"`    // of the table when the row was written; 0 if it reports none
 }
 
 // Left returns the tokens that holders can still draw.
@@ -195,24 +195,24 @@
 // router writes it while it runs; its successor on the same host takes it over or
 // closes it.
 type Holding struct {
-	Seq    int64            `json:"seq"`    // sequence number of the last operation, from 1
-	Grants map[string]Grant `json:"grants"` // by team
+	Seq    int64            `json:"seq" cbor:"1,keyasint,omitempty"`    // sequence number of the last operation, from 1
+	Grants map[string]Grant `json:"grants" cbor:"2,keyasint,omitempty"` // by team
 	// Era is the table's era when the row was written, 0 if it reports none. In a later
 	// era the row may lack what its router has written since the copy, so its pledges
 	// bound nothing.
-	Era int64 `json:"era,omitempty"`
+	Era int64 `json:"era,omitempty" cbor:"3,keyasint,omitempty"`
 	// Closing says that another process has written off grants of this holding and
 	// will write off the rest. The router itself may not change it any more.
-	Closing bool `json:"closing,omitempty"`
+	Closing bool `json:"closing,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // Pledge bounds what a holder may have spent in total until its next operation:
 // Base plus PerSecond for each second since AtMS. Like Settled it is cumulative.
 // A holder without a pledge may spend its whole grant.
 type Pledge struct {
-	Base      int64 `json:"base"`
-	PerSecond int64 `json:"per_second"`
-	AtMS      int64 `json:"at_ms"` // time of the table's monotonic clock, not later than the pledge was made
+	Base      int64 `json:"base" cbor:"1,keyasint,omitempty"`
+	PerSecond int64 `json:"per_second" cbor:"2,keyasint,omitempty"`
+	AtMS      int64 `json:"at_ms" cbor:"3,keyasint,omitempty"` // time of the table's monotonic clock, not later than the pledge was made
 }
 
 // Limit returns the most that the holder can have spent at a time of the table's
--- a/internal/prepaid/manager_test.go
+++ b/internal/prepaid/manager_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"testing"
@@ -82,7 +81,7 @@
 		holders := 0
 		for _, row := range rows {
 			var h budget.Holding
-			assert.NilError(t, json.Unmarshal(row.Value, &h))
+			assert.NilError(t, decodeRow(row.Value, &h))
 			if g, ok := h.Grants["t"]; ok {
 				granted += g.Granted
 				reported += g.Reported
@@ -278,7 +277,7 @@
 		return total
 	}
 	assert.NilError(t, err)
-	assert.NilError(t, json.Unmarshal(row.Value, &total))
+	assert.NilError(t, decodeRow(row.Value, &total))
 	return total
 }
 
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"math"
 	"slices"
@@ -29,7 +28,7 @@
 
 // addTotal adds a change of one stripe of a team's budget to the transaction.
 func (op *operation) addTotal(t *team, stripe int, total budget.Total) error {
-	value, err := json.Marshal(total)
+	value, err := encodeRow(total)
 	if err != nil {
 		return err
 	}
@@ -48,7 +47,7 @@
 		op.txn.Deletes = append(op.txn.Deletes, key)
 		return nil
 	}
-	value, err := json.Marshal(op.holding)
+	value, err := encodeRow(op.holding)
 	op.txn.Puts = append(op.txn.Puts, platform.Put{Key: key, Value: value})
 	return err
 }
@@ -468,7 +467,7 @@
 		return budget.Holding{}
 	}
 	var stored budget.Holding
-	if err := json.Unmarshal(ownRow.Value, &stored); err != nil {
+	if err := decodeRow(ownRow.Value, &stored); err != nil {
 		m.opt.Logger.Error("failed to decode this router's holding", "key", ownRow.Key, "err", err)
 		return budget.Holding{}
 	}
--- a/internal/prepaid/reading.go
+++ b/internal/prepaid/reading.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"slices"
 	"sync"
@@ -210,7 +209,7 @@
 		return // commit reads holdings separately
 	}
 	var total budget.Total
-	if err := json.Unmarshal(row.Value, &total); err != nil {
+	if err := decodeRow(row.Value, &total); err != nil {
 		m.opt.Logger.Error("failed to decode a stored total", "key", row.Key, "err", err)
 		return
 	}
@@ -221,7 +220,7 @@
 // the row cannot be decoded.
 func (m *Manager) decodePredecessor(row platform.Row) predecessor {
 	p := predecessor{key: row.Key, version: row.Version}
-	if err := json.Unmarshal(row.Value, &p.holding); err != nil {
+	if err := decodeRow(row.Value, &p.holding); err != nil {
 		m.opt.Logger.Error("failed to decode the holding of an earlier process; its tokens stay granted", "key", row.Key, "err", err)
 	}
 	if p.holding.Era != m.era {
--- a/internal/prepaid/restore_load_test.go
+++ b/internal/prepaid/restore_load_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,7 +43,7 @@
 		assert.NilError(t, err)
 		for _, row := range rows {
 			var h budget.Holding
-			assert.NilError(t, json.Unmarshal(row.Value, &h))
+			assert.NilError(t, decodeRow(row.Value, &h))
 			if h.Era != f.table.inner.Era() {
 				n++
 			}
