--- a/internal/upstream/bound.go
+++ b/internal/upstream/bound.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"math"
@@ -10,8 +11,8 @@
 // answer, which is its reader's to bound.
 const (
 	// MaxHeadBytes bounds the status line and the headers of a response.
-	MaxHeadBytes = 32 << 10
-	// MaxHeaderFields bounds the names of headers in a response.
+	MaxHeadBytes = 16 << 10
+	// MaxHeaderFields bounds the headers in a response.
 	MaxHeaderFields = 200
 	// MaxSkippedBytes bounds the body of a response to another request.
 	MaxSkippedBytes = 64 << 10
@@ -29,24 +30,32 @@
 	return fmt.Sprintf("%s of the target exceeds %d", e.What, e.Limit)
 }
 
-// boundedReader fails once more than a number of bytes are read from it.
+// boundedReader fails once too many bytes or lines are read from it. Lines are examined
+// before a read, because the last one may reach into the body.
 type boundedReader struct {
 	io.Reader
-	left int64
+	left  int64 // bytes
+	lines int   // left; not counted if negative
 }
 
 func (b *boundedReader) Read(p []byte) (int, error) {
-	if b.left <= 0 {
+	switch {
+	case b.left <= 0:
 		return 0, &TooLongError{"head", MaxHeadBytes}
+	case b.lines == 0:
+		return 0, &TooLongError{"number of headers", MaxHeaderFields}
 	}
 	n, err := b.Reader.Read(p[:min(int64(len(p)), b.left)])
 	b.left -= int64(n)
+	if b.lines > 0 {
+		b.lines = max(b.lines-bytes.Count(p[:n], []byte{'\n'}), 0)
+	}
 	return n, err
 }
 
 // boundHead bounds the bytes that are read up to the end of the next head. Bytes that
 // were read ahead of it count too.
-func (c *conn) boundHead() { c.bound.left = MaxHeadBytes }
+func (c *conn) boundHead() { c.bound.left, c.bound.lines = MaxHeadBytes, MaxHeaderFields }
 
 // liftBound ends boundHead.
-func (c *conn) liftBound() { c.bound.left = math.MaxInt64 }
+func (c *conn) liftBound() { c.bound.left, c.bound.lines = math.MaxInt64, -1 }
