Do not take an answer of an earlier start for the present one

Cause, found while reading: a target that has started again under its id was marked as leaving by a late answer of its earlier start.

Change: an answer speaks for the start that the request was sent to. The prompt is described once a request.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -155,7 +155,7 @@
 	if req.origin.source != "" {
 		q.Version = &req.origin.Version
 	}
-	if parts := req.prompt().Parts; req.route.Affinity && len(parts) > 0 {
+	if parts := req.prompt.Parts; req.route.Affinity && len(parts) > 0 {
 		q.PrefixHash = parts[len(parts)-1].Hash
 	}
 	return q
@@ -174,6 +174,7 @@
 		t = g.targetView.Choose(now, q)
 	}
 	if t != nil {
+		req.targetStart = t.StartedMS
 		t.BeginRequest()
 		t.TakePermit(now)
 		if t.Limited() {
@@ -184,9 +185,10 @@
 }
 
 // attempt sends the request to one target and records what the outcome says about
-// the target. An attempt is inconclusive if it was abandoned or rejected, got an
-// answer with a failure, was not wanted any more, or would have exceeded the limit of connections. But a
-// rejection by another target that now uses the address counts as a failure.
+// the target. An attempt is inconclusive if it was abandoned, rejected or not wanted
+// any more, got an answer with a failure, or would have exceeded the limit of
+// connections. But a rejection by another target that now uses the address counts as a
+// failure.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request, t *targets.Target) (outcome, error) {
 	req.placed = g.beginPlacement(req, t)
 	result, cause := g.exchange(ctx, w, r, req, t)
@@ -240,7 +242,7 @@
 		Matches: func(resp *http.Response) bool {
 			var matches bool
 			info, matches = g.opt.Codec.ParseAnswer(resp, req.meta.RequestID)
-			g.hearWishes(t, resp.StatusCode, info)
+			g.hearWishes(t, req.targetStart, resp.StatusCode, info)
 			return matches
 		},
 		BeforeSend: func() error { return g.checkWish(t) },
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -15,12 +15,13 @@
 // the route's latency objective. Relays answer within a few milliseconds.
 const placementWaitDivisor = 32
 
-// prompt describes the prompt of the request. The hash of a part covers those before it.
-func (req *request) prompt() coreplacement.Prompt {
-	p := coreplacement.Prompt{Tokens: req.meta.PromptTokens}
+// describePrompt describes the prompt of a request. The hash of a part covers those
+// before it.
+func describePrompt(meta RequestMeta) coreplacement.Prompt {
+	p := coreplacement.Prompt{Tokens: meta.PromptTokens}
 	hash := xxhash.New()
 	tokens := int64(0)
-	for _, part := range req.meta.SharedPromptParts {
+	for _, part := range meta.SharedPromptParts {
 		_, _ = hash.WriteString(part.ID + ",") // never fails
 		tokens += part.Tokens
 		p.Parts = append(p.Parts, coreplacement.Part{Hash: hash.Sum64(), Tokens: tokens})
@@ -49,9 +50,8 @@
 	for i, t := range candidates {
 		addresses[i] = t.Address
 	}
-	prompt := req.prompt()
-	loads := g.opt.Placement.Loads(ctx, addresses, prompt, req.route.LatencyObjective/placementWaitDivisor)
-	i := coreplacement.Choose(prompt, req.service.Slots, loads)
+	loads := g.opt.Placement.Loads(ctx, addresses, req.prompt, req.route.LatencyObjective/placementWaitDivisor)
+	i := coreplacement.Choose(req.prompt, req.service.Slots, loads)
 	if loads[i] == nil {
 		return nil
 	}
@@ -63,5 +63,5 @@
 	if !g.placeable(req) {
 		return nil
 	}
-	return g.opt.Placement.Begin(t.Address, req.service.MemoryTokens, req.prompt())
+	return g.opt.Placement.Begin(t.Address, req.service.MemoryTokens, req.prompt)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -13,6 +13,7 @@
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
+	coreplacement "tarragonridge.example/tarragonridge/internal/core/placement"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/explain"
@@ -30,6 +31,7 @@
 	deadline time.Time // the caller's or the route's, whichever is earlier
 	path     string
 	body     []byte
+	prompt   coreplacement.Prompt
 	crashKey quarantine.Key // identifies the request by its content
 
 	triedTargets []string      // IDs of targets that are not tried again
@@ -38,16 +40,17 @@
 	targetWait   time.Duration // spent waiting until a target takes the request
 	ran          errkind.Ran   // whether any attempt has run, as far as is known
 
-	headSent   bool // the head of the answer was sent to the caller
-	framed     bool // the head of the streamed answer says where the answer ends
-	origin     streamOrigin
-	sentFrom   *targets.Target    // whose events were sent last
-	placed     *placement.Request // the attempt in progress, at the relay of its engine
-	lastEvent  int64              // ID of the last event that the caller has; -1 if none
-	eventsSent int64              // events that were sent to the caller
-	firstAt    time.Time
-	latestAt   time.Time     // of the events that were sent to the caller
-	longestGap time.Duration // between two of them
+	headSent    bool // the head of the answer was sent to the caller
+	framed      bool // the head of the streamed answer says where the answer ends
+	origin      streamOrigin
+	sentFrom    *targets.Target    // whose events were sent last
+	placed      *placement.Request // the attempt in progress, at the relay of its engine
+	targetStart int64              // of the attempt in progress: start of its target, Unix milliseconds
+	lastEvent   int64              // ID of the last event that the caller has; -1 if none
+	eventsSent  int64              // events that were sent to the caller
+	firstAt     time.Time
+	latestAt    time.Time     // of the events that were sent to the caller
+	longestGap  time.Duration // between two of them
 
 	status int            // of the answer to the caller; 0 if no head was sent
 	err    *errkind.Error // why the request was not served; nil if it was
@@ -107,6 +110,7 @@
 		return err
 	}
 	req.lastEvent = req.meta.LastEventID
+	req.prompt = describePrompt(req.meta)
 	if req.meta.Deadline > 0 {
 		req.deadline = req.arrived.Add(req.meta.Deadline)
 	}
--- a/internal/gateway/wish.go
+++ b/internal/gateway/wish.go
@@ -13,10 +13,10 @@
 // errNotWanted reports that a target has asked for no request since it was chosen.
 var errNotWanted = errors.New("the target wants no request any more")
 
-// hearWishes records what a target asks of this gateway in an answer of any kind, also
-// in one that belongs to another request. An answer that says that another target now
-// uses the address speaks for that one.
-func (g *Gateway) hearWishes(t *targets.Target, status int, info AnswerInfo) {
+// hearWishes records what a start of a target asks of this gateway in an answer of any
+// kind, also in one that belongs to another request. An answer that says that another
+// target now uses the address speaks for that one.
+func (g *Gateway) hearWishes(t *targets.Target, startedMS int64, status int, info AnswerInfo) {
 	if info.Invalid > 0 {
 		g.opt.Metrics.invalidHeaders.Add(float64(info.Invalid))
 	}
@@ -25,9 +25,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	speakers := []*targets.Target{t}
-	if status == http.StatusMisdirectedRequest {
+	var speakers []*targets.Target
+	switch {
+	case status == http.StatusMisdirectedRequest:
 		speakers = g.targetView.OthersAt(t)
+	case t.StartedMS == startedMS:
+		speakers = append(speakers, t)
 	}
 	for _, t := range speakers {
 		if info.Draining {
