Do not send requests whose callers have left before they were read

A host that reads its connections late finds the request and the end of the connection together; the request's context ends only once the server reads on, which is after the request was sent.

Change: before each attempt is sent, the gateway looks whether the caller has closed its connection.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -136,7 +137,7 @@
 // endedError returns the error of a request whose caller has left or whose
 // deadline has passed.
 func (g *Gateway) endedError(r *http.Request, req *request, cause error) error {
-	if r.Context().Err() != nil {
+	if r.Context().Err() != nil || errors.Is(cause, errCallerGone) {
 		e := errkind.Wrap(cause, errkind.Canceled, "the caller has left")
 		e.Ran = req.ran
 		return e
@@ -245,7 +246,7 @@
 			g.hearWishes(t, req.targetStart, resp.StatusCode, info)
 			return matches
 		},
-		BeforeSend: func() error { return g.checkWish(t) },
+		BeforeSend: func() error { return cmp.Or(checkCaller(r.Context()), g.checkWish(t)) },
 	})
 	if err != nil {
 		return g.classifyFailure(ctx, req, err)
@@ -291,7 +292,7 @@
 		}
 	}
 	switch {
-	case ctx.Err() != nil || !time.Now().Before(req.deadline):
+	case ctx.Err() != nil || !time.Now().Before(req.deadline) || errors.Is(err, errCallerGone):
 		return outcomeAbandoned, err
 	case sent:
 		return outcomeBroken, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -261,6 +261,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       withCallerConn,
 		ErrorLog:          slog.NewLogLogger(g.opt.Logger.Handler(), slog.LevelDebug),
 	}
 	done := make(chan error, 1)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -99,8 +99,6 @@
 	g.writeProblem(w, req, req.err)
 }
 
-var errCallerGone = errors.New("caller left while it sent the body")
-
 // prepare decodes the headers, finds the route and the team, reads the body and
 // picks the service. It fails with errCallerGone if the caller leaves before it has
 // sent the whole body, or takes longer than bodyTimeout.
