--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -194,78 +194,6 @@
 	pendingOp           *operation // sent with an unknown result, or about to be sent; nil if there is none
 }
 
-// team is the state of one team's budget at this router.
-type team struct {
-	name    string
-	share   budget.LocalShare
-	history budget.GrantHistory // of the share, in a table that reports eras
-	demand  budget.DemandAverage
-	stripes []stripeRow
-	sent    []budget.GrantHistory // tokens sent to the home stripe by each stripe, in a table that reports eras
-	waiters []*waiter             // in order of arrival
-
-	// shortOf is the least number of tokens that a round found neither here nor in the
-	// stripes, at shortAt.
-	shortOf int64
-	shortAt time.Time
-}
-
-// isShort reports whether a round has just failed to get that many tokens.
-func (t *team) isShort(now time.Time, tokens int64) bool {
-	return tokens >= t.shortOf && now.Sub(t.shortAt) < busyRetryAfter
-}
-
-// recordShortage records that a round could not get a number of tokens.
-func (t *team) recordShortage(now time.Time, tokens int64) {
-	if t.isShort(now, tokens) {
-		return // a smaller number is known to be too many
-	}
-	t.shortOf, t.shortAt = tokens, now
-}
-
-// holderCount returns the number of routers that hold a share. It is called for
-// each attempt, so it avoids the cost of teamTotal.
-func (t *team) holderCount() (n int) {
-	for _, stripe := range t.stripes {
-		n += stripe.total.Holders
-	}
-	return n
-}
-
-// heldByAll returns the tokens that all routers may spend, as far as they have reported.
-func (t *team) heldByAll() (tokens int64) {
-	for _, stripe := range t.stripes {
-		tokens += stripe.total.Held()
-	}
-	return tokens
-}
-
-// otherStripe is how a stripe other than the home stripe was last read.
-type otherStripe struct {
-	readAt   time.Time // start of the last attempt to read its totals
-	readable bool      // whether that attempt, and any transfer since, succeeded
-}
-
-// stripeRow is the row of one stripe of a team's budget as it was last read.
-type stripeRow struct {
-	total   budget.Total
-	version platform.Version // of the row; zero if there is none
-}
-
-// predecessor is the holding of an earlier process of this host.
-type predecessor struct {
-	key     string
-	version platform.Version
-	holding budget.Holding
-}
-
-// waiter is a request that waits for tokens.
-type waiter struct {
-	tokens  int64
-	done    chan error // receives nil once the tokens are reserved, or the refusal
-	inRound bool       // the round in progress answers this waiter when it ends
-}
-
 // New returns a manager that holds no shares. Reservations from limited budgets
 // succeed only while Run is running.
 func New(o Options) *Manager {
@@ -495,15 +423,6 @@
 	return t
 }
 
-// waitingTokens returns the tokens that all waiters together ask for.
-func (t *team) waitingTokens() int64 {
-	var sum int64
-	for _, w := range t.waiters {
-		sum += w.tokens
-	}
-	return sum
-}
-
 // grantWaiters reserves the tokens of waiters in order as long as the share covers
 // the first. m.mu is held.
 func (m *Manager) grantWaiters(t *team) {
