Wait at least 400 ms for budget again

Under load (six copies of the tests of streams at once, race detector) the first request after a start was refused after 100 ms, a quarter of its objective: a gateway without a share needs several calls, now also one for the number of stripes.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -190,7 +190,7 @@
 }
 
 // budgetWaitDivisor gives the longest time that a request waits for tokens, as a fraction
-// of its route's latency objective.
+// of its route's latency objective, but at least prepaid.MinMaxWait.
 const budgetWaitDivisor = 4
 
 // reserveTokens reserves the largest number of tokens that the request may consume.
@@ -198,10 +198,7 @@
 	if req.meta.PromptTokens+req.meta.OutputTokens == 0 {
 		return g.opt.Budgets.Reserve(ctx, "", 0)
 	}
-	maxWait := req.route.LatencyObjective / budgetWaitDivisor
-	if maxWait == 0 {
-		maxWait = prepaid.DefaultMaxWait
-	}
+	maxWait := max(req.route.LatencyObjective/budgetWaitDivisor, prepaid.MinMaxWait)
 	return g.opt.Budgets.ReserveWithin(ctx, req.team.Name, req.meta.PromptTokens+req.meta.OutputTokens, maxWait)
 }
 
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -35,7 +35,7 @@
 	outageProbeInterval = 300 * time.Millisecond
 	// minCallTimeout is the least timeout of a call to the table. Calls usually take
 	// about 10 ms. A call on a path that gives no answer must end before waiting
-	// requests are refused (DefaultMaxWait).
+	// requests are refused (MinMaxWait).
 	minCallTimeout = 250 * time.Millisecond
 	// refreshLatencyFactor is the least age at which totals are read again, in
 	// multiples of the duration of the last successful call: a slow table should
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -12,9 +12,9 @@
 // maxWaiters bounds the requests that wait for one team's share.
 const maxWaiters = 200
 
-// DefaultMaxWait bounds the wait of a request for an exchange with the table if its route
-// states no latency objective.
-const DefaultMaxWait = 400 * time.Millisecond
+// MinMaxWait is the least bound of the wait of a request for an exchange with the table.
+// A router that has just started needs several calls for its first share.
+const MinMaxWait = 400 * time.Millisecond
 
 // shortageValidFor is how long requests are refused at once after a read showed
 // that too few tokens are left. Otherwise each request to a nearly exhausted budget
@@ -39,13 +39,13 @@
 }
 
 // Reserve reserves tokens for a request of a team. If the local share does not
-// cover them, it waits for a round of exchanges with the table, up to DefaultMaxWait.
+// cover them, it waits for a round of exchanges with the table, up to MinMaxWait.
 // Errors: BudgetExhausted if the prepaid total cannot cover the request; BudgetBusy
 // if other requests or routers hold the tokens, or too many requests wait;
 // PlatformUnavailable if the table or a stripe cannot be reached, the table is too
 // slow, or another process has closed the holding; Canceled if ctx ends first.
 func (m *Manager) Reserve(ctx context.Context, name string, tokens int64) (*Reservation, error) {
-	return m.ReserveWithin(ctx, name, tokens, DefaultMaxWait)
+	return m.ReserveWithin(ctx, name, tokens, MinMaxWait)
 }
 
 // ReserveWithin is Reserve with another longest wait.
