--- a/internal/core/targets/availability.go
+++ b/internal/core/targets/availability.go
@@ -39,7 +39,7 @@
 	case q.Version != nil && *q.Version != t.Version:
 		return ReasonOtherVersion
 	}
-	if r := t.Wish(now); r != ReasonNone {
+	if r := t.Backpressure(now); r != ReasonNone {
 		return r
 	}
 	switch {
@@ -55,14 +55,14 @@
 	return ReasonNone
 }
 
-// Wish returns what the target has asked of this router as far as it forbids a request
+// Backpressure returns what the target has asked of this router as far as it forbids a request
 // now: ReasonDraining, ReasonTurnedAway, or ReasonNone. It is examined once more before
 // a request is sent to a target that was chosen earlier.
-func (t *Target) Wish(now time.Time) Reason {
+func (t *Target) Backpressure(now time.Time) Reason {
 	switch {
-	case t.wish.draining:
+	case t.backpressure.draining:
 		return ReasonDraining
-	case now.Before(t.wish.noneUntil):
+	case now.Before(t.backpressure.noneUntil):
 		return ReasonTurnedAway
 	}
 	return ReasonNone
@@ -70,7 +70,7 @@
 
 // wait returns the time until the reasons that end by themselves have ended.
 func (t *Target) wait(now time.Time) time.Duration {
-	return max(t.limit.wait(now), t.wish.noneUntil.Sub(now), 0)
+	return max(t.limit.wait(now), t.backpressure.noneUntil.Sub(now), 0)
 }
 
 // Reasons counts the targets of a service by the reason for which they are not sent a
--- a/internal/core/targets/wish.go
+++ b/internal/core/targets/backpressure.go
@@ -10,43 +10,43 @@
 // must not shut the target out for good.
 const MaxTurnAway = 10 * time.Minute
 
-// wishRetention is how long the wish of a target is remembered after its registration
-// has gone. A write of the registration that was under way may bring it back.
-const wishRetention = time.Hour
+// backpressureRetention is how long the backpressure of a target is remembered after its
+// registration has gone. A write of the registration that was under way may bring it back.
+const backpressureRetention = time.Hour
 
-// wish is what one start of a target has asked of this router. It outlasts the
+// backpressure is what one start of a target has asked of this router. It outlasts the
 // registration, which may be missing or outdated.
-type wish struct {
+type backpressure struct {
 	startedMS int64
 	draining  bool      // it is about to stop and wants no more requests
 	noneUntil time.Time // it wants no request before then
 	goneSince time.Time // when its registration was removed; zero if it is there
 }
 
-// wishOf returns the wish of a start of a target.
-func (v *View) wishOf(r Registration) *wish {
-	w := v.wishes[r.ID]
-	if w == nil || w.startedMS != r.StartedMS {
-		w = &wish{startedMS: r.StartedMS}
-		v.wishes[r.ID] = w
+// backpressureOf returns the backpressure of a start of a target.
+func (v *View) backpressureOf(r Registration) *backpressure {
+	b := v.backpressure[r.ID]
+	if b == nil || b.startedMS != r.StartedMS {
+		b = &backpressure{startedMS: r.StartedMS}
+		v.backpressure[r.ID] = b
 	}
-	w.draining = w.draining || r.Draining
-	w.goneSince = time.Time{}
-	return w
+	b.draining = b.draining || r.Draining
+	b.goneSince = time.Time{}
+	return b
 }
 
 // SetDraining records that a target is about to stop, and reports whether that was not
 // known. Only a new start of the target ends it.
 func (v *View) SetDraining(t *Target) (changed bool) {
-	changed = !t.wish.draining
-	t.wish.draining = true
+	changed = !t.backpressure.draining
+	t.backpressure.draining = true
 	return changed
 }
 
 // TurnAway records that a target wants no request from this router for a while.
 func (v *View) TurnAway(now time.Time, t *Target, d time.Duration) {
-	if until := now.Add(min(d, MaxTurnAway)); until.After(t.wish.noneUntil) {
-		t.wish.noneUntil = until
+	if until := now.Add(min(d, MaxTurnAway)); until.After(t.backpressure.noneUntil) {
+		t.backpressure.noneUntil = until
 	}
 }
 
@@ -60,15 +60,16 @@
 	return others
 }
 
-// forgetWishes removes the wishes of targets that have been gone for wishRetention.
-func (v *View) forgetWishes(now time.Time) {
-	maps.DeleteFunc(v.wishes, func(id string, w *wish) bool {
+// forgetBackpressure removes what targets have asked that have been gone for
+// backpressureRetention.
+func (v *View) forgetBackpressure(now time.Time) {
+	maps.DeleteFunc(v.backpressure, func(id string, b *backpressure) bool {
 		if v.byID[id] != nil {
 			return false
 		}
-		if w.goneSince.IsZero() {
-			w.goneSince = now
+		if b.goneSince.IsZero() {
+			b.goneSince = now
 		}
-		return now.Sub(w.goneSince) >= wishRetention
+		return now.Sub(b.goneSince) >= backpressureRetention
 	})
 }
--- a/internal/core/targets/wish_test.go
+++ b/internal/core/targets/backpressure_test.go
@@ -7,9 +7,9 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a wish that is lost with the target's registration, that outlasts a new
+// Guards against backpressure that is lost with the target's registration, that outlasts a new
 // start, or that a mistaken time makes last for good.
-func TestWishLastsAsLongAsTheStart(t *testing.T) {
+func TestBackpressureLastsAsLongAsTheStart(t *testing.T) {
 	v := newTestView("1")
 	assert.Assert(t, v.SetDraining(v.Target("1")))
 	assert.Assert(t, !v.SetDraining(v.Target("1")))
@@ -29,16 +29,16 @@
 	assert.Equal(t, reason(now.Add(MaxTurnAway)), ReasonNone)
 }
 
-// Guards against wishes of targets that are gone for good and fill the memory.
-func TestWishesOfGoneTargetsAreForgotten(t *testing.T) {
+// Guards against the backpressure of targets that are gone for good and fills the memory.
+func TestBackpressureOfGoneTargetsIsForgotten(t *testing.T) {
 	v := newTestView("1", "2")
 	v.SetDraining(v.Target("1"))
 	v.Remove("1")
 	v.MarkMissing(now, "2")
-	v.MarkMissing(now.Add(wishRetention-1), "2")
-	assert.Equal(t, len(v.wishes), 2)
-	v.MarkMissing(now.Add(wishRetention), "2")
-	assert.Equal(t, len(v.wishes), 1)
+	v.MarkMissing(now.Add(backpressureRetention-1), "2")
+	assert.Equal(t, len(v.backpressure), 2)
+	v.MarkMissing(now.Add(backpressureRetention), "2")
+	assert.Equal(t, len(v.backpressure), 1)
 }
 
 // Guards against requests beyond the connections that this router may open, and against
--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -38,7 +38,7 @@
 	InFlight int // requests of this router at the target
 
 	limit               requestLimit
-	wish                *wish // of this start of the target
+	backpressure        *backpressure // of this start of the target
 	consecutiveFailures int
 	avoidedSince        time.Time
 	avoidedUntil        time.Time // until then other targets are preferred
@@ -48,23 +48,24 @@
 
 // View is the set of known targets. It is not safe for concurrent use.
 type View struct {
-	byService map[string][]*Target
-	byID      map[string]*Target
-	chooser   *route.Chooser
-	versions  map[fleet.ServiceVersion]int // number of targets
-	share     fleet.ShareFunc              // of limits; nil for no share
-	returns   map[string]*returnTimes      // of refused callers, by service
-	wishes    map[string]*wish             // by id, also of targets that are not known any more
+	byService    map[string][]*Target
+	byID         map[string]*Target
+	chooser      *route.Chooser
+	versions     map[fleet.ServiceVersion]int // number of targets
+	share        fleet.ShareFunc              // of limits; nil for no share
+	returns      map[string]*returnTimes      // of refused callers, by service
+	backpressure map[string]*backpressure     // by id, also of targets that are not known any more
 }
 
 // NewView returns an empty view. seed initializes the random choice between equal
 // targets.
 func NewView(seed uint64) *View {
-	return &View{byService: map[string][]*Target{}, byID: map[string]*Target{}, chooser: route.NewChooser(seed), versions: map[fleet.ServiceVersion]int{}, returns: map[string]*returnTimes{}, wishes: map[string]*wish{}}
+	return &View{byService: map[string][]*Target{}, byID: map[string]*Target{}, chooser: route.NewChooser(seed), versions: map[fleet.ServiceVersion]int{}, returns: map[string]*returnTimes{}, backpressure: map[string]*backpressure{}}
 }
 
 // Put adds or replaces a registration. A target that has started again under the
-// same id has no failures and no wishes; until then it stays draining once it was. An id with another service, address or version than before
+// same id has no failures and has asked for nothing; until then it stays draining once it
+// was. An id with another service, address or version than before
 // counts as a new target, without requests in flight.
 func (v *View) Put(r Registration) *Target {
 	t := v.byID[r.ID]
@@ -84,7 +85,7 @@
 	}
 	// The other fields do not change: requests read them without the caller's lock.
 	t.FailureDomain, t.Draining, t.Slots, t.StartedMS = r.FailureDomain, r.Draining, r.Slots, r.StartedMS
-	t.wish = v.wishOf(r)
+	t.backpressure = v.backpressureOf(r)
 	t.missingSince = time.Time{}
 	return t
 }
@@ -92,7 +93,7 @@
 // MarkMissing records that a registration is gone. SweepMissing removes its target
 // later.
 func (v *View) MarkMissing(now time.Time, id string) {
-	v.forgetWishes(now)
+	v.forgetBackpressure(now)
 	if t := v.byID[id]; t != nil && t.missingSince.IsZero() {
 		t.missingSince = now
 	}
--- a/internal/gateway/wish.go
+++ b/internal/gateway/backpressure.go
@@ -10,13 +10,13 @@
 	"tarragonridge.example/tarragonridge/internal/core/targets"
 )
 
-// errNotWanted reports that a target has asked for no request since it was chosen.
-var errNotWanted = errors.New("the target wants no request any more")
+// errDeclined reports that a target has asked for no request since it was chosen.
+var errDeclined = errors.New("the target wants no request any more")
 
-// hearWishes records what a start of a target asks of this gateway in an answer of any
-// kind, also in one that belongs to another request. An answer that says that another
+// recordBackpressure records what a start of a target asks of this gateway in an answer
+// of any kind, also in one that belongs to another request. An answer that says that another
 // target now uses the address speaks for that one.
-func (g *Gateway) hearWishes(t *targets.Target, startedMS int64, status int, info AnswerInfo) {
+func (g *Gateway) recordBackpressure(t *targets.Target, startedMS int64, status int, info AnswerInfo) {
 	if info.Invalid > 0 {
 		g.opt.Metrics.invalidHeaders.Add(float64(info.Invalid))
 	}
@@ -62,13 +62,13 @@
 	g.publications.add(fleet.DrainingKey(t.ID), value)
 }
 
-// checkWish returns errNotWanted if a target wants no request any more. The request may
+// checkBackpressure returns errDeclined if a target wants no request any more. The request may
 // have waited for a connection since the target was chosen.
-func (g *Gateway) checkWish(t *targets.Target) error {
+func (g *Gateway) checkBackpressure(t *targets.Target) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if t.Wish(time.Now()) != targets.ReasonNone {
-		return errNotWanted
+	if t.Backpressure(time.Now()) != targets.ReasonNone {
+		return errDeclined
 	}
 	return nil
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -204,7 +204,7 @@
 	switch {
 	case result == outcomeServed:
 		t.RecordSuccess()
-	case errors.Is(cause, upstream.ErrConnLimit), errors.Is(cause, errNotWanted), result == outcomeAbandoned, errors.Is(cause, errFailedAnswer):
+	case errors.Is(cause, upstream.ErrConnLimit), errors.Is(cause, errDeclined), result == outcomeAbandoned, errors.Is(cause, errFailedAnswer):
 		t.RecordInconclusive()
 	case result == outcomeRejected && !errors.Is(cause, errTargetReplaced):
 		t.RecordInconclusive()
@@ -243,10 +243,10 @@
 		Matches: func(resp *http.Response) bool {
 			var matches bool
 			info, matches = g.opt.Codec.ParseAnswer(resp, req.meta.RequestID)
-			g.hearWishes(t, req.targetStart, resp.StatusCode, info)
+			g.recordBackpressure(t, req.targetStart, resp.StatusCode, info)
 			return matches
 		},
-		BeforeSend: func() error { return cmp.Or(checkCaller(r.Context()), g.checkWish(t)) },
+		BeforeSend: func() error { return cmp.Or(checkCaller(r.Context()), g.checkBackpressure(t)) },
 	})
 	if err != nil {
 		return g.classifyFailure(ctx, req, err)
