--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"time"
-
-	"tarragonridge.example/tarragonridge/internal/core/budget"
 )
 
 // Gateway holds the settings of a gateway, which routes HTTP requests on a
@@ -43,13 +41,17 @@
 	PartWritesPerS float64 `json:"part_writes_per_s"`
 }
 
-// Stripes returns the number of parts that the store's rate of writes can keep busy, 0
-// if it is unknown.
+// maxStripes bounds the stripes of a budget: a gateway's processor time for planning its
+// shares grows with their square.
+const maxStripes = 8
+
+// Stripes returns the number of parts that the store's rate of writes can keep busy, up
+// to maxStripes, 0 if it is unknown.
 func (s Store) Stripes() int {
 	if s.PartWritesPerS <= 0 {
 		return 0
 	}
-	return min(max(int(s.WritesPerS/s.PartWritesPerS), 1), budget.MaxStripes)
+	return min(max(int(s.WritesPerS/s.PartWritesPerS), 1), maxStripes)
 }
 
 // GatewayBudgets says what the budgets must withstand.
