Log what was in flight at a crash and how many crashes are counted against it

The line "in flight at a crash" names both for each request, and counters tell reports of this gateway from those of others.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -35,8 +35,12 @@
 // brokenRun is a run (an attempt that may have reached its target) without a whole
 // answer, for another reason than a timeout. The target may have crashed.
 type brokenRun struct {
-	key quarantine.Key
-	at  time.Time
+	key     quarantine.Key
+	request string   // ID of the request
+	parts   []string // IDs of the prompt parts that other requests may share
+	begun   bool     // the head of an answer came
+	events  int64    // events that came, also those of earlier runs
+	at      time.Time
 }
 
 // crashRow is the stored form of the crash reports about one request.
@@ -62,7 +66,11 @@
 			recent = append(recent, b)
 		}
 	}
-	g.brokenRuns[t.ID] = append(recent, brokenRun{req.crashKey, now})
+	run := brokenRun{key: req.crashKey, request: req.meta.RequestID, begun: req.runBegun, events: req.eventsSent, at: now}
+	for _, part := range req.meta.SharedPromptParts {
+		run.parts = append(run.parts, part.ID)
+	}
+	g.brokenRuns[t.ID] = append(recent, run)
 	if len(recent) == 0 {
 		registration := t.Registration
 		time.AfterFunc(crashCheckDelay, func() { g.checkCrash(registration) })
@@ -83,6 +91,7 @@
 		return
 	}
 	g.opt.Logger.Warn("target has crashed", "target", registration.ID, "runs", len(runs), "cause", err)
+	g.opt.Metrics.crashes.Inc()
 	// The ID identifies this start of the target, so that reports of several routers
 	// about a crash count once.
 	crashID := registration.ID + "/" + time.UnixMilli(registration.StartedMS).UTC().Format(time.RFC3339Nano)
@@ -90,15 +99,33 @@
 		// The runs of other routers at the target are not known here, so Alone (no other
 		// request explains the crash) stays false.
 		crash := quarantine.Crash{Key: run.key, ID: crashID}
-		g.recordCrash(crash)
+		g.recordCrash(crash, reportedHere)
+		g.logCrashSuspect(run, crashID)
 		if err := g.storeCrashReport(ctx, crash); err != nil {
 			g.opt.Logger.Warn("failed to store a crash report", "team", crash.Team, "hash", crash.ContentHash, "err", err)
 		}
 	}
 }
 
+// Where crash reports come from, as metrics tell it.
+const (
+	reportedHere  = "here"
+	reportedOther = "other" // by another gateway, or by an earlier process
+)
+
+// logCrashSuspect logs a request that was in flight at a crash, and how many crashes
+// all gateways have counted against its content.
+func (g *Gateway) logCrashSuspect(run brokenRun, crashID string) {
+	g.mu.Lock()
+	crashes := g.quarantine.Crashes(run.key)
+	g.mu.Unlock()
+	g.opt.Logger.Info("in flight at a crash", "request", run.request, "team", run.key.Team, "hash", run.key.ContentHash,
+		"parts", strings.Join(run.parts, ","), "begun", run.begun, "events", run.events, "crash", crashID, "crashes", crashes)
+}
+
 // recordCrash counts a crash against its request, which may be quarantined for it.
-func (g *Gateway) recordCrash(crash quarantine.Crash) {
+func (g *Gateway) recordCrash(crash quarantine.Crash, source string) {
+	g.opt.Metrics.crashReports.WithLabelValues(source).Inc()
 	g.mu.Lock()
 	newlyQuarantined := g.quarantine.Report(time.Now(), crash)
 	g.mu.Unlock()
@@ -161,6 +188,6 @@
 		return
 	}
 	for _, id := range stored.Crashes {
-		g.recordCrash(quarantine.Crash{Key: quarantine.Key{Team: team, ContentHash: hash}, ID: id})
+		g.recordCrash(quarantine.Crash{Key: quarantine.Key{Team: team, ContentHash: hash}, ID: id}, reportedOther)
 	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -192,6 +192,7 @@
 // failure.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request, t *targets.Target) (outcome, error) {
 	req.placed = g.beginPlacement(req, t)
+	req.runBegun = false
 	result, cause := g.exchange(ctx, w, r, req, t)
 	req.placed.End()
 	g.mu.Lock()
@@ -261,7 +262,7 @@
 		return outcomeRejected, errkind.New(errkind.Overloaded, "target answered %d, not run", answer.StatusCode)
 	}
 	req.runs++
-	req.ran = errkind.RanYes
+	req.ran, req.runBegun = errkind.RanYes, true
 	if answer.Header.Get("Content-Encoding") != "" || (answer.StatusCode < 300 && !info.Signed) {
 		return outcomeBroken, errForeignAnswer
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,8 @@
 	turnedAway prometheus.Counter
 	// invalidHeaders counts headers about a target whose values make no sense.
 	invalidHeaders prometheus.Counter
+	crashes        prometheus.Counter
+	crashReports   *prometheus.CounterVec
 	continued      *prometheus.CounterVec
 	duration       prometheus.Histogram
 	configVersion  prometheus.Gauge
@@ -47,6 +49,14 @@
 			Name: "tarragonridge_http_invalid_target_headers_total",
 			Help: "Headers in which targets state limits, a pause or their stop with values that make no sense.",
 		}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tarragonridge_http_target_crashes_total",
+			Help: "Targets that crashed with requests of this gateway in flight.",
+		}),
+		crashReports: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tarragonridge_http_crash_reports_total",
+			Help: "Requests reported as in flight at a crash, by where the report comes from: here or other. A report may come more than once.",
+		}, []string{"source"}),
 		continued: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tarragonridge_http_continued_streams_total",
 			Help: "Streams that continue at another target, by how the version that began them is known, and whether the target has it.",
@@ -59,7 +69,7 @@
 			Name: "tarragonridge_http_config_version", Help: "Version of the routes in force here.",
 		}),
 	}
-	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.continued, m.duration, m.configVersion, collectors.NewGoCollector())
+	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.crashes, m.crashReports, m.continued, m.duration, m.configVersion, collectors.NewGoCollector())
 	return m
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -40,6 +40,7 @@
 	targetWait   time.Duration // spent waiting until a target takes the request
 	ran          errkind.Ran   // whether any attempt has run, as far as is known
 
+	runBegun    bool // the head of an answer came in the attempt in progress
 	headSent    bool // the head of the answer was sent to the caller
 	framed      bool // the head of the streamed answer says where the answer ends
 	origin      streamOrigin
