Quarantine parts of prompts under which targets crash

Callers saw: prompts with one part crashed engine after engine for as long as they came.

Cause: crashes were counted by team, path and body. No two of these requests are alike, so none was counted three times, and nothing counted what they share. Evidence was kept under an identity that is narrower than the cause.

Change: gateways report each prompt part of the runs without progress at a crash, and refuse a part after three successive crashes (five if no answer had begun). Reports are written until the table takes them. The quarantine, of requests too, is looked at again before each attempt and each send, and before tokens are reserved.

--- /dev/null
+++ b/internal/core/quarantine/parts.go
@@ -0,0 +1,259 @@
+package quarantine
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// A prompt part is quarantined when it reaches one of these limits of successive
+// crashes. Crashes are successive if each run was sent after the crash before was known,
+// so that targets which fail together count once.
+const (
+	MaxBegunCrashes = 3 // of runs whose answer had begun
+	MaxPartCrashes  = 5 // of any runs without progress
+)
+
+// Bounds of the reports that are kept.
+const (
+	maxReportedParts   = 10_000
+	maxReportsPerLevel = 8
+	maxLevel           = 16
+)
+
+// Part identifies a part of a prompt and the model that reads it.
+type Part uint64
+
+func (p Part) String() string { return fmt.Sprintf("%016x", uint64(p)) }
+
+// PartReport says that a run of a request with a prompt part was in flight at a target
+// when it crashed, and had made no progress.
+type PartReport struct {
+	Part  Part
+	Crash uint64 // identifies the crash
+	Level int    // number of successive crashes, this one included
+	Depth int    // number of parts before it in the prompt
+	Begun bool   // the answer had begun
+}
+
+// PartTracker tracks reports about prompt parts. A part is sound, and its reports are
+// forgotten, as soon as any run with it makes progress. Crashes that a quarantined part
+// explains do not count against other parts. It is not safe for concurrent use.
+type PartTracker struct {
+	parts       map[Part]*reportedPart
+	quarantined []Part
+}
+
+// reportedPart is a part with reports.
+type reportedPart struct {
+	part         Part
+	reports      []PartReport
+	level        int // highest of the reports
+	lastReportAt time.Time
+}
+
+// NewPartTracker returns a tracker without reports.
+func NewPartTracker() *PartTracker { return &PartTracker{parts: map[Part]*reportedPart{}} }
+
+// Reported reports whether there are reports about any part.
+func (t *PartTracker) Reported() bool { return len(t.parts) > 0 }
+
+// Level returns the number of successive crashes that are known of a part.
+func (t *PartTracker) Level(part Part) int {
+	if p := t.parts[part]; p != nil {
+		return p.level
+	}
+	return 0
+}
+
+// NextLevel returns the level of a report about a run that was sent at a level of the
+// part. Runs that made progress since then have lowered the level.
+func (t *PartTracker) NextLevel(part Part, levelWhenSent int) int {
+	return min(levelWhenSent, t.Level(part)) + 1
+}
+
+// Report records a report. It returns false if the report is known or not needed.
+func (t *PartTracker) Report(now time.Time, r PartReport) (recorded bool) {
+	if r.Level < 1 || r.Level > maxLevel {
+		return false
+	}
+	p := t.parts[r.Part]
+	if p == nil {
+		if len(t.parts) >= maxReportedParts {
+			t.evict()
+		}
+		p = &reportedPart{part: r.Part}
+		t.parts[r.Part] = p
+	}
+	sameLevel := 0
+	for i, known := range p.reports {
+		if known.Level != r.Level {
+			continue
+		}
+		if known.Crash == r.Crash {
+			if known.Begun || !r.Begun {
+				return false
+			}
+			p.reports = slices.Delete(p.reports, i, i+1)
+			break
+		}
+		sameLevel++
+	}
+	if sameLevel >= maxReportsPerLevel {
+		return false
+	}
+	p.reports = append(p.reports, r)
+	p.lastReportAt = now
+	t.updateLevel(p)
+	return true
+}
+
+// Withdraw forgets one report, as another router has done.
+func (t *PartTracker) Withdraw(part Part, crash uint64, level int) {
+	p := t.parts[part]
+	if p == nil {
+		return
+	}
+	p.reports = slices.DeleteFunc(p.reports, func(r PartReport) bool { return r.Crash == crash && r.Level == level })
+	if len(p.reports) == 0 {
+		delete(t.parts, part)
+	}
+	t.updateLevel(p)
+}
+
+// updateLevel updates the level of a part whose reports have changed.
+func (t *PartTracker) updateLevel(p *reportedPart) {
+	before := p.level
+	p.level = 0
+	for _, r := range p.reports {
+		p.level = max(p.level, r.Level)
+	}
+	if max(before, p.level) >= MaxBegunCrashes {
+		t.decide()
+	}
+}
+
+// Clear forgets the reports about a part and returns them.
+func (t *PartTracker) Clear(part Part) []PartReport {
+	p := t.parts[part]
+	if p == nil {
+		return nil
+	}
+	delete(t.parts, part)
+	if p.level >= MaxBegunCrashes {
+		t.decide()
+	}
+	return p.reports
+}
+
+// Reset forgets all reports but these.
+func (t *PartTracker) Reset(now time.Time, reports []PartReport) {
+	clear(t.parts)
+	t.quarantined = nil
+	for _, r := range reports {
+		t.Report(now, r)
+	}
+}
+
+// Expired returns the parts whose last report is too old to matter.
+func (t *PartTracker) Expired(now time.Time) (parts []Part) {
+	for part, p := range t.parts {
+		if now.Sub(p.lastReportAt) > suspectRetention {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
+// Quarantined returns the parts that are quarantined.
+func (t *PartTracker) Quarantined() []Part { return t.quarantined }
+
+// Find returns the index of the first quarantined part, -1 if there is none.
+func (t *PartTracker) Find(parts []Part) int {
+	if len(t.quarantined) == 0 {
+		return -1
+	}
+	return slices.IndexFunc(parts, func(part Part) bool { return slices.Contains(t.quarantined, part) })
+}
+
+// decide determines the quarantined parts. Of parts that were together at the same
+// crashes it takes the one with most parts before it, which fewest requests have.
+func (t *PartTracker) decide() {
+	t.quarantined = nil
+	var suspects []*reportedPart
+	for _, p := range t.parts {
+		if p.convicted(nil) {
+			suspects = append(suspects, p)
+		}
+	}
+	slices.SortFunc(suspects, func(a, b *reportedPart) int {
+		return cmp.Or(cmp.Compare(b.depth(), a.depth()), cmp.Compare(len(b.reports), len(a.reports)), cmp.Compare(a.part, b.part))
+	})
+	var culprits []*reportedPart
+	for _, p := range suspects {
+		if p.convicted(culprits) {
+			culprits = append(culprits, p)
+		}
+	}
+	// A culprit may turn out to explain nothing that those found after it do not explain.
+	for i := 0; i < len(culprits); {
+		if others := slices.Delete(slices.Clone(culprits), i, i+1); culprits[i].explainedBy(others) {
+			culprits = others
+		} else {
+			i++
+		}
+	}
+	for _, p := range culprits {
+		t.quarantined = append(t.quarantined, p.part)
+	}
+}
+
+// convicted reports whether the crashes that no culprit explains suffice to quarantine
+// the part.
+func (p *reportedPart) convicted(culprits []*reportedPart) bool {
+	if p.level < MaxBegunCrashes {
+		return false
+	}
+	var levels, begun [maxLevel + 1]bool
+	for _, r := range p.reports {
+		if !explains(culprits, r.Crash) {
+			levels[r.Level] = true
+			begun[r.Level] = begun[r.Level] || r.Begun
+		}
+	}
+	return count(begun) >= MaxBegunCrashes || count(levels) >= MaxPartCrashes
+}
+
+func count(set [maxLevel + 1]bool) (n int) {
+	for _, in := range set {
+		if in {
+			n++
+		}
+	}
+	return n
+}
+
+// explainedBy reports whether culprits explain all crashes of the part.
+func (p *reportedPart) explainedBy(culprits []*reportedPart) bool {
+	return !slices.ContainsFunc(p.reports, func(r PartReport) bool { return !explains(culprits, r.Crash) })
+}
+
+func explains(culprits []*reportedPart, crash uint64) bool {
+	return slices.ContainsFunc(culprits, func(c *reportedPart) bool {
+		return slices.ContainsFunc(c.reports, func(r PartReport) bool { return r.Crash == crash })
+	})
+}
+
+func (p *reportedPart) depth() int { return p.reports[len(p.reports)-1].Depth }
+
+// evict forgets the part with the oldest last report.
+func (t *PartTracker) evict() {
+	var oldest *reportedPart
+	for _, p := range t.parts {
+		if oldest == nil || p.lastReportAt.Before(oldest.lastReportAt) {
+			oldest = p
+		}
+	}
+	t.Clear(oldest.part)
+}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -36,10 +36,11 @@
 // answer, for another reason than a timeout. The target may have crashed.
 type brokenRun struct {
 	key     quarantine.Key
-	request string   // ID of the request
-	parts   []string // IDs of the prompt parts that other requests may share
-	begun   bool     // the head of an answer came
-	events  int64    // events that came, also those of earlier runs
+	request string // ID of the request
+	parts   []quarantine.Part
+	partIDs []string // as the caller names them
+	state   runState
+	events  int64 // events that came, also those of earlier runs
 	at      time.Time
 }
 
@@ -48,13 +49,6 @@
 	Crashes []string `json:"crashes"` // sorted crash IDs
 }
 
-// isQuarantined reports whether the request has crashed too many targets.
-func (g *Gateway) isQuarantined(req *request) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.quarantine.Quarantined(time.Now(), req.crashKey)
-}
-
 // recordBrokenRun records a broken run and, for the first one at a target,
 // schedules a check whether the target has crashed. A target that only lost an
 // answer still accepts connections. g.mu is held.
@@ -66,9 +60,9 @@
 			recent = append(recent, b)
 		}
 	}
-	run := brokenRun{key: req.crashKey, request: req.meta.RequestID, begun: req.runBegun, events: req.eventsSent, at: now}
-	for _, part := range req.meta.SharedPromptParts {
-		run.parts = append(run.parts, part.ID)
+	run := brokenRun{key: req.crashKey, request: req.meta.RequestID, parts: req.parts, state: req.run, events: req.eventsSent, at: now}
+	for i := range req.parts {
+		run.partIDs = append(run.partIDs, req.meta.SharedPromptParts[i].ID)
 	}
 	g.brokenRuns[t.ID] = append(recent, run)
 	if len(recent) == 0 {
@@ -100,6 +94,7 @@
 		// request explains the crash) stays false.
 		crash := quarantine.Crash{Key: run.key, ID: crashID}
 		g.recordCrash(crash, reportedHere)
+		g.reportParts(run, crashID)
 		g.logCrashSuspect(run, crashID)
 		if err := g.storeCrashReport(ctx, crash); err != nil {
 			g.opt.Logger.Warn("failed to store a crash report", "team", crash.Team, "hash", crash.ContentHash, "err", err)
@@ -120,7 +115,7 @@
 	crashes := g.quarantine.Crashes(run.key)
 	g.mu.Unlock()
 	g.opt.Logger.Info("in flight at a crash", "request", run.request, "team", run.key.Team, "hash", run.key.ContentHash,
-		"parts", strings.Join(run.parts, ","), "begun", run.begun, "events", run.events, "crash", crashID, "crashes", crashes)
+		"parts", strings.Join(run.partIDs, ","), "begun", run.state.begun, "events", run.events, "crash", crashID, "crashes", crashes)
 }
 
 // recordCrash counts a crash against its request, which may be quarantined for it.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -126,6 +126,7 @@
 	defer g.mu.Unlock()
 	g.divideLimits(now)
 	g.publishVersions()
+	g.removeExpiredParts(now)
 	if g.fleet.Routers(now)[0] == g.opt.Host {
 		for _, host := range g.fleet.Gone(now) {
 			g.publications.add(fleet.RouterKey(host), nil)
@@ -226,6 +227,7 @@
 		}
 	}
 	g.fleetReadAt = now
+	g.applyPartReports(now, changes)
 	g.divideLimits(now)
 	g.recordStreams()
 	for _, target := range changed {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -48,13 +48,13 @@
 	}
 	g.countForRetries(req)
 	unsent := 0
-	if g.isQuarantined(req) {
-		return errkind.New(errkind.RequestQuarantined, "it has crashed the targets that ran it")
-	}
 	for {
 		if err := ctx.Err(); err != nil {
 			return g.endedError(r, req, err)
 		}
+		if err := g.checkQuarantine(req); err != nil {
+			return g.finalError(req, errkind.From(err))
+		}
 		t := g.chooseTarget(ctx, req)
 		if t == nil {
 			if g.awaitTarget(ctx, req) {
@@ -70,6 +70,7 @@
 		}
 		switch result {
 		case outcomeServed:
+			g.recordWholeAnswer(req)
 			return nil
 		case outcomeAbandoned:
 			return g.endedError(r, req, cause)
@@ -178,6 +179,7 @@
 		req.targetStart = t.StartedMS
 		t.BeginRequest()
 		t.TakePermit(now)
+		g.beginRun(req)
 		if t.Limited() {
 			g.opt.Metrics.limited.Inc()
 		}
@@ -192,7 +194,6 @@
 // failure.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request, t *targets.Target) (outcome, error) {
 	req.placed = g.beginPlacement(req, t)
-	req.runBegun = false
 	result, cause := g.exchange(ctx, w, r, req, t)
 	req.placed.End()
 	g.mu.Lock()
@@ -205,7 +206,7 @@
 	switch {
 	case result == outcomeServed:
 		t.RecordSuccess()
-	case errors.Is(cause, upstream.ErrConnLimit), errors.Is(cause, errDeclined), result == outcomeAbandoned, errors.Is(cause, errFailedAnswer):
+	case errors.Is(cause, upstream.ErrConnLimit), errors.Is(cause, errDeclined), errors.Is(cause, errQuarantined), result == outcomeAbandoned, errors.Is(cause, errFailedAnswer):
 		t.RecordInconclusive()
 	case result == outcomeRejected && !errors.Is(cause, errTargetReplaced):
 		t.RecordInconclusive()
@@ -247,7 +248,9 @@
 			g.recordBackpressure(t, req.targetStart, resp.StatusCode, info)
 			return matches
 		},
-		BeforeSend: func() error { return cmp.Or(checkCaller(r.Context()), g.checkBackpressure(t)) },
+		BeforeSend: func() error {
+			return cmp.Or(checkCaller(r.Context()), g.checkBackpressure(t), g.checkQuarantineBeforeSend(req))
+		},
 	})
 	if err != nil {
 		return g.classifyFailure(ctx, req, err)
@@ -262,7 +265,7 @@
 		return outcomeRejected, errkind.New(errkind.Overloaded, "target answered %d, not run", answer.StatusCode)
 	}
 	req.runs++
-	req.ran, req.runBegun = errkind.RanYes, true
+	req.ran, req.run.begun = errkind.RanYes, true
 	if answer.Header.Get("Content-Encoding") != "" || (answer.StatusCode < 300 && !info.Signed) {
 		return outcomeBroken, errForeignAnswer
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 type RequestMeta struct {
 	RequestID         string
 	TeamKey           string        // authenticates the team
+	Model             string        // that the caller wants
 	Deadline          time.Duration // how long the caller waits; 0 if not stated
 	PromptTokens      int64
 	OutputTokens      int64        // the most that the answer may have
@@ -105,6 +106,8 @@
 	targetView   *targets.View
 	retryBudgets map[string]*retry.Budget // by service
 	quarantine   *quarantine.Tracker
+	parts        *quarantine.PartTracker
+	loggedParts  []quarantine.Part      // quarantined when last logged
 	brokenRuns   map[string][]brokenRun // recent ones, by target
 	fleet        *fleet.State
 	fleetReadAt  time.Time // when fleet was last known to be up to date
@@ -134,6 +137,7 @@
 		targetView:   targets.NewView(rand.Uint64()),
 		retryBudgets: map[string]*retry.Budget{},
 		quarantine:   quarantine.NewTracker(),
+		parts:        quarantine.NewPartTracker(),
 		brokenRuns:   map[string][]brokenRun{},
 		fleet:        fleet.NewState(o.Host),
 		streams:      fleet.NewStreams(o.Host, o.Incarnation),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -93,11 +93,16 @@
 var limitShareDesc = prometheus.NewDesc("tarragonridge_http_limit_share",
 	"Requests per second that this gateway may send to all targets that name a request limit.", nil, nil)
 
+// quarantinedPartsDesc describes the gauge of quarantined prompt parts.
+var quarantinedPartsDesc = prometheus.NewDesc("tarragonridge_http_quarantined_parts",
+	"Prompt parts that are refused because targets crashed that read them.", nil, nil)
+
 // Describe implements prometheus.Collector.
 func (g *Gateway) Describe(ch chan<- *prometheus.Desc) {
 	ch <- targetsDesc
 	ch <- limitedTargetsDesc
 	ch <- limitShareDesc
+	ch <- quarantinedPartsDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -105,7 +110,9 @@
 	g.mu.Lock()
 	counts := g.targetView.CountByState(time.Now())
 	limited, share := g.targetView.Limits()
+	quarantinedParts := len(g.parts.Quarantined())
 	g.mu.Unlock()
+	ch <- prometheus.MustNewConstMetric(quarantinedPartsDesc, prometheus.GaugeValue, float64(quarantinedParts))
 	ch <- prometheus.MustNewConstMetric(limitShareDesc, prometheus.GaugeValue, share)
 	ch <- prometheus.MustNewConstMetric(limitedTargetsDesc, prometheus.GaugeValue, float64(limited))
 	for reason, n := range counts {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -33,6 +33,7 @@
 	body     []byte
 	prompt   coreplacement.Prompt
 	crashKey quarantine.Key // identifies the request by its content
+	parts    []quarantine.Part
 
 	triedTargets []string      // IDs of targets that are not tried again
 	runs         int           // attempts that may have run
@@ -40,7 +41,7 @@
 	targetWait   time.Duration // spent waiting until a target takes the request
 	ran          errkind.Ran   // whether any attempt has run, as far as is known
 
-	runBegun    bool // the head of an answer came in the attempt in progress
+	run         runState
 	headSent    bool // the head of the answer was sent to the caller
 	framed      bool // the head of the streamed answer says where the answer ends
 	origin      streamOrigin
@@ -141,6 +142,10 @@
 	_, _ = hash.WriteString(r.RequestURI) // never fails
 	_, _ = hash.Write(req.body)
 	req.crashKey = quarantine.Key{Team: req.team.Name, ContentHash: strconv.FormatUint(hash.Sum64(), 16)}
+	req.parts = promptParts(req.meta)
+	if err := g.checkQuarantine(req); err != nil {
+		return err
+	}
 	point := float64(xxhash.Sum64String(req.meta.RequestID)>>11) / (1 << 53) // from 0 to less than 1
 	req.service = config.Services[req.route.PickService(point)]
 	return nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -199,6 +199,7 @@
 	req.eventsSent += newEvents
 	if newEvents > 0 {
 		req.placed.FirstEvent()
+		g.recordEvents(req)
 	}
 	req.recordSent(time.Now())
 	if _, err := w.Write(out); err != nil {
