Reset the caller's connection if an answer without a length breaks off

Callers saw a complete answer: events up to the last whole one, or the first part of a large answer, and then the end of the connection, which is all that ends an answer without a length or chunks.

Cause: the gateway forwards whole events only, so a stream that a target ended inside an event reached the caller cut at the event before, and the connection was closed as after a whole answer.

TestUnframedStreamThatEndsInsideAnEventIsBrokenOff and TestUnframedPlainAnswerThatBreaksOffIsReset failed before (two events, 409,600 bytes and no error).

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -43,7 +43,7 @@
 
 	run         runState
 	headSent    bool // the head of the answer was sent to the caller
-	framed      bool // the head of the streamed answer says where the answer ends
+	framed      bool // the head of the answer says where the answer ends
 	origin      streamOrigin
 	sentFrom    *targets.Target    // whose events were sent last
 	placed      *placement.Request // the attempt in progress, at the relay of its engine
@@ -96,7 +96,11 @@
 	}
 	req.err = errkind.From(err)
 	if req.headSent || r.Context().Err() != nil {
-		panic(http.ErrAbortHandler) // an answer that ends early must not look complete
+		// An answer that ends early must not look complete.
+		if req.headSent && !req.framed {
+			g.resetOnClose(r.Context())
+		}
+		panic(http.ErrAbortHandler)
 	}
 	g.writeProblem(w, req, req.err)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -67,7 +67,7 @@
 	req.status = answer.StatusCode
 	req.recordSent(time.Now())
 	w.WriteHeader(answer.StatusCode)
-	req.headSent = true
+	req.headSent, req.framed = true, answer.Framed()
 	if _, err := w.Write(body); err != nil {
 		return outcomeAbandoned, err
 	}
