Quarantine messages of prompts under which targets crash at the OpenAI interface

Callers saw: requests that share a message that crashes engines crashed one after another, and other requests of the team got 502.

A report is strong if the run was the only suspect of its crash; the field that says so was named after the answer that had begun, which is what makes a report strong at a gateway.

--- a/internal/core/fleet/parts.go
+++ b/internal/core/fleet/parts.go
@@ -17,13 +17,13 @@
 
 // partValue is the value of the row of a report about a prompt part.
 type partValue struct {
-	Depth int  `json:"depth"` // number of parts before it in the prompt
-	Begun bool `json:"begun"` // the answer had begun
+	Depth  int  `json:"depth"` // number of parts before it in the prompt
+	Strong bool `json:"strong"`
 }
 
 // EncodePartReport returns the row of a report about a prompt part.
 func EncodePartReport(r quarantine.PartReport) (Row, error) {
-	value, err := json.Marshal(partValue{Depth: r.Depth, Begun: r.Begun})
+	value, err := json.Marshal(partValue{Depth: r.Depth, Strong: r.Strong})
 	return Row{Key: PartReportKey(r), Value: value}, err
 }
 
@@ -55,7 +55,7 @@
 			err = rowErr
 			continue
 		}
-		r.Depth, r.Begun = value.Depth, value.Begun
+		r.Depth, r.Strong = value.Depth, value.Strong
 		reports = append(reports, r)
 	}
 	for _, key := range c.Removed {
--- a/internal/core/fleet/parts_test.go
+++ b/internal/core/fleet/parts_test.go
@@ -11,7 +11,7 @@
 // Guards against reports about prompt parts that other routers cannot read, and against
 // rows of other kinds or of another writer that count as reports.
 func TestPartReportRows(t *testing.T) {
-	report := quarantine.PartReport{Part: 0xab, Crash: 1<<63 + 5, Level: 3, Depth: 1, Begun: true}
+	report := quarantine.PartReport{Part: 0xab, Crash: 1<<63 + 5, Level: 3, Depth: 1, Strong: true}
 	row, err := EncodePartReport(report)
 	assert.NilError(t, err)
 	changes := Changes{
--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -5,16 +5,25 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // A prompt part is quarantined when it reaches one of these limits of successive
 // crashes. Crashes are successive if each run was sent after the crash before was known,
 // so that targets which fail together count once.
 const (
-	MaxBegunCrashes = 3 // of runs whose answer had begun
-	MaxPartCrashes  = 5 // of any runs without progress
+	MaxStrongCrashes = 3 // with strong reports
+	MaxPartCrashes   = 5 // with any reports
 )
 
+// ProgressTime is how long an answer goes on after its first piece until its run has made
+// progress. A target that crashes as it begins to write may get that far.
+const ProgressTime = 250 * time.Millisecond
+
+// MaxParts bounds the parts of a prompt that are reported at a crash.
+const MaxParts = 32
+
 // Bounds of the reports that are kept.
 const (
 	maxReportedParts   = 10_000
@@ -25,16 +34,28 @@
 // Part identifies a part of a prompt and the model that reads it.
 type Part uint64
 
+// NewPart returns the part of a prompt with a name or text, as read by a model.
+func NewPart(model, text string) Part {
+	var hash xxhash.Digest
+	hash.Reset()
+	_, _ = hash.WriteString(model) // never fails
+	_, _ = hash.WriteString("\x00")
+	_, _ = hash.WriteString(text)
+	return Part(hash.Sum64())
+}
+
 func (p Part) String() string { return fmt.Sprintf("%016x", uint64(p)) }
 
 // PartReport says that a run of a request with a prompt part was in flight at a target
 // when it crashed, and had made no progress.
 type PartReport struct {
-	Part  Part
-	Crash uint64 // identifies the crash
-	Level int    // number of successive crashes, this one included
-	Depth int    // number of parts before it in the prompt
-	Begun bool   // the answer had begun
+	Part  Part   `json:"part"`
+	Crash uint64 `json:"crash"` // identifies the crash
+	Level int    `json:"level"` // number of successive crashes, this one included
+	Depth int    `json:"depth"` // number of parts before it in the prompt
+	// Strong says that the run is likelier to have caused the crash than others: its
+	// answer had begun, or no other run was in flight.
+	Strong bool `json:"strong,omitempty"`
 }
 
 // PartTracker tracks reports about prompt parts. A part is sound, and its reports are
@@ -92,7 +113,7 @@
 			continue
 		}
 		if known.Crash == r.Crash {
-			if known.Begun || !r.Begun {
+			if known.Strong || !r.Strong {
 				return false
 			}
 			p.reports = slices.Delete(p.reports, i, i+1)
@@ -129,7 +150,7 @@
 	for _, r := range p.reports {
 		p.level = max(p.level, r.Level)
 	}
-	if max(before, p.level) >= MaxBegunCrashes {
+	if max(before, p.level) >= MaxStrongCrashes {
 		t.decide()
 	}
 }
@@ -141,7 +162,7 @@
 		return nil
 	}
 	delete(t.parts, part)
-	if p.level >= MaxBegunCrashes {
+	if p.level >= MaxStrongCrashes {
 		t.decide()
 	}
 	return p.reports
@@ -166,6 +187,14 @@
 	return parts
 }
 
+// Reports returns the reports about a part.
+func (t *PartTracker) Reports(part Part) []PartReport {
+	if p := t.parts[part]; p != nil {
+		return p.reports
+	}
+	return nil
+}
+
 // Quarantined returns the parts that are quarantined.
 func (t *PartTracker) Quarantined() []Part { return t.quarantined }
 
@@ -212,17 +241,17 @@
 // convicted reports whether the crashes that no culprit explains suffice to quarantine
 // the part.
 func (p *reportedPart) convicted(culprits []*reportedPart) bool {
-	if p.level < MaxBegunCrashes {
+	if p.level < MaxStrongCrashes {
 		return false
 	}
-	var levels, begun [maxLevel + 1]bool
+	var levels, strong [maxLevel + 1]bool
 	for _, r := range p.reports {
 		if !explains(culprits, r.Crash) {
 			levels[r.Level] = true
-			begun[r.Level] = begun[r.Level] || r.Begun
+			strong[r.Level] = strong[r.Level] || r.Strong
 		}
 	}
-	return count(begun) >= MaxBegunCrashes || count(levels) >= MaxPartCrashes
+	return count(strong) >= MaxStrongCrashes || count(levels) >= MaxPartCrashes
 }
 
 func count(set [maxLevel + 1]bool) (n int) {
--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -32,14 +32,14 @@
 	p.crashes++
 	for depth, part := range parts {
 		level := p.NextLevel(part, p.Level(part))
-		p.Report(now, quarantine.PartReport{Part: part, Crash: p.crashes, Level: level, Depth: depth, Begun: begun})
+		p.Report(now, quarantine.PartReport{Part: part, Crash: p.crashes, Level: level, Depth: depth, Strong: begun})
 	}
 }
 
 // Guards against prompts that crash targets without end because no two are alike.
 func TestPartIsQuarantinedAfterBoundedCrashes(t *testing.T) {
 	p := newPrompts()
-	for i := range quarantine.MaxBegunCrashes {
+	for i := range quarantine.MaxStrongCrashes {
 		assert.Equal(t, p.Find([]quarantine.Part{middle}), -1)
 		p.crash(true, first, middle, quarantine.Part(10+i))
 	}
@@ -64,11 +64,11 @@
 // Guards against a part that stays quarantined although another one explains its crashes.
 func TestQuarantineEndsWhenAnotherPartExplainsTheCrashes(t *testing.T) {
 	p := newPrompts()
-	for range quarantine.MaxBegunCrashes {
+	for range quarantine.MaxStrongCrashes {
 		p.crash(true, middle, last)
 	}
 	assert.DeepEqual(t, p.Quarantined(), []quarantine.Part{last})
-	for i := range quarantine.MaxBegunCrashes {
+	for i := range quarantine.MaxStrongCrashes {
 		p.crash(true, middle, quarantine.Part(10+i))
 	}
 	assert.DeepEqual(t, p.Quarantined(), []quarantine.Part{middle})
@@ -77,13 +77,13 @@
 // Guards against a part that is quarantined although runs with it make progress.
 func TestSoundRunClearsAPart(t *testing.T) {
 	p := newPrompts()
-	for range quarantine.MaxBegunCrashes - 1 {
+	for range quarantine.MaxStrongCrashes - 1 {
 		p.crash(true, first)
 	}
 	sentAt := p.Level(first)
-	assert.Equal(t, len(p.Clear(first)), quarantine.MaxBegunCrashes-1)
+	assert.Equal(t, len(p.Clear(first)), quarantine.MaxStrongCrashes-1)
 	assert.Equal(t, p.NextLevel(first, sentAt), 1)
-	for range quarantine.MaxBegunCrashes {
+	for range quarantine.MaxStrongCrashes {
 		p.crash(true, first)
 	}
 	assert.Equal(t, p.Find([]quarantine.Part{first}), 0)
@@ -96,7 +96,7 @@
 func TestTargetsThatFailTogetherCountOnce(t *testing.T) {
 	p := newPrompts()
 	for crash := range uint64(100) {
-		p.Report(now, quarantine.PartReport{Part: first, Crash: crash, Level: 1, Begun: true})
+		p.Report(now, quarantine.PartReport{Part: first, Crash: crash, Level: 1, Strong: true})
 	}
 	assert.Equal(t, p.Find([]quarantine.Part{first}), -1)
 	assert.Equal(t, p.Level(first), 1)
@@ -105,7 +105,7 @@
 // Guards against reports that outlive their row, or that are never forgotten.
 func TestReportsAreWithdrawnAndExpire(t *testing.T) {
 	p := newPrompts()
-	for range quarantine.MaxBegunCrashes {
+	for range quarantine.MaxStrongCrashes {
 		p.crash(true, first)
 	}
 	p.Withdraw(first, 2, 2)
@@ -309,7 +309,7 @@
 		begun := s.now >= r.beginsAt
 		s.messages = append(s.messages, message{s.now + detectTime, r.gateway, func(t *quarantine.PartTracker) {
 			for depth, part := range r.parts {
-				report := quarantine.PartReport{Part: part, Crash: crash, Level: t.NextLevel(part, r.levels[depth]), Depth: depth, Begun: begun}
+				report := quarantine.PartReport{Part: part, Crash: crash, Level: t.NextLevel(part, r.levels[depth]), Depth: depth, Strong: begun}
 				if t.Report(now.Add(s.now), report) {
 					s.tell(r.gateway, func(t *quarantine.PartTracker) { t.Report(now.Add(s.now), report) })
 				}
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -13,14 +13,6 @@
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 )
 
-const (
-	// progressTime is how long a stream goes on after its first event until the run
-	// counts as sound. A target that crashes as it begins to write may get that far.
-	progressTime = 250 * time.Millisecond
-	// maxSuspectParts bounds the parts of a prompt that are reported at a crash.
-	maxSuspectParts = 32
-)
-
 // runState is the state of the run in progress of a request.
 type runState struct {
 	begun        bool      // the head of an answer came
@@ -35,14 +27,9 @@
 	if len(shared) == 0 {
 		return nil
 	}
-	parts := make([]quarantine.Part, min(len(shared), maxSuspectParts))
-	hash := xxhash.New()
+	parts := make([]quarantine.Part, min(len(shared), quarantine.MaxParts))
 	for i := range parts {
-		hash.Reset()
-		_, _ = hash.WriteString(meta.Model) // never fails
-		_, _ = hash.WriteString("\x00")
-		_, _ = hash.WriteString(shared[i].ID)
-		parts[i] = quarantine.Part(hash.Sum64())
+		parts[i] = quarantine.NewPart(meta.Model, shared[i].ID)
 	}
 	return parts
 }
@@ -91,7 +78,7 @@
 	if req.run.firstEventAt.IsZero() {
 		req.run.firstEventAt = now
 	}
-	if now.Sub(req.run.firstEventAt) >= progressTime {
+	if now.Sub(req.run.firstEventAt) >= quarantine.ProgressTime {
 		g.recordSoundRun(req)
 	}
 }
@@ -142,7 +129,7 @@
 			levelWhenSent = run.state.levels[depth]
 		}
 		report := quarantine.PartReport{
-			Part: part, Crash: xxhash.Sum64String(crashID), Level: g.parts.NextLevel(part, levelWhenSent), Depth: depth, Begun: run.state.begun,
+			Part: part, Crash: xxhash.Sum64String(crashID), Level: g.parts.NextLevel(part, levelWhenSent), Depth: depth, Strong: run.state.begun,
 		}
 		row, err := fleet.EncodePartReport(report)
 		if err != nil {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -88,6 +88,7 @@
 	run := newRun(runID, req.Identity, sl.target)
 	run.claimed = !req.idempotent && req.Resumable
 	run.contentHash = req.ContentHash
+	run.parts, run.partLevels = req.parts, r.partLevels(req.parts)
 	run.sidecar = sl.sidecar
 	run.reservation = reservation
 	run.keepChunks = req.Resumable
--- a/internal/router/completion.go
+++ b/internal/router/completion.go
@@ -248,6 +248,7 @@
 	req.ContentType = "application/json"
 	req.Body = body
 	req.ContentHash = contentHash(req.Path, body)
+	req.parts = parsed.promptParts()
 	req.OutputCap = outputCap
 	req.Reserved = parsed.promptTokenBound() + outputCap
 	req.pool = modelPool(parsed.Model)
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -168,6 +168,7 @@
 		Target:      t.id,
 		CrashID:     end.CrashID(),
 		Alone:       end.Alone,
+		Parts:       r.partReports(run, end.CrashID(), end.Alone),
 	}, true)
 }
 
@@ -180,11 +181,13 @@
 	if report.Cleared {
 		r.crashTracker.Clear(key)
 		r.mu.Unlock()
+		r.withdrawParts(report.Parts)
 		return
 	}
 	newlyQuarantined := r.crashTracker.Report(time.Now(), quarantine.Crash{Key: key, ID: report.CrashID, Alone: report.Alone})
 	r.mu.Unlock()
 	r.opts.Logger.Warn("target crashed with request in flight", "target", report.Target, "team", report.Team, "run", report.RunID, "alone", report.Alone, "quarantined", newlyQuarantined)
+	r.applyPartReports(report.Parts)
 	if isOwn {
 		r.notifyPeers(wire.MethodQuarantineReport, report)
 	}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -37,6 +37,7 @@
 	for {
 		announced = r.reconnectOnNewIncarnation(announced)
 		r.refreshMembers(ctx, &lastScan)
+		r.expireParts(time.Now())
 		select {
 		case <-ticker.C:
 		case <-r.memberScanTrigger:
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -236,6 +236,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.loadParts(ctx); err != nil {
+		return err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, row := range rows {
--- a/internal/router/process.go
+++ b/internal/router/process.go
@@ -37,6 +37,7 @@
 		identityLocks:        map[ledger.Identity]chan struct{}{},
 		durableRuns:          newRecentRuns(),
 		crashTracker:         quarantine.NewTracker(),
+		parts:                quarantine.NewPartTracker(),
 		limitsByTeam:         map[string]*teamLimits{},
 		processes:            map[string]processState{},
 		memberScanTrigger:    make(chan struct{}, 1),
--- a/internal/router/retry.go
+++ b/internal/router/retry.go
@@ -1,11 +1,11 @@
 package router
 
 import (
+	"fmt"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
-	"tarragonridge.example/tarragonridge/internal/wire"
 )
 
 // quarantineKey identifies a request by its content.
@@ -13,12 +13,21 @@
 	return quarantine.Key{Team: req.Team, ContentHash: req.ContentHash}
 }
 
-// isQuarantined reports whether the request is refused because it crashes
-// targets.
-func (r *Router) isQuarantined(req *request) bool {
+// quarantineError returns the error of a request that is refused because it, or a part
+// of its prompt, crashes targets, or nil. ran says whether the request has run.
+func (r *Router) quarantineError(req *request, ran errkind.Ran) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.crashTracker.Quarantined(time.Now(), quarantineKey(req))
+	detail := ""
+	switch part := r.parts.Find(req.parts); {
+	case r.crashTracker.Quarantined(time.Now(), quarantineKey(req)):
+		detail = "the request crashed the targets that ran it"
+	case part >= 0:
+		detail = fmt.Sprintf("targets crash that read message %d of the prompt", part+1)
+	default:
+		return nil
+	}
+	return &errkind.Error{Kind: errkind.RequestQuarantined, Detail: detail, Ran: ran}
 }
 
 // isSuspect reports whether the request was in flight when a target crashed.
@@ -29,16 +38,14 @@
 }
 
 // clearSuspect removes the suspicion from a request that has run without a
-// crash, here and at the peers. Peers that kept it would count later crashes
+// crash, and from the parts of its prompt, here and at the peers. Peers that kept it would count later crashes
 // caused by other requests against it.
 func (r *Router) clearSuspect(req *request) {
 	r.mu.Lock()
 	cleared := r.crashTracker.Clear(quarantineKey(req))
 	r.mu.Unlock()
-	if cleared {
-		r.notifyPeers(wire.MethodQuarantineReport, wire.QuarantineReport{
-			Header: r.header(), Team: req.Team, ContentHash: req.ContentHash, Cleared: true,
-		})
+	if parts := r.clearParts(req.parts); cleared || len(parts) > 0 {
+		r.reportCleared(req, parts)
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -74,6 +74,7 @@
 	identityLocks  map[ledger.Identity]chan struct{} // held by requests that have not registered a run yet
 	durableRuns    *recentRuns                       // latest runs whose records are stored
 	crashTracker   *quarantine.Tracker
+	parts          *quarantine.PartTracker
 	retryQuota     admit.RetryBudget       // retries allowed as a share of the requests
 	limitsByTeam   map[string]*teamLimits  // by team name
 	processes      map[string]processState // the other processes, by name
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -7,6 +7,7 @@
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/wire"
 )
 
@@ -30,8 +31,10 @@
 type run struct {
 	id             string
 	identity       ledger.Identity
-	contentHash    string // of the request, to detect a reused idempotency key
-	sidecar        string // incarnation of the sidecar that executes the run
+	contentHash    string            // of the request, to detect a reused idempotency key
+	parts          []quarantine.Part // of the prompt
+	partLevels     []int             // of the parts when the run was registered
+	sidecar        string            // incarnation of the sidecar that executes the run
 	target         *target
 	reservation    Reservation   // nil if this router made no reservation for the run and only relays its answer
 	keepChunks     bool          // keep consumed chunks, so that further readers can join from the start
@@ -41,6 +44,7 @@
 
 	mu           sync.Mutex
 	chunks       []wire.RunChunk
+	firstChunkAt time.Time     // zero if none came
 	promptTokens int64         // exact count; 0 until known
 	end          *wire.RunEnd  // nil until the End message arrives
 	err          error         // final failure of a run that ended without an End message
@@ -74,6 +78,9 @@
 		return true
 	}
 	r.chunks = append(r.chunks, c)
+	if r.firstChunkAt.IsZero() {
+		r.firstChunkAt = time.Now()
+	}
 	if c.PromptTokens > 0 && r.promptTokens == 0 {
 		r.promptTokens = c.PromptTokens
 		if r.reservation != nil {
@@ -89,6 +96,14 @@
 // by a failure. The caller holds mu.
 func (r *run) ended() bool { return r.end != nil || r.err != nil }
 
+// madeProgress reports whether the answer has gone on for long enough to show that the
+// target can read the prompt.
+func (r *run) madeProgress(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.firstChunkAt.IsZero() && now.Sub(r.firstChunkAt) >= quarantine.ProgressTime
+}
+
 // markSettled records that the run's ledger record was settled although the End
 // message had not arrived.
 func (r *run) markSettled() {
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -7,6 +7,7 @@
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/policy"
+	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/route"
 	"tarragonridge.example/tarragonridge/internal/wire"
 )
@@ -34,9 +35,10 @@
 
 // request is a validated request of a caller.
 type request struct {
-	wire.StartRun                   // template; startRun sets the fields that differ per attempt
-	pool                string      // scheduler pool
-	query               route.Query // input of the target choice
+	wire.StartRun                         // template; startRun sets the fields that differ per attempt
+	pool                string            // scheduler pool
+	parts               []quarantine.Part // of the prompt
+	query               route.Query       // input of the target choice
 	idempotent          bool
 	timeout             time.Duration // bounds the wait until a run starts
 	timeoutFromWorkload bool          // timeout is that of the workload, which is shorter than the preset's
@@ -74,8 +76,8 @@
 // attempts where that is safe and allowed. A returned error is the answer to
 // the caller.
 func (r *Router) submit(ctx context.Context, req *request) error {
-	if r.isQuarantined(req) {
-		return errkind.New(errkind.RequestQuarantined, "the request crashed the targets that ran it")
+	if err := r.quarantineError(req, errkind.RanNo); err != nil {
+		return err
 	}
 	startCtx, cancel := startContext(ctx, req)
 	defer cancel()
@@ -99,8 +101,8 @@
 		if !result.retry {
 			return errs.callerError()
 		}
-		if r.isQuarantined(req) {
-			return &errkind.Error{Kind: errkind.RequestQuarantined, Detail: "the request crashed the targets that ran it", Ran: errkind.RanYes}
+		if err := r.quarantineError(req, errkind.RanYes); err != nil {
+			return err
 		}
 		if result.crashExplained && explainedCrashes < maxExplainedCrashes {
 			explainedCrashes++
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,6 +10,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/hlc"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
 	"tarragonridge.example/tarragonridge/internal/core/policy"
+	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 )
 
 // Methods between routers and sidecars.
@@ -289,6 +290,9 @@
 	CrashID     string `json:"crash_id"`          // same for all runs that the crash ended
 	Alone       bool   `json:"alone"`             // no other run in flight can explain the crash
 	Cleared     bool   `json:"cleared,omitempty"` // the request has run without a crash and is no longer suspected
+	// Parts are the reports about parts of the request's prompt, or those that no longer
+	// hold if Cleared is set.
+	Parts []quarantine.PartReport `json:"parts,omitempty"`
 }
 
 // TimelineQuery asks a process for timeline events.
--- a/scenarios/http_test.go
+++ b/scenarios/http_test.go
@@ -112,6 +112,7 @@
 	f := callFlags(c)
 	noStream := f.Bool("whole", false, "")
 	model := f.String("model", "m1", "")
+	system := f.String("system", "", "")
 	if err := f.Parse(args); err != nil {
 		return nil, err
 	}
@@ -119,8 +120,12 @@
 		return nil, fmt.Errorf("usage: chat [options] ROUTER WORD TOKENS")
 	}
 	c.url = f.Arg(0) + "/v1/chat/completions"
-	c.body = fmt.Appendf(nil, `{"model":%q,"stream":%t,"ignore_eos":true,"max_tokens":%s,"messages":[{"role":"user","content":"echo:%s"}]}`,
-		*model, !*noStream, f.Arg(2), f.Arg(1))
+	systemMessage := ""
+	if *system != "" {
+		systemMessage = fmt.Sprintf(`{"role":"system","content":%q},`, *system)
+	}
+	c.body = fmt.Appendf(nil, `{"model":%q,"stream":%t,"ignore_eos":true,"max_tokens":%s,"messages":[%s{"role":"user","content":"echo:%s"}]}`,
+		*model, !*noStream, f.Arg(2), systemMessage, f.Arg(1))
 	return c, s.resolve(c)
 }
 
