Keep evacuated failure domains empty and cold targets below their rate

Cause: no line read the operator's orders to evacuate a failure domain, nor for how long a target is cold.

Change: the orders are read with the configuration, from the same watch. A failure domain has a state that its targets share; `evacuated` is a reason of a target's availability.

--- /dev/null
+++ b/internal/core/fleet/cold_test.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against shares that send more than a limit in some second, saved requests
+// included, and against limits of which little is used.
+func TestSteadyRate(t *testing.T) {
+	for _, n := range []int{1, 3, 8, 11, 23, 103} {
+		for _, perSecond := range []float64{0, 0.5, 2, 5, 11, 50, 400} {
+			rate := SteadyRate(perSecond, n)
+			var inSecond float64
+			for _, self := range hosts(n) {
+				if share := Share(rate, "t", hosts(n), self); share > 0 {
+					inSecond += share + max(1, share*burstSeconds)
+				}
+			}
+			// No fewer than minOwners routers and probeRate are used.
+			assert.Assert(t, inSecond <= max(perSecond, minOwners+probeRate)+1e-9, "%d routers send %g in a second under %g", n, inSecond, perSecond)
+			assert.Assert(t, rate >= (perSecond-minOwners)/2, "%d routers use %g of %g", n, rate, perSecond)
+		}
+	}
+}
+
+// Guards against rows of cold targets that last longer because all rows are read again, that
+// are never removed, or that make routers renew their rows.
+func TestColdTargetsFollowTheirRows(t *testing.T) {
+	s := NewState("r1")
+	rows := []Row{{ColdKey("t"), []byte(`{"started":7,"for_ms":3000}`)}, {ColdKey("u"), []byte("x")}}
+	changed, err := s.Apply(start, Changes{Complete: true, Rows: rows})
+	assert.ErrorContains(t, err, "invalid")
+	assert.DeepEqual(t, changed, []string{"t"})
+	assert.Assert(t, !s.Active())
+	later := start.Add(time.Second)
+	changed, _ = s.Apply(later, Changes{Complete: true, Rows: rows})
+	assert.Equal(t, len(changed), 0)
+	startedMS, left, ok := s.Cold(later, "t")
+	assert.Assert(t, ok && startedMS == 7 && left == 2*time.Second)
+	assert.Equal(t, len(s.ExpiredCold(later)), 0)
+	assert.DeepEqual(t, s.ExpiredCold(start.Add(3*time.Second)), []string{"t"})
+	_, err = s.Apply(later, Changes{Rows: rows[:1]})
+	assert.NilError(t, err)
+	_, left, _ = s.Cold(later, "t")
+	assert.Equal(t, left, 3*time.Second, "written again")
+	_, err = s.Apply(later, Changes{Removed: []string{ColdKey("t")}})
+	assert.NilError(t, err)
+	_, _, ok = s.Cold(later, "t")
+	assert.Assert(t, !ok)
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -21,6 +21,7 @@
 	limitPrefix  = Prefix + "limit/"  // followed by the id of the target
 
 	drainingPrefix = Prefix + "draining/" // followed by the id of the target
+	coldPrefix     = Prefix + "cold/"     // followed by the id of the target
 )
 
 // RouterRow is the value of a router's row. Only its change matters to other routers.
@@ -41,6 +42,21 @@
 	StartedMS int64 `json:"started"` // start of the target, Unix milliseconds
 }
 
+// Cold is the value of the row of a target that has said in an answer that it is cold.
+type Cold struct {
+	StartedMS int64 `json:"started"` // start of the target, Unix milliseconds
+	ForMS     int64 `json:"for_ms"`  // how long from the write of the row on
+}
+
+// ColdKey returns the key of the row of a cold target.
+func ColdKey(target string) string { return coldPrefix + target }
+
+// coldTarget is a row of a cold target.
+type coldTarget struct {
+	Cold
+	until time.Time
+}
+
 // DrainingKey returns the key of the row of a target that is about to stop.
 func DrainingKey(target string) string { return drainingPrefix + target }
 
@@ -80,6 +96,7 @@
 	renewedAt map[string]time.Time // when a renewal was last seen, by host
 	limits    map[string]Limit     // by target
 	draining  map[string]Draining  // by target
+	cold      map[string]coldTarget
 	// countFrom is the time from which missing renewals count: when the state became
 	// active, or the renewals of this router were seen again after an interruption.
 	countFrom time.Time
@@ -94,20 +111,21 @@
 
 // NewState returns the state of the router on a host before it has read any rows.
 func NewState(host string) *State {
-	return &State{self: host, renewedAt: map[string]time.Time{}, limits: map[string]Limit{}, draining: map[string]Draining{},
+	return &State{self: host, renewedAt: map[string]time.Time{}, limits: map[string]Limit{}, draining: map[string]Draining{}, cold: map[string]coldTarget{},
 		versions: map[ServiceVersion]bool{}, unusedVersions: map[ServiceVersion]time.Time{}, unusedLimits: map[string]time.Time{},
 		unusedDraining: map[string]time.Time{}}
 }
 
 // Apply applies changes and returns the targets whose limits have changed, or that are
-// newly known to be draining. It fails for rows that cannot be decoded, after it has
+// newly known to be draining or cold. It fails for rows that cannot be decoded, after it has
 // applied the others.
 func (s *State) Apply(now time.Time, c Changes) (changedTargets []string, err error) {
-	before, wasDraining, wasActive := maps.Clone(s.limits), maps.Clone(s.draining), s.Active()
+	before, wasDraining, wasCold, wasActive := maps.Clone(s.limits), maps.Clone(s.draining), maps.Clone(s.cold), s.Active()
 	if c.Complete {
 		s.synced = true
 		clear(s.limits)
 		clear(s.draining)
+		clear(s.cold)
 		clear(s.versions)
 		present := map[string]bool{}
 		for _, row := range c.Rows {
@@ -120,6 +138,13 @@
 			err = rowErr
 		}
 	}
+	if c.Complete { // rows that were known have not been written again
+		for target, cold := range s.cold {
+			if was := wasCold[target]; was.Cold == cold.Cold {
+				s.cold[target] = was
+			}
+		}
+	}
 	for _, key := range c.Removed {
 		if host, ok := strings.CutPrefix(key, routerPrefix); ok {
 			delete(s.renewedAt, host)
@@ -130,6 +155,9 @@
 		if target, ok := strings.CutPrefix(key, drainingPrefix); ok {
 			delete(s.draining, target)
 		}
+		if target, ok := strings.CutPrefix(key, coldPrefix); ok {
+			delete(s.cold, target)
+		}
 		if v, ok := parseVersionKey(key); ok {
 			delete(s.versions, v)
 		}
@@ -152,7 +180,13 @@
 			changedTargets = append(changedTargets, target)
 		}
 	}
+	for target, cold := range s.cold {
+		if wasCold[target].Cold != cold.Cold {
+			changedTargets = append(changedTargets, target)
+		}
+	}
 	slices.Sort(changedTargets)
+	changedTargets = slices.Compact(changedTargets)
 	return changedTargets, err
 }
 
@@ -177,6 +211,13 @@
 		}
 		s.draining[target] = draining
 	}
+	if target, ok := strings.CutPrefix(row.Key, coldPrefix); ok {
+		var cold Cold
+		if err := json.Unmarshal(row.Value, &cold); err != nil {
+			return err
+		}
+		s.cold[target] = coldTarget{cold, now.Add(time.Duration(cold.ForMS) * time.Millisecond)}
+	}
 	if v, ok := parseVersionKey(row.Key); ok {
 		s.versions[v] = true
 	}
@@ -196,6 +237,23 @@
 	return draining, ok
 }
 
+// Cold returns the start of a target that has told any router that it is cold, and how
+// long it stays so.
+func (s *State) Cold(now time.Time, target string) (startedMS int64, left time.Duration, ok bool) {
+	cold, ok := s.cold[target]
+	return cold.StartedMS, max(cold.until.Sub(now), 0), ok
+}
+
+// ExpiredCold returns the targets with the row of a cold target whose time is over.
+func (s *State) ExpiredCold(now time.Time) (targets []string) {
+	for target, cold := range s.cold {
+		if !now.Before(cold.until) {
+			targets = append(targets, target)
+		}
+	}
+	return targets
+}
+
 // Active reports whether routers need to know of each other: a limit is in force, or
 // several versions of a service serve or served lately. While it is, they renew their
 // rows.
@@ -243,6 +301,12 @@
 	return now.Sub(since) > routerTimeout
 }
 
+// BurstTime is the time for which a router may save up its share of a limit. It always
+// saves up one request.
+const BurstTime = 250 * time.Millisecond
+
+const burstSeconds = float64(BurstTime) / float64(time.Second)
+
 // Bounds of the shares of a limit.
 const (
 	// minOwners is the number of routers that use the smallest limit.
@@ -304,6 +368,15 @@
 	return math.Max(perSecond, probeRate) / float64(owners)
 }
 
+// SteadyRate returns the highest rate that Share can divide among a number of routers so that
+// they send at most perSecond requests in any second: the rate, and what each of them may
+// have saved up, one request or burstSeconds of its share.
+func SteadyRate(perSecond float64, routers int) float64 {
+	all := min(perSecond-float64(routers), perSecond/(1+burstSeconds)) // each router has a share
+	few := (perSecond - minOwners) / 2                                 // as many as requests per second, and minOwners
+	return max(all, few, 0)
+}
+
 func ownerHash(target, router string) uint64 {
 	return xxhash.Sum64String(target + "\x00" + router)
 }
--- a/internal/core/httproute/document.go
+++ b/internal/core/httproute/document.go
@@ -74,6 +74,9 @@
 	Slots          int   // requests that an engine runs at once; 0 if the targets are not engines
 	MemoryTokens   int64 // that an engine can hold
 	TokensPerEvent int64 // tokens in each event of an engine's stream
+
+	ColdPerSecond float64       // requests that a cold target takes from all gateways; 0 if cold targets are not limited
+	ColdTime      time.Duration // how long a target is cold after its start
 }
 
 // Team is a group of callers with keys and a prepaid budget.
--- a/internal/core/targets/availability.go
+++ b/internal/core/targets/availability.go
@@ -17,8 +17,10 @@
 	ReasonTried        Reason = "tried"         // by this request
 	ReasonOtherVersion Reason = "other_version" // than the request needs
 	ReasonDraining     Reason = "draining"      // is about to stop, as its registration or an answer says
+	ReasonEvacuated    Reason = "evacuated"     // the operator has its failure domain evacuated
 	ReasonTurnedAway   Reason = "turned_away"   // wants no request from this router for a while
 	ReasonLimited      Reason = "limited"       // this router has used its share of the target's request limit
+	ReasonCold         Reason = "cold"          // limited because it is cold
 	ReasonFull         Reason = "full"          // this router's connections to it are all in use
 	ReasonMissing      Reason = "missing"       // its registration is gone
 	ReasonAvoided      Reason = "avoided"       // has failed recently
@@ -29,7 +31,10 @@
 func (r Reason) lastResort() bool { return r == ReasonMissing || r == ReasonAvoided }
 
 // endsByItself reports whether the reason ends at a time that the router knows.
-func (r Reason) endsByItself() bool { return r == ReasonTurnedAway || r == ReasonLimited }
+func (r Reason) endsByItself() bool { return r == ReasonTurnedAway || r.limited() }
+
+// limited reports whether the reason is a limit on the target's requests per second.
+func (r Reason) limited() bool { return r == ReasonLimited || r == ReasonCold }
 
 // Availability says whether a target may be sent a request now, and if not, why.
 func (t *Target) Availability(now time.Time, q Query) Reason {
@@ -43,7 +48,10 @@
 		return r
 	}
 	switch {
-	case !t.limit.permits(now):
+	case !t.permits(now):
+		if t.Cold(now) {
+			return ReasonCold
+		}
 		return ReasonLimited
 	case q.MaxInFlight > 0 && t.InFlight >= q.MaxInFlight:
 		return ReasonFull
@@ -55,13 +63,16 @@
 	return ReasonNone
 }
 
-// Backpressure returns what the target has asked of this router as far as it forbids a request
-// now: ReasonDraining, ReasonTurnedAway, or ReasonNone. It is examined once more before
-// a request is sent to a target that was chosen earlier.
+// Backpressure returns what the target, or the operator for its failure domain, has asked of
+// this router as far as it forbids a request now: ReasonDraining, ReasonEvacuated,
+// ReasonTurnedAway, or ReasonNone. It is examined once more before a request is sent to a
+// target that was chosen earlier.
 func (t *Target) Backpressure(now time.Time) Reason {
 	switch {
 	case t.backpressure.draining:
 		return ReasonDraining
+	case t.domain.evacuated:
+		return ReasonEvacuated
 	case now.Before(t.backpressure.noneUntil):
 		return ReasonTurnedAway
 	}
@@ -70,7 +81,7 @@
 
 // wait returns the time until the reasons that end by themselves have ended.
 func (t *Target) wait(now time.Time) time.Duration {
-	return max(t.limit.wait(now), t.backpressure.noneUntil.Sub(now), 0)
+	return max(t.limitWait(now), t.backpressure.noneUntil.Sub(now), 0)
 }
 
 // Reasons counts the targets of a service by the reason for which they are not sent a
--- a/internal/core/targets/backpressure.go
+++ b/internal/core/targets/backpressure.go
@@ -18,9 +18,10 @@
 // registration, which may be missing or outdated.
 type backpressure struct {
 	startedMS int64
-	draining  bool      // it is about to stop and wants no more requests
-	noneUntil time.Time // it wants no request before then
-	goneSince time.Time // when its registration was removed; zero if it is there
+	draining  bool                   // it is about to stop and wants no more requests
+	noneUntil time.Time              // it wants no request before then
+	coldUntil [coldSources]time.Time // the target is cold until the latest of them
+	goneSince time.Time              // when its registration was removed; zero if it is there
 }
 
 // backpressureOf returns the backpressure of a start of a target.
--- a/internal/core/targets/limit.go
+++ b/internal/core/targets/limit.go
@@ -11,43 +11,55 @@
 // NoRequestLimit is the request limit of a target that names none.
 var NoRequestLimit = math.Inf(1)
 
-// burstTime is the time for which a router may save up its share of a limit. It always
-// saves up one request.
-const burstTime = 250 * time.Millisecond
-
-// requestLimit is the request limit that a target names, and this router's use of it.
+// requestLimit is the request limit of a target, and this router's use of it. Its sources
+// are the target, which may name a limit, and its service's limit for cold targets.
 type requestLimit struct {
-	perSecond float64 // from all routers together; NoRequestLimit if there is none
+	perSecond float64 // that the target names; NoRequestLimit if there is none
 	share     float64 // of this router, requests per second
+	coldShare float64 // of this router while the target is cold; at most that of either source
 	bucket    admit.Bucket
 }
 
 var noLimit = requestLimit{perSecond: NoRequestLimit}
 
-func (l *requestLimit) inForce() bool { return l.perSecond != NoRequestLimit }
+// burst returns the number of requests that may be saved up under a share.
+func burst(share float64) float64 { return max(1, share*fleet.BurstTime.Seconds()) }
 
-// burst returns the number of requests that may be saved up.
-func (l *requestLimit) burst() float64 { return max(1, l.share*burstTime.Seconds()) }
+// Limited reports whether a limit on the target's requests is in force: it names one, or it
+// is cold.
+func (t *Target) Limited(now time.Time) bool {
+	return t.limit.perSecond != NoRequestLimit || t.Cold(now)
+}
 
-// wait returns the time until the limit permits a request, 0 if it does so now.
-func (l *requestLimit) wait(now time.Time) time.Duration {
-	switch {
-	case !l.inForce():
-		return 0
-	case l.share <= 0:
-		return math.MaxInt64
+// LimitShare returns this router's share of the target's limit in requests per second.
+func (t *Target) LimitShare(now time.Time) float64 {
+	if t.Cold(now) {
+		return t.limit.coldShare
 	}
-	return l.bucket.Wait(now, l.share, l.burst())
+	return t.limit.share
 }
 
-func (l *requestLimit) permits(now time.Time) bool { return l.wait(now) == 0 }
+// limitWait returns the time until the limit permits a request, 0 if it does so now.
+func (t *Target) limitWait(now time.Time) time.Duration {
+	if !t.Limited(now) {
+		return 0
+	}
+	wait := time.Duration(math.MaxInt64)
+	if share := t.LimitShare(now); share > 0 {
+		wait = t.limit.bucket.Wait(now, share, burst(share))
+	}
+	if t.Cold(now) {
+		wait = min(wait, t.coldUntil().Sub(now))
+	}
+	return wait
+}
 
-// LimitShare returns this router's share of the target's limit in requests per second.
-func (t *Target) LimitShare() float64 { return t.limit.share }
+func (t *Target) permits(now time.Time) bool { return t.limitWait(now) == 0 }
 
-// SetShares sets how limits are divided among routers, and divides those in force anew.
-func (v *View) SetShares(share fleet.ShareFunc) {
-	v.share = share
+// SetShares sets how limits are divided among a number of routers, and divides those in
+// force anew.
+func (v *View) SetShares(share fleet.ShareFunc, routers int) {
+	v.share, v.routers = share, routers
 	for _, t := range v.byID {
 		v.divideLimit(t)
 	}
@@ -59,7 +71,7 @@
 	if t.limit.perSecond == perSecond {
 		return false
 	}
-	if !t.limit.inForce() || perSecond == NoRequestLimit {
+	if t.limit.perSecond == NoRequestLimit || perSecond == NoRequestLimit {
 		t.limit = noLimit // with a full bucket
 	}
 	t.limit.perSecond = perSecond
@@ -68,34 +80,45 @@
 }
 
 func (v *View) divideLimit(t *Target) {
-	if t.limit.inForce() && v.share != nil {
+	if v.share == nil {
+		return
+	}
+	if t.limit.perSecond != NoRequestLimit {
 		t.limit.share = v.share(t.ID, t.limit.perSecond)
 	}
+	if cold := v.coldLimits[t.Service]; cold.PerSecond > 0 {
+		t.limit.coldShare = v.share(t.ID, min(t.limit.perSecond, fleet.SteadyRate(cold.PerSecond, v.routers)))
+	}
 }
 
-// Limited reports whether the target names a request limit.
-func (t *Target) Limited() bool { return t.limit.inForce() }
-
 // TakePermit counts a request that Choose chose the target for against its limit.
 func (t *Target) TakePermit(now time.Time) {
-	if t.Limited() {
-		t.limit.bucket.Take(now, t.limit.share, t.limit.burst())
+	if t.Limited(now) {
+		share := t.LimitShare(now)
+		t.limit.bucket.Take(now, share, burst(share))
 	}
 }
 
 // ReturnPermit undoes TakePermit for a request that was not sent.
-func (t *Target) ReturnPermit() { t.limit.bucket.Return(t.limit.burst()) }
+func (t *Target) ReturnPermit(now time.Time) {
+	if t.Limited(now) {
+		t.limit.bucket.Return(burst(t.LimitShare(now)))
+	}
+}
 
-// Limits returns the number of targets that name a request limit, and this router's
-// shares of all their limits in requests per second.
-func (v *View) Limits() (targets int, share float64) {
+// Limits returns the number of targets with a limit in force, of those that are cold among
+// them, and this router's shares of all their limits in requests per second.
+func (v *View) Limits(now time.Time) (targets, cold int, share float64) {
 	for _, t := range v.byID {
-		if t.Limited() {
+		if t.Limited(now) {
 			targets++
-			share += t.limit.share
+			share += t.LimitShare(now)
+		}
+		if t.Cold(now) {
+			cold++
 		}
 	}
-	return targets, share
+	return targets, cold, share
 }
 
 // returnTimes spreads the callers that were refused, because all targets are limited or
@@ -148,8 +171,8 @@
 func (v *View) permitInterval(now time.Time, q Query) time.Duration {
 	var rate float64
 	for _, t := range v.byService[q.Service] {
-		if t.Availability(now, q) == ReasonLimited {
-			rate += t.limit.share
+		if t.Availability(now, q).limited() {
+			rate += t.LimitShare(now)
 		}
 	}
 	if rate <= 0 {
--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -24,6 +24,8 @@
 	Draining      bool
 	Slots         int
 	StartedMS     int64 // start time of the target in Unix milliseconds; 0 if unknown
+	// ColdFor is how long the target stays cold from now on, ColdUnknown if it does not say.
+	ColdFor time.Duration
 }
 
 // ServiceVersion returns the service and the software version of the target.
@@ -39,6 +41,8 @@
 
 	limit               requestLimit
 	backpressure        *backpressure // of this start of the target
+	domain              *domain
+	coldLimited         bool // its service limits the requests to cold targets
 	consecutiveFailures int
 	avoidedSince        time.Time
 	avoidedUntil        time.Time // until then other targets are preferred
@@ -53,19 +57,23 @@
 	chooser      *route.Chooser
 	versions     map[fleet.ServiceVersion]int // number of targets
 	share        fleet.ShareFunc              // of limits; nil for no share
+	routers      int                          // that share limits
 	returns      map[string]*returnTimes      // of refused callers, by service
 	backpressure map[string]*backpressure     // by id, also of targets that are not known any more
+	domains      map[string]*domain           // by name
+	coldLimits   map[string]ColdLimit         // by service
 }
 
 // NewView returns an empty view. seed initializes the random choice between equal
 // targets.
 func NewView(seed uint64) *View {
-	return &View{byService: map[string][]*Target{}, byID: map[string]*Target{}, chooser: route.NewChooser(seed), versions: map[fleet.ServiceVersion]int{}, returns: map[string]*returnTimes{}, backpressure: map[string]*backpressure{}}
+	return &View{byService: map[string][]*Target{}, byID: map[string]*Target{}, chooser: route.NewChooser(seed), versions: map[fleet.ServiceVersion]int{},
+		returns: map[string]*returnTimes{}, backpressure: map[string]*backpressure{}, domains: map[string]*domain{}}
 }
 
 // Put adds or replaces a registration. A target that has started again under the
 // same id has no failures and has asked for nothing; until then it stays draining once it
-// was. An id with another service, address or version than before
+// was. How long it is cold is recorded by SetRegisteredCold. An id with another service, address or version than before
 // counts as a new target, without requests in flight.
 func (v *View) Put(r Registration) *Target {
 	t := v.byID[r.ID]
@@ -78,14 +86,17 @@
 		v.byID[r.ID] = t
 		v.byService[r.Service] = append(v.byService[r.Service], t)
 		v.countVersion(t.ServiceVersion(), 1)
+		t.coldLimited = v.coldLimits[t.Service].PerSecond > 0
+		v.divideLimit(t)
 	}
 	if t.StartedMS != r.StartedMS {
 		t.consecutiveFailures, t.avoidedUntil, t.probing = 0, time.Time{}, false
 		t.limit = noLimit
+		v.divideLimit(t)
 	}
 	// The other fields do not change: requests read them without the caller's lock.
 	t.FailureDomain, t.Draining, t.Slots, t.StartedMS = r.FailureDomain, r.Draining, r.Slots, r.StartedMS
-	t.backpressure = v.backpressureOf(r)
+	t.backpressure, t.domain = v.backpressureOf(r), v.domainOf(r.FailureDomain)
 	t.missingSince = time.Time{}
 	return t
 }
@@ -120,9 +131,13 @@
 	v.byService[t.Service] = slices.DeleteFunc(v.byService[t.Service], func(o *Target) bool { return o == t })
 }
 
-// Has reports whether a target is known exactly as registered, and not missing.
+// Has reports whether a target is known exactly as registered, but for how long it is cold,
+// and not missing.
 func (v *View) Has(r Registration) bool {
 	t := v.byID[r.ID]
+	if t != nil {
+		r.ColdFor = t.ColdFor
+	}
 	return t != nil && t.Registration == r && t.missingSince.IsZero()
 }
 
@@ -167,7 +182,7 @@
 // a request, ReasonNone among them. The reasons are also the values of a metric label.
 func (v *View) CountByState(now time.Time) map[Reason]int {
 	counts := map[Reason]int{}
-	for _, reason := range []Reason{ReasonNone, ReasonDraining, ReasonTurnedAway, ReasonLimited, ReasonMissing, ReasonAvoided} {
+	for _, reason := range []Reason{ReasonNone, ReasonDraining, ReasonEvacuated, ReasonTurnedAway, ReasonLimited, ReasonCold, ReasonMissing, ReasonAvoided} {
 		counts[reason] = 0
 	}
 	for _, t := range v.byID {
@@ -202,15 +217,7 @@
 // request for which a target is chosen after it was avoided is its probe: the
 // target is avoided again until the result of a request is recorded.
 func (v *View) Choose(now time.Time, q Query) *Target {
-	var preferred, fallback []*Target
-	for _, t := range v.byService[q.Service] {
-		switch reason := t.Availability(now, q); {
-		case reason == ReasonNone:
-			preferred = append(preferred, t)
-		case reason.lastResort():
-			fallback = append(fallback, t)
-		}
-	}
+	preferred, fallback := v.usable(now, q)
 	if len(preferred) == 0 {
 		preferred = fallback
 	}
@@ -234,15 +241,42 @@
 	return t
 }
 
+// usable returns the targets that may be sent a request, without the cold ones if a warm one
+// has room, and those that are chosen only if there is no other.
+func (v *View) usable(now time.Time, q Query) (usable, lastResort []*Target) {
+	var warm []*Target
+	room := false
+	for _, t := range v.byService[q.Service] {
+		switch reason := t.Availability(now, q); {
+		case reason == ReasonNone:
+			usable = append(usable, t)
+			if !t.Cold(now) {
+				warm = append(warm, t)
+				room = room || v.hasRoom(t)
+			}
+		case reason.lastResort():
+			lastResort = append(lastResort, t)
+		}
+	}
+	if room {
+		return warm, lastResort
+	}
+	return usable, lastResort
+}
+
+// hasRoom reports whether this router has fewer requests at a target than its part of the
+// target's slots.
+func (v *View) hasRoom(t *Target) bool {
+	return t.Slots <= 0 || t.InFlight*max(v.routers, 1) < t.Slots
+}
+
 // Ranked returns the first n targets by affinity to the prefix of a request, among those
 // that may be sent the request and have not failed recently.
 func (v *View) Ranked(now time.Time, q Query, n int) []*Target {
-	var usable []*Target
-	var ids []string
-	for _, t := range v.byService[q.Service] {
-		if t.Availability(now, q) == ReasonNone {
-			usable, ids = append(usable, t), append(ids, t.ID)
-		}
+	usable, _ := v.usable(now, q)
+	ids := make([]string, len(usable))
+	for i, t := range usable {
+		ids[i] = t.ID
 	}
 	var ranked []*Target
 	for _, i := range route.Ranked(q.PrefixHash, ids, n) {
--- a/internal/core/targets/targets_test.go
+++ b/internal/core/targets/targets_test.go
@@ -172,7 +172,7 @@
 	v.Put(r)
 	v.MarkMissing(now, "2")
 	v.byID["3"].RecordFailure(now)
-	assert.DeepEqual(t, v.CountByState(now), map[Reason]int{ReasonNone: 1, ReasonAvoided: 1, ReasonDraining: 1, ReasonMissing: 1, ReasonTurnedAway: 0, ReasonLimited: 0})
+	assert.DeepEqual(t, v.CountByState(now), map[Reason]int{ReasonNone: 1, ReasonAvoided: 1, ReasonDraining: 1, ReasonMissing: 1, ReasonTurnedAway: 0, ReasonLimited: 0, ReasonEvacuated: 0, ReasonCold: 0})
 }
 
 // Guards against a version that counts as in use without targets, or as gone with one left.
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -20,7 +20,7 @@
 	if info.Invalid > 0 {
 		g.opt.Metrics.invalidHeaders.Add(float64(info.Invalid))
 	}
-	if !info.Draining && info.TurnedAway == 0 {
+	if !info.Draining && info.TurnedAway == 0 && info.ColdFor == targets.ColdUnknown {
 		return
 	}
 	g.mu.Lock()
@@ -36,6 +36,7 @@
 		if info.Draining {
 			g.setDraining(t, g.opt.Host)
 		}
+		g.hearCold(t, info.ColdFor)
 		if info.TurnedAway > 0 {
 			g.targetView.TurnAway(time.Now(), t, info.TurnedAway)
 			g.opt.Metrics.turnedAway.Inc()
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -14,12 +14,12 @@
 // Feed is the source of the configuration, the registered targets and the crash
 // reports of other routers.
 type Feed interface {
-	// Config returns the newest configuration that was written after the given version
-	// of the source, nil if there is none, and the version up to which the source was
-	// read. It waits up to wait for a change. If after is zero, or the source was
-	// restored from an older copy since then, it returns the current configuration at
-	// once.
-	Config(ctx context.Context, after platform.Version, wait time.Duration) (*httproute.Config, platform.Version, error)
+	// Operator returns what the operator has changed since the given version of the
+	// source, and the version up to which the source was read. It waits up to wait for a
+	// change. If after is zero, or the source was restored from an older copy since then,
+	// it returns all that is in force at once. If the configuration cannot be decoded, it
+	// fails, but the rest of the changes is returned.
+	Operator(ctx context.Context, after platform.Version, wait time.Duration) (OperatorChanges, platform.Version, error)
 	// Targets returns the changed registrations in the same way.
 	Targets(ctx context.Context, after platform.Version, wait time.Duration) (TargetChanges, platform.Version, error)
 	// Crashes returns the changed rows with CrashPrefix in the same way.
@@ -28,6 +28,14 @@
 	Fleet(ctx context.Context, after platform.Version, wait time.Duration) (fleet.Changes, platform.Version, error)
 }
 
+// OperatorChanges are changes by the operator.
+type OperatorChanges struct {
+	Complete   bool              // Evacuated has all evacuated failure domains, not only changed ones
+	Config     *httproute.Config // the newest; nil if it has not changed
+	Evacuated  map[string]bool   // by failure domain; false if the evacuation was taken back
+	Unreadable []string          // keys of orders that cannot be read
+}
+
 // TargetChanges are changes of registrations.
 type TargetChanges struct {
 	Complete   bool                   // Present lists all registrations, not only changed ones
@@ -35,6 +43,7 @@
 	Present    []targets.Registration // new or changed registrations
 	Missing    []string               // IDs of removed registrations
 	Unreadable []UnreadableRegistration
+	Invalid    int // values in Present that make no sense and were ignored
 }
 
 // UnreadableRegistration is a registration that cannot be decoded.
@@ -63,12 +72,13 @@
 	outageAftermath = 4 * time.Second
 )
 
-// WatchConfig keeps the configuration up to date until ctx ends.
+// WatchConfig keeps the configuration and the evacuated failure domains up to date until ctx ends.
 func (g *Gateway) WatchConfig(ctx context.Context, feed Feed) {
 	g.watch(ctx, "configuration", func(ctx context.Context, after platform.Version) (platform.Version, error) {
-		config, next, err := feed.Config(ctx, after, longPollWait)
-		if err == nil && config != nil {
-			g.SetConfig(config)
+		changes, next, err := feed.Operator(ctx, after, longPollWait)
+		g.applyEvacuations(changes)
+		if err == nil && changes.Config != nil {
+			g.SetConfig(changes.Config)
 		}
 		return next, err
 	})
@@ -111,6 +121,7 @@
 	for _, registration := range changes.Present {
 		present[registration.ID] = true
 		if g.hasTarget(registration) {
+			news = g.countDown(registration) || news
 			continue
 		}
 		news = true
@@ -118,6 +129,7 @@
 		g.opt.Logger.Debug("target registered", "target", registration.ID, "service", registration.Service,
 			"address", registration.Address, "draining", registration.Draining)
 	}
+	g.opt.Metrics.invalidHeaders.Add(float64(changes.Invalid))
 	for _, unreadable := range changes.Unreadable {
 		g.opt.Logger.Warn("failed to decode a registration", "target", unreadable.ID, "err", unreadable.Cause)
 		g.MarkTargetMissing(unreadable.ID)
@@ -139,7 +151,8 @@
 	return news
 }
 
-// hasTarget reports whether a target is known exactly as registered.
+// hasTarget reports whether a target is known exactly as registered, but for how long it is
+// cold.
 func (g *Gateway) hasTarget(registration targets.Registration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -137,6 +137,9 @@
 		for _, target := range g.fleet.ExpiredDraining(now, g.hasDrainingTarget, g.streamRetention()) {
 			g.publications.add(fleet.DrainingKey(target), nil)
 		}
+		for _, target := range g.fleet.ExpiredCold(now) {
+			g.publications.add(fleet.ColdKey(target), nil)
+		}
 		for _, v := range g.fleet.ExpiredVersions(now, g.targetView.HasVersion, g.streamRetention()) {
 			g.publications.add(v.Key(), nil)
 		}
@@ -243,13 +246,14 @@
 			limit = targets.NoRequestLimit
 		}
 		g.setLimit(t, limit, toldToOther)
+		g.adoptFleetCold(now, t)
 	}
 }
 
 // divideLimits applies this gateway's shares of limits. g.mu is held.
 func (g *Gateway) divideLimits(now time.Time) {
 	if shares, changed := g.fleet.Shares(now); changed {
-		g.targetView.SetShares(shares)
+		g.targetView.SetShares(shares, len(g.fleet.Routers(now)))
 	}
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -180,7 +180,7 @@
 		t.BeginRequest()
 		t.TakePermit(now)
 		g.beginRun(req)
-		if t.Limited() {
+		if t.Limited(now) {
 			g.opt.Metrics.limited.Inc()
 		}
 	}
@@ -200,7 +200,7 @@
 	defer g.mu.Unlock()
 	t.EndRequest()
 	if result == outcomeNotSent {
-		t.ReturnPermit()
+		t.ReturnPermit(time.Now())
 	}
 	var failure *upstream.Failure
 	switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 	// routers together, targets.NoRequestLimit if it names none.
 	RequestLimit float64
 	Draining     bool          // the target is about to stop
+	ColdFor      time.Duration // the target stays cold for so long; targets.ColdUnknown if it does not say
 	TurnedAway   time.Duration // the target wants no request from this router for so long; 0 if it does not say so
 	Invalid      int           // headers about the target whose values make no sense
 }
@@ -170,6 +171,7 @@
 		}
 	}
 	g.opt.Budgets.SetPrepaid(totals)
+	g.setColdLimits(config)
 	g.opt.Metrics.configVersion.Set(float64(config.Version))
 	g.opt.Logger.Info("configuration in force", "version", config.Version, "routes", len(config.Routes), "teams", len(config.Teams))
 }
@@ -178,6 +180,9 @@
 func (g *Gateway) PutTarget(registration targets.Registration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
+	old := g.targetView.Target(registration.ID)
+	restarted := old != nil && old.StartedMS != registration.StartedMS
 	newVersion := !g.targetView.HasVersion(registration.ServiceVersion())
 	t := g.targetView.Put(registration)
 	if g.fleetDraining(t) {
@@ -186,6 +191,7 @@
 	if limit, ok := g.fleetLimit(t); ok {
 		g.setLimit(t, limit, toldToOther)
 	}
+	g.setRegisteredCold(now, t, registration.ColdFor, restarted)
 	if newVersion {
 		g.publishVersions()
 		g.recordStreams()
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -38,10 +38,12 @@
 	reasons := g.targetView.Reasons(now, q)
 	var e *errkind.Error
 	switch {
-	case reasons[targets.ReasonLimited] > 0:
+	case reasons[targets.ReasonLimited]+reasons[targets.ReasonCold] > 0:
 		e = errkind.New(errkind.TargetsLimited, "the targets of %s are at their limits: %s", req.service.Name, reasons)
 	case reasons[targets.ReasonTurnedAway] > 0:
 		e = errkind.New(errkind.Overloaded, "the targets of %s want no requests for now: %s", req.service.Name, reasons)
+	case reasons[targets.ReasonEvacuated] > 0:
+		e = errkind.New(errkind.NoTarget, "no target of %s takes work: %s", req.service.Name, reasons)
 	case q.Version != nil:
 		return errkind.New(errkind.NoTarget, "no target of %s with version %s takes work: %s", req.service.Name, *q.Version, reasons)
 	default:
@@ -88,5 +90,5 @@
 		g.opt.Logger.Info("target names no request limit any more", "target", t.ID, "told_to", toldTo)
 		return
 	}
-	g.opt.Logger.Info("target names a request limit", "target", t.ID, "per_second", perSecond, "share", t.LimitShare(), "told_to", toldTo)
+	g.opt.Logger.Info("target names a request limit", "target", t.ID, "per_second", perSecond, "share", t.LimitShare(time.Now()), "told_to", toldTo)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	turnedAway prometheus.Counter
 	// invalidHeaders counts headers about a target whose values make no sense.
 	invalidHeaders prometheus.Counter
+	invalidOrders  prometheus.Counter
 	crashes        prometheus.Counter
 	crashReports   *prometheus.CounterVec
 	continued      *prometheus.CounterVec
@@ -39,7 +40,7 @@
 		}, []string{"outcome"}),
 		limited: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "tarragonridge_http_limited_attempts_total",
-			Help: "Attempts at targets that had named a request limit to this gateway.",
+			Help: "Attempts at targets that name a request limit or are cold.",
 		}),
 		turnedAway: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "tarragonridge_http_turned_away_total",
@@ -47,7 +48,11 @@
 		}),
 		invalidHeaders: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "tarragonridge_http_invalid_target_headers_total",
-			Help: "Headers in which targets state limits, a pause or their stop with values that make no sense.",
+			Help: "Headers and registrations in which targets state limits, a pause, their stop or how long they are cold with values that make no sense.",
+		}),
+		invalidOrders: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tarragonridge_http_invalid_orders_total",
+			Help: "Rows of the operator that order an evacuation without naming a failure domain.",
 		}),
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "tarragonridge_http_target_crashes_total",
@@ -69,7 +74,7 @@
 			Name: "tarragonridge_http_config_version", Help: "Version of the routes in force here.",
 		}),
 	}
-	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.crashes, m.crashReports, m.continued, m.duration, m.configVersion, collectors.NewGoCollector())
+	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.invalidOrders, m.crashes, m.crashReports, m.continued, m.duration, m.configVersion, collectors.NewGoCollector())
 	return m
 }
 
@@ -87,11 +92,19 @@
 
 // limitedTargetsDesc describes the gauge of targets that name a request limit.
 var limitedTargetsDesc = prometheus.NewDesc("tarragonridge_http_limited_targets",
-	"Targets that name a request limit, to this gateway or to another.", nil, nil)
+	"Targets with a limit on their requests: they name one, to this gateway or to another, or are cold.", nil, nil)
 
 // limitShareDesc describes the gauge of this gateway's shares of request limits.
 var limitShareDesc = prometheus.NewDesc("tarragonridge_http_limit_share",
-	"Requests per second that this gateway may send to all targets that name a request limit.", nil, nil)
+	"Requests per second that this gateway may send to all targets with a limit.", nil, nil)
+
+// coldTargetsDesc describes the gauge of cold targets.
+var coldTargetsDesc = prometheus.NewDesc("tarragonridge_http_cold_targets",
+	"Targets that are cold, of services that limit the requests to these.", nil, nil)
+
+// evacuatedDomainsDesc describes the gauge of evacuated failure domains.
+var evacuatedDomainsDesc = prometheus.NewDesc("tarragonridge_http_evacuated_domains",
+	"Failure domains whose targets are sent nothing by the operator's order, by whether targets are known there.", []string{"targets"}, nil)
 
 // quarantinedPartsDesc describes the gauge of quarantined prompt parts.
 var quarantinedPartsDesc = prometheus.NewDesc("tarragonridge_http_quarantined_parts",
@@ -102,6 +115,8 @@
 	ch <- targetsDesc
 	ch <- limitedTargetsDesc
 	ch <- limitShareDesc
+	ch <- coldTargetsDesc
+	ch <- evacuatedDomainsDesc
 	ch <- quarantinedPartsDesc
 }
 
@@ -109,10 +124,18 @@
 func (g *Gateway) Collect(ch chan<- prometheus.Metric) {
 	g.mu.Lock()
 	counts := g.targetView.CountByState(time.Now())
-	limited, share := g.targetView.Limits()
+	limited, cold, share := g.targetView.Limits(time.Now())
+	evacuated := map[bool]int{}
+	for _, n := range g.targetView.Evacuated() {
+		evacuated[n > 0]++
+	}
 	quarantinedParts := len(g.parts.Quarantined())
 	g.mu.Unlock()
 	ch <- prometheus.MustNewConstMetric(quarantinedPartsDesc, prometheus.GaugeValue, float64(quarantinedParts))
+	ch <- prometheus.MustNewConstMetric(coldTargetsDesc, prometheus.GaugeValue, float64(cold))
+	for label, known := range map[string]bool{"known": true, "none": false} {
+		ch <- prometheus.MustNewConstMetric(evacuatedDomainsDesc, prometheus.GaugeValue, float64(evacuated[known]), label)
+	}
 	ch <- prometheus.MustNewConstMetric(limitShareDesc, prometheus.GaugeValue, share)
 	ch <- prometheus.MustNewConstMetric(limitedTargetsDesc, prometheus.GaugeValue, float64(limited))
 	for reason, n := range counts {
