Prefer targets that have started at an address to ones that have ended there

Cause: after a loss of power of all machines the targets are back within 1 s, under other ids at the addresses that they had. The registrations of the ended ones remain for 3 s.

Change: of two registrations with one address, the target that started earlier is a last resort, reason `replaced`.

--- a/internal/core/targets/availability.go
+++ b/internal/core/targets/availability.go
@@ -22,13 +22,14 @@
 	ReasonLimited      Reason = "limited"       // this router has used its share of the target's request limit
 	ReasonCold         Reason = "cold"          // limited because it is cold
 	ReasonFull         Reason = "full"          // this router's connections to it are all in use
+	ReasonReplaced     Reason = "replaced"      // another target with its address has started since
 	ReasonMissing      Reason = "missing"       // its registration is gone
 	ReasonAvoided      Reason = "avoided"       // has failed recently
 	ReasonNone         Reason = "usable"
 )
 
 // lastResort reports whether a target with the reason is chosen if there is no other.
-func (r Reason) lastResort() bool { return r == ReasonMissing || r == ReasonAvoided }
+func (r Reason) lastResort() bool { return r == ReasonReplaced || r == ReasonMissing || r == ReasonAvoided }
 
 // endsByItself reports whether the reason ends at a time that the router knows.
 func (r Reason) endsByItself() bool { return r == ReasonTurnedAway || r.limited() }
@@ -55,6 +56,8 @@
 		return ReasonLimited
 	case q.MaxInFlight > 0 && t.InFlight >= q.MaxInFlight:
 		return ReasonFull
+	case t.replaced:
+		return ReasonReplaced
 	case !t.missingSince.IsZero():
 		return ReasonMissing
 	case t.avoided(now):
--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -47,6 +47,7 @@
 	avoidedSince        time.Time
 	avoidedUntil        time.Time // until then other targets are preferred
 	probing             bool      // a request was let through after avoidedUntil; its result is not yet known
+	replaced            bool      // another target with its address has started since
 	missingSince        time.Time // zero if the registration is present
 }
 
@@ -98,9 +99,25 @@
 	t.FailureDomain, t.Draining, t.Slots, t.StartedMS = r.FailureDomain, r.Draining, r.Slots, r.StartedMS
 	t.backpressure, t.domain = v.backpressureOf(r), v.domainOf(r.FailureDomain)
 	t.missingSince = time.Time{}
+	v.noteReplaced(t)
 	return t
 }
 
+// noteReplaced records which of the targets with the address of a registered one have ended
+// because another has started there since. Their registrations may remain for seconds.
+func (v *View) noteReplaced(t *Target) {
+	t.replaced = false
+	for _, o := range v.OthersAt(t) {
+		switch {
+		case o.StartedMS == 0 || t.StartedMS == 0: // unknown
+		case o.StartedMS < t.StartedMS:
+			o.replaced = true
+		case o.StartedMS > t.StartedMS:
+			t.replaced = true
+		}
+	}
+}
+
 // MarkMissing records that a registration is gone. SweepMissing removes its target
 // later.
 func (v *View) MarkMissing(now time.Time, id string) {
@@ -182,7 +199,7 @@
 // a request, ReasonNone among them. The reasons are also the values of a metric label.
 func (v *View) CountByState(now time.Time) map[Reason]int {
 	counts := map[Reason]int{}
-	for _, reason := range []Reason{ReasonNone, ReasonDraining, ReasonEvacuated, ReasonTurnedAway, ReasonLimited, ReasonCold, ReasonMissing, ReasonAvoided} {
+	for _, reason := range []Reason{ReasonNone, ReasonDraining, ReasonEvacuated, ReasonTurnedAway, ReasonLimited, ReasonCold, ReasonReplaced, ReasonMissing, ReasonAvoided} {
 		counts[reason] = 0
 	}
 	for _, t := range v.byID {
--- a/internal/core/targets/targets_test.go
+++ b/internal/core/targets/targets_test.go
@@ -107,6 +107,29 @@
 	assert.Equal(t, len(v.byService["s"]), 2)
 }
 
+// Guards against requests to targets that have ended and whose registrations remain, while
+// others have started at their addresses; in whatever order the registrations come.
+func TestReplacedTargetIsALastResort(t *testing.T) {
+	old, started := registration("1"), registration("2")
+	started.Address, started.StartedMS = old.Address, 2
+	for _, order := range [][]Registration{{old, started}, {started, old}} {
+		v := NewView(1)
+		for _, r := range order {
+			v.Put(r)
+		}
+		q := Query{Service: "s"}
+		v.Target("2").InFlight = 9
+		assert.Equal(t, v.Choose(now, q).ID, "2")
+		assert.Equal(t, len(v.Ranked(now, q, 2)), 1)
+		v.Remove("2")
+		assert.Equal(t, v.Choose(now, q).ID, "1", "rather than none")
+		again := old
+		again.StartedMS = 3
+		v.Put(again)
+		assert.Equal(t, v.Target("1").Availability(now, q), ReasonNone)
+	}
+}
+
 // Sends requests with 48 prefixes in equal numbers through five independent
 // routers. Guards against a choice that spreads a prefix over all targets, each of
 // which would have to process it, or that loads one target beyond the bound.
@@ -172,7 +195,7 @@
 	v.Put(r)
 	v.MarkMissing(now, "2")
 	v.byID["3"].RecordFailure(now)
-	assert.DeepEqual(t, v.CountByState(now), map[Reason]int{ReasonNone: 1, ReasonAvoided: 1, ReasonDraining: 1, ReasonMissing: 1, ReasonTurnedAway: 0, ReasonLimited: 0, ReasonEvacuated: 0, ReasonCold: 0})
+	assert.DeepEqual(t, v.CountByState(now), map[Reason]int{ReasonNone: 1, ReasonAvoided: 1, ReasonDraining: 1, ReasonMissing: 1, ReasonTurnedAway: 0, ReasonLimited: 0, ReasonEvacuated: 0, ReasonCold: 0, ReasonReplaced: 0})
 }
 
 // Guards against a version that counts as in use without targets, or as gone with one left.
