--- a/internal/core/targets/availability.go
+++ b/internal/core/targets/availability.go
@@ -29,7 +29,9 @@
 )
 
 // lastResort reports whether a target with the reason is chosen if there is no other.
-func (r Reason) lastResort() bool { return r == ReasonReplaced || r == ReasonMissing || r == ReasonAvoided }
+func (r Reason) lastResort() bool {
+	return r == ReasonReplaced || r == ReasonMissing || r == ReasonAvoided
+}
 
 // endsByItself reports whether the reason ends at a time that the router knows.
 func (r Reason) endsByItself() bool { return r == ReasonTurnedAway || r.limited() }
