--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -259,22 +259,30 @@
 }
 
 // usable returns the targets that may be sent a request, without the cold ones if a warm one
-// has room, and those that are chosen only if there is no other.
+// has room, and those that are chosen only if there is no other. A target that was replaced is
+// not among them if another takes the request a little later.
 func (v *View) usable(now time.Time, q Query) (usable, lastResort []*Target) {
-	var warm []*Target
-	room := false
+	var warm, replaced []*Target
+	room, later := false, false
 	for _, t := range v.byService[q.Service] {
-		switch reason := t.Availability(now, q); {
+		reason := t.Availability(now, q)
+		later = later || reason.endsByItself()
+		switch {
 		case reason == ReasonNone:
 			usable = append(usable, t)
 			if !t.Cold(now) {
 				warm = append(warm, t)
 				room = room || v.hasRoom(t)
 			}
+		case reason == ReasonReplaced:
+			replaced = append(replaced, t)
 		case reason.lastResort():
 			lastResort = append(lastResort, t)
 		}
 	}
+	if !later {
+		lastResort = append(lastResort, replaced...)
+	}
 	if room {
 		return warm, lastResort
 	}
--- a/internal/core/targets/targets_test.go
+++ b/internal/core/targets/targets_test.go
@@ -121,6 +121,8 @@
 		v.Target("2").InFlight = 9
 		assert.Equal(t, v.Choose(now, q).ID, "2")
 		assert.Equal(t, len(v.Ranked(now, q, 2)), 1)
+		v.TurnAway(now, v.Target("2"), time.Second)
+		assert.Assert(t, v.Choose(now, q) == nil, "the one that has started takes it later")
 		v.Remove("2")
 		assert.Equal(t, v.Choose(now, q).ID, "1", "rather than none")
 		again := old
