Have the end of a run in the timeline before its router learns it

Cause: Server.endRun woke the readers, which send the end to the router, and emitted the event afterwards; the router could answer in between.

Change: the event is emitted under the lock that readers need.

--- a/internal/sidecar/execute.go
+++ b/internal/sidecar/execute.go
@@ -278,15 +278,13 @@
 // endRun ends a run unless a target crash has ended it already.
 func (s *Server) endRun(start wire.StartRun, ending run.Ending) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	end, err := s.runTable.End(time.Now(), start.RunID, ending)
-	if err == nil {
-		s.closeExecution(end)
-	}
-	s.mu.Unlock()
 	if err != nil {
 		return
 	}
 	s.recordRunEnd(end, start)
+	s.closeExecution(end)
 }
 
 // handleTargetCrash ends all runs in progress after the target has gone down.
@@ -294,6 +292,7 @@
 	s.mu.Lock()
 	ends := s.runTable.TargetCrashed(time.Now(), "target does not accept connections any more")
 	for _, end := range ends {
+		s.recordRunEnd(end, wire.StartRun{RunID: end.RunID, RequestID: end.Record.RequestID, Identity: end.Record.Identity})
 		s.closeExecution(end)
 	}
 	s.targetState.healthy = false
@@ -302,9 +301,6 @@
 	routers := slices.Collect(maps.Keys(s.peers))
 	s.mu.Unlock()
 	s.reportSuspects(routers, suspects)
-	for _, end := range ends {
-		s.recordRunEnd(end, wire.StartRun{RunID: end.RunID, RequestID: end.Record.RequestID, Identity: end.Record.Identity})
-	}
 }
 
 // reportSuspects sends the requests suspected of causing a crash to all
@@ -331,7 +327,8 @@
 	r.cancel(errRunEnded)
 }
 
-// recordRunEnd updates the metrics, the log and the timeline.
+// recordRunEnd updates the metrics, the log and the timeline. The caller holds s.mu, so that
+// no reader sends the end before the timeline has it.
 func (s *Server) recordRunEnd(end wire.RunEnd, start wire.StartRun) {
 	record := end.Record
 	s.metrics.observeRunEnd(record)
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -249,3 +249,20 @@
 	m.ConfigVersion = 3
 	assert.Assert(t, r.start(t, m).Accepted)
 }
+
+// Guards against a router that learns the end of a run before the timeline does, and answers
+// before it.
+func TestEndOfARunIsInTheTimelineFirst(t *testing.T) {
+	opts := testOptions(startEngine(t, writeWholeAnswer).URL)
+	var ended atomic.Bool
+	opts.OnEvent = func(e wire.TimelineEvent) {
+		if e.Name == "run.ended" {
+			time.Sleep(50 * time.Millisecond)
+			ended.Store(true)
+		}
+	}
+	r := dialRouter(t, startSidecar(t, opts).addr, "h1", nil)
+	r.start(t, completionRun("r1"))
+	receive(t, r.ends)
+	assert.Assert(t, ended.Load())
+}
