Read the hello of a peer that pings first

Cause: on the side that dials, a notification waits until the hellos have been exchanged, and blocks the read loop meanwhile. A busy peer pings 20 ms (in tests) after it has accepted, if the hello is not there; the answer to the hello stands behind that ping, so the dial failed after its whole time with 'call hello: context deadline exceeded'.

Change: a ping before the hello is answered and not waited with.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -348,6 +348,9 @@
 	<-c.initialised
 	if method == wire.MethodPing {
 		c.handlePing(params)
+		if !c.opened.Load() {
+			return // to wait would block the read of the hello, which comes after it
+		}
 	}
 	if c.awaitUsable() {
 		c.handler.Notify(c, method, params)
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -162,6 +162,28 @@
 	}
 }
 
+// Guards against a dial that fails because a busy peer pings before it has the hello: the
+// answer to the hello comes after the ping and must be read.
+func TestPingBeforeTheHello(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	busy := testOptions("server")
+	busy.Busy = func() bool { return true }
+	go func() { _ = rpc.Serve(ctx, ln, busy, newRecordingHandler()) }()
+	opts := testOptions("client")
+	opts.SilenceTimeout = 2 * time.Second
+	hello := opts.Hello
+	opts.Hello = func() wire.Hello {
+		time.Sleep(60 * time.Millisecond)
+		return hello()
+	}
+	c, err := rpc.Dial(ctx, ln.Addr().String(), opts, newRecordingHandler())
+	assert.NilError(t, err)
+	_ = c.Close()
+}
+
 // Guards against closing a healthy idle connection as silent. The only data that
 // it receives are the answers to its rare pings.
 func TestIdleConnectionStaysOpen(t *testing.T) {
