Keep what is used of a limit when its other source changes

Cause: a limit that a cold target begins or ceases to name gave the gateway a full bucket, one more request in that second.

--- a/internal/core/targets/cold_test.go
+++ b/internal/core/targets/cold_test.go
@@ -128,6 +128,8 @@
 		target.TakePermit(now)
 	}
 	assert.Equal(t, v.Reasons(now, Query{Service: "s"}).String(), "1 cold")
+	v.SetLimit(target, NoRequestLimit)
+	assert.Equal(t, v.Reasons(now, Query{Service: "s"}).String(), "1 cold", "what was used counts on")
 	wait, ok := v.Wait(now, Query{Service: "s"})
 	assert.Assert(t, ok && wait > 0 && wait < time.Second)
 }
--- a/internal/core/targets/limit.go
+++ b/internal/core/targets/limit.go
@@ -71,9 +71,6 @@
 	if t.limit.perSecond == perSecond {
 		return false
 	}
-	if t.limit.perSecond == NoRequestLimit || perSecond == NoRequestLimit {
-		t.limit = noLimit // with a full bucket
-	}
 	t.limit.perSecond = perSecond
 	v.divideLimit(t)
 	return true
