Order waiting requests by rank with floors, deadline, team and work

Cause: the queue knew priority and runs in flight only; neither the work nor the time in which a start helps. Returns and Queue.ReturnAfter give refused callers a time to return. The router converts its priority, highest first, into the rank in one place.

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -10,33 +10,39 @@
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 )
 
+var start = time.Unix(1000, 0)
+
 func placeAny(*admit.Ticket) bool { return true }
 
+func push(q *admit.Queue, t *admit.Ticket, limit int) (*admit.Ticket, error) {
+	return q.Push(start, t, admit.Limits{Waiting: limit})
+}
+
 // Guards against a team with many waiting requests that delays another team of
 // equal priority until all of them have started.
 func TestFairBetweenTeams(t *testing.T) {
 	q := admit.NewQueue()
 	for range 3 {
-		_, err := q.Push(&admit.Ticket{Team: "a"}, 10)
+		_, err := push(q, &admit.Ticket{Team: "a"}, 10)
 		assert.NilError(t, err)
 	}
-	_, err := q.Push(&admit.Ticket{Team: "b"}, 10)
+	_, err := push(q, &admit.Ticket{Team: "b"}, 10)
 	assert.NilError(t, err)
-	assert.Equal(t, q.Next(placeAny).Team, "a")
-	assert.Equal(t, q.Next(placeAny).Team, "b")
+	assert.Equal(t, q.Next(start, placeAny).Team, "a")
+	assert.Equal(t, q.Next(start, placeAny).Team, "b")
 }
 
 // Guards against refusing a request because the queue is full while one of lower
 // priority is waiting.
 func TestHigherPriorityEvictsLower(t *testing.T) {
 	q := admit.NewQueue()
-	low := &admit.Ticket{Priority: 1}
-	_, err := q.Push(low, 1)
+	low := &admit.Ticket{Rank: 5}
+	_, err := push(q, low, 1)
 	assert.NilError(t, err)
-	evicted, err := q.Push(&admit.Ticket{Priority: 5}, 1)
+	evicted, err := push(q, &admit.Ticket{Rank: 1}, 1)
 	assert.NilError(t, err)
 	assert.Equal(t, evicted, low)
-	_, err = q.Push(&admit.Ticket{Priority: 5}, 1)
+	_, err = push(q, &admit.Ticket{Rank: 1}, 1)
 	assert.Equal(t, errkind.Of(err), errkind.Overloaded)
 }
 
@@ -44,11 +50,11 @@
 // can run it.
 func TestNextSkipsWhatCannotBePlaced(t *testing.T) {
 	q := admit.NewQueue()
-	_, _ = q.Push(&admit.Ticket{Pool: "full", Priority: 9}, 10)
-	_, _ = q.Push(&admit.Ticket{Pool: "free", Priority: 1}, 10)
-	got := q.Next(func(tk *admit.Ticket) bool { return tk.Pool == "free" })
+	_, _ = push(q, &admit.Ticket{Pool: "full", Rank: 1}, 10)
+	_, _ = push(q, &admit.Ticket{Pool: "free", Rank: 9}, 10)
+	got := q.Next(start, func(tk *admit.Ticket) bool { return tk.Pool == "free" })
 	assert.Equal(t, got.Pool, "free")
-	assert.Assert(t, q.Next(func(*admit.Ticket) bool { return false }) == nil)
+	assert.Assert(t, q.Next(start, func(*admit.Ticket) bool { return false }) == nil)
 	assert.Equal(t, q.Len(), 1)
 }
 
--- /dev/null
+++ b/internal/core/admit/returns.go
@@ -0,0 +1,87 @@
+package admit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// MinReturn is the least time after which a refused caller is asked to return.
+	MinReturn = 50 * time.Millisecond
+	// DefaultReturn is the time for a caller of whose patience nothing is known.
+	DefaultReturn = 250 * time.Millisecond
+	// returnDivisor bounds the time to return as a fraction of the time that the caller
+	// has left. Callers wait a third at most.
+	returnDivisor = 4
+	// hereSpread is the time over which callers return that another router can serve.
+	hereSpread = 50 * time.Millisecond
+)
+
+// Refusal says why a request was refused, as far as it matters for its return, and how
+// long it has time.
+type Refusal struct {
+	Here      bool          // the room is short at this router only
+	Brief     bool          // the cause is expected to end before the objective is lost
+	EndsIn    time.Duration // the time until there is room; 0 if it is not known
+	Objective time.Duration // time left until the latency objective; 0 if there is none
+	TimeLeft  time.Duration // that the caller has; 0 if it did not say
+}
+
+// Returns gives refused callers their time to return, so that they find room and do not
+// return together. The zero value is ready for use. It is not safe for concurrent use.
+type Returns struct{ refused int }
+
+// After returns the time after which the caller should return.
+func (r *Returns) After(f Refusal) time.Duration {
+	if f.TimeLeft <= 0 {
+		if f.EndsIn > 0 {
+			return max(f.EndsIn, MinReturn)
+		}
+		return DefaultReturn
+	}
+	horizon := max(f.TimeLeft/returnDivisor, MinReturn)
+	from, to := horizon/2, horizon
+	switch {
+	case f.Here:
+		from, to = MinReturn, MinReturn+hereSpread
+	case f.EndsIn > 0 && f.EndsIn < horizon:
+		// The spread keeps callers with the same end from returning together.
+		from, to = f.EndsIn, min(f.EndsIn+f.EndsIn/2, horizon)
+	case f.Brief && f.Objective > 2*MinReturn:
+		// Half of the time to the objective is left for the answer.
+		to = min(horizon, f.Objective/2)
+		from = to / 2
+	}
+	from, to = max(min(from, horizon), MinReturn), max(min(to, horizon), MinReturn)
+	return from + time.Duration(r.fraction()*float64(to-from))
+}
+
+// goldenRatio spreads consecutive multiples evenly over the unit interval.
+const goldenRatio = 0.6180339887498949
+
+// fraction returns numbers from 0 to less than 1 that lie evenly over consecutive calls.
+func (r *Returns) fraction() float64 {
+	r.refused++
+	_, f := math.Modf(float64(r.refused) * goldenRatio)
+	return f
+}
+
+// ReturnAfter returns when a caller whose ticket was refused should return: once the work
+// ahead of it has started, and that of those refused before it, unless they are less
+// urgent. If that lies beyond horizon, it is some time within its second half. rate is the
+// work that starts each second.
+func (q *Queue) ReturnAfter(now time.Time, t *Ticket, rate float64, horizon time.Duration) time.Duration {
+	if rate > 0 {
+		at := now.Add(q.Wait(now, t, rate))
+		for rank, next := range q.nextReturn {
+			if rank <= t.Rank && next.After(at) {
+				at = next
+			}
+		}
+		if after := at.Sub(now); after < horizon {
+			q.nextReturn[t.Rank] = at.Add(time.Duration(t.work() / rate * float64(time.Second)))
+			return max(after, MinReturn)
+		}
+	}
+	return max(horizon/2+time.Duration(q.returns.fraction()*float64(horizon/2)), MinReturn)
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -22,7 +22,7 @@
 		return attemptResult{err: startError(ctx, startCtx, err)}
 	}
 	w := &waiter{
-		Ticket: admit.Ticket{Team: req.Team, Priority: req.Priority, Pool: req.pool, Constrained: len(tried.avoid) > 0},
+		Ticket: admit.Ticket{Team: req.Team, Route: req.Workload, Rank: rankOf(req.Priority), Pool: req.pool, Constrained: len(tried.avoid) > 0},
 		query:  req.query,
 		avoid:  tried.avoid,
 		busy:   tried.busy,
--- a/internal/router/schedule.go
+++ b/internal/router/schedule.go
@@ -63,6 +63,9 @@
 	rejected chan error      // receives the error if the request is evicted from the queue
 }
 
+// rankOf returns the rank of a workload's priority, of which the highest goes first.
+func rankOf(priority int) int { return policy.MaxPriority - priority }
+
 // scheduler assigns waiting requests to targets.
 type scheduler struct {
 	mu      sync.Mutex
@@ -106,7 +109,7 @@
 		if sl.waiter.query.Suspect {
 			sl.target.suspects--
 		}
-		sl.scheduler.queue.Done(&sl.waiter.Ticket)
+		sl.scheduler.queue.Done(sl.scheduler.now(), &sl.waiter.Ticket)
 		sl.scheduler.dispatch()
 	})
 }
@@ -137,7 +140,7 @@
 }
 
 // enqueue adds a request to the queue and dispatches the requests that can start.
-// A full queue evicts a request of lower priority. enqueue fails if the queue is
+// A full queue evicts a request that goes after this one. enqueue fails if the queue is
 // full and has none, or if the pool has no eligible target.
 func (s *scheduler) enqueue(w *waiter) error {
 	s.mu.Lock()
@@ -145,12 +148,12 @@
 	if !s.hasEligibleTarget(w) {
 		return errkind.New(errkind.NoTarget, "no target serves %s", w.Pool)
 	}
-	evicted, err := s.queue.Push(&w.Ticket, s.preset().QueueLimit)
+	evicted, err := s.queue.Push(s.now(), &w.Ticket, admit.Limits{Waiting: s.preset().QueueLimit})
 	if err != nil {
 		return err
 	}
 	if evicted != nil {
-		s.reject(evicted, errkind.New(errkind.Overloaded, "displaced by a request of higher priority"))
+		s.reject(evicted, errkind.New(errkind.Overloaded, "displaced by a request that goes before it"))
 	}
 	s.waiters[&w.Ticket] = w
 	s.dispatch()
@@ -182,7 +185,7 @@
 // ended: the caller left, no target of the pool is usable, or none became free.
 func (s *scheduler) cancelWait(ctx context.Context, w *waiter) (*slot, error) {
 	s.mu.Lock()
-	removed := s.queue.Remove(&w.Ticket)
+	removed := s.queue.Remove(s.now(), &w.Ticket)
 	delete(s.waiters, &w.Ticket)
 	reachable := s.anyUsableTarget(w.Pool)
 	s.mu.Unlock()
@@ -219,7 +222,7 @@
 func (s *scheduler) dispatch() {
 	for {
 		var chosen *target
-		ticket := s.queue.Next(func(t *admit.Ticket) bool {
+		ticket := s.queue.Next(s.now(), func(t *admit.Ticket) bool {
 			chosen = s.pickTarget(s.waiters[t])
 			return chosen != nil
 		})
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -112,7 +112,7 @@
 		return c.replayOrFail(ctx, startError(ctx, startCtx, err))
 	}
 	w := &waiter{
-		Ticket: admit.Ticket{Team: req.Team, Priority: req.Priority, Pool: req.pool, Constrained: len(c.avoid) > 0},
+		Ticket: admit.Ticket{Team: req.Team, Route: req.Workload, Rank: rankOf(req.Priority), Pool: req.pool, Constrained: len(c.avoid) > 0},
 		avoid:  c.avoid,
 	}
 	sl, err := r.sched.acquire(startCtx, w)
