Time a refused caller's return by what was short

Cause: Retry-After was 50 to 250 ms whatever the cause, so callers came back into the same outage, together. Change: short here only, soon; a known end, that end; everywhere, in the second half of what the caller can use, spread; requests without a stated deadline as before. errkind.Error.Here lets the place of refusal say that only this process is short.

--- a/internal/core/admit/returns.go
+++ b/internal/core/admit/returns.go
@@ -23,25 +23,33 @@
 	Here      bool          // the room is short at this router only
 	Brief     bool          // the cause is expected to end before the objective is lost
 	EndsIn    time.Duration // the time until there is room; 0 if it is not known
+	Reserved  bool          // EndsIn was given to this caller alone
 	Objective time.Duration // time left until the latency objective; 0 if there is none
-	TimeLeft  time.Duration // that the caller has; 0 if it did not say
+	TimeLeft  time.Duration // that the caller has
+	Impatient bool          // the caller did not say how long it waits, so it may leave soon
 }
 
 // Returns gives refused callers their time to return, so that they find room and do not
 // return together. The zero value is ready for use. It is not safe for concurrent use.
 type Returns struct{ refused int }
 
+// Horizon returns the longest time to return that a caller respects who has a time left.
+func Horizon(timeLeft time.Duration) time.Duration { return max(timeLeft/returnDivisor, MinReturn) }
+
 // After returns the time after which the caller should return.
 func (r *Returns) After(f Refusal) time.Duration {
-	if f.TimeLeft <= 0 {
-		if f.EndsIn > 0 {
-			return max(f.EndsIn, MinReturn)
+	horizon := Horizon(f.TimeLeft)
+	if f.Impatient {
+		wanted := f.EndsIn
+		if wanted <= 0 {
+			wanted = DefaultReturn
 		}
-		return DefaultReturn
+		return max(min(wanted, horizon), MinReturn)
 	}
-	horizon := max(f.TimeLeft/returnDivisor, MinReturn)
 	from, to := horizon/2, horizon
 	switch {
+	case f.EndsIn > 0 && f.Reserved:
+		return max(min(f.EndsIn, horizon), MinReturn)
 	case f.Here:
 		from, to = MinReturn, MinReturn+hereSpread
 	case f.EndsIn > 0 && f.EndsIn < horizon:
--- a/internal/core/errkind/errkind.go
+++ b/internal/core/errkind/errkind.go
@@ -140,8 +140,11 @@
 	Detail     string        // plain text; must not contain secrets or prompt text
 	Ran        Ran           // empty means the default of the kind
 	RetryAfter time.Duration // 0 means the default of the kind
-	Billed     int64         // tokens billed for the request
-	Cause      error
+	// Here says that only the process that refuses is short of room, so that another one
+	// may serve the request at once.
+	Here   bool
+	Billed int64 // tokens billed for the request
+	Cause  error
 }
 
 // Error returns the kind, the detail and the cause, if there is one.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -6,25 +6,18 @@
 	"strconv"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/core/admit"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/httpapi"
 )
 
-// Bounds of the Retry-After header. Callers wait at most a third of the time that
-// they have left, so the header states less.
-const (
-	minRetryAfter     = 50 * time.Millisecond
-	retryAfterDivisor = 4 // the header states at most this fraction of the time left
-	defaultRetryAfter = 250 * time.Millisecond
-)
-
 // writeProblem answers a request with an error of the router itself.
 func (g *Gateway) writeProblem(w http.ResponseWriter, req *request, err *errkind.Error) {
 	answer := err.Response()
 	h := w.Header()
 	h.Set("Content-Type", httpapi.ProblemMediaType)
 	if answer.RetryAfter > 0 && answer.Ran == errkind.RanNo {
-		h.Set("Retry-After", formatRetryAfter(err.RetryAfter, time.Until(req.deadline)))
+		h.Set("Retry-After", formatRetryAfter(g.returnAfter(time.Now(), req, err)))
 	}
 	if g.phase.Load() != phaseServing {
 		h.Set("Connection", "close")
@@ -41,15 +34,27 @@
 	req.status, req.err = answer.Status, err
 }
 
-// formatRetryAfter returns the value of the Retry-After header in seconds, limited
-// by the time that the caller has left, but at least minRetryAfter.
-func formatRetryAfter(wanted, timeLeft time.Duration) string {
-	if wanted <= 0 {
-		wanted = defaultRetryAfter
+// returnAfter returns when the caller of a request that was refused should return.
+func (g *Gateway) returnAfter(now time.Time, req *request, err *errkind.Error) time.Duration {
+	f := admit.Refusal{Here: err.Here, EndsIn: err.RetryAfter, TimeLeft: req.deadline.Sub(now), Impatient: req.meta.Deadline <= 0}
+	if req.route != nil {
+		f.Objective = req.route.LatencyObjective - now.Sub(req.arrived)
 	}
-	if timeLeft > 0 {
-		wanted = min(wanted, timeLeft/retryAfterDivisor)
+	switch err.Kind {
+	case errkind.Stopping:
+		f.Here = true
+	case errkind.TargetsLimited:
+		f.Reserved = true
+	case errkind.Overloaded:
+		f.Reserved, f.Brief = f.EndsIn > 0, true
+	case errkind.PlatformUnavailable:
+		// Without a configuration, others that the load balancer prefers are not ready either.
+		f.Here = f.Here || g.config.Load() != nil && g.opt.Paths != nil && g.opt.Paths.Reachable()
 	}
-	wanted = max(wanted, minRetryAfter)
-	return strconv.FormatFloat(wanted.Seconds(), 'f', 3, 64)
+	g.returnsMu.Lock()
+	defer g.returnsMu.Unlock()
+	return g.returns.After(f)
 }
+
+// formatRetryAfter returns the value of the Retry-After header in seconds.
+func formatRetryAfter(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/core/admit"
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
@@ -116,6 +117,9 @@
 	// several versions serve or served lately.
 	severalVersions map[string]bool
 
+	returnsMu sync.Mutex
+	returns   admit.Returns // of refused callers
+
 	publications publications
 	activated    chan struct{} // signals that the fleet has become active
 	records      streamRecords
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/core/admit"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
@@ -47,7 +48,7 @@
 	default:
 		return errkind.New(errkind.NoTarget, "no target of %s takes work: %s", req.service.Name, reasons)
 	}
-	e.RetryAfter = g.targetView.ReturnAfter(now, q, req.deadline.Sub(now)/retryAfterDivisor)
+	e.RetryAfter = g.targetView.ReturnAfter(now, q, admit.Horizon(req.deadline.Sub(now)))
 	return e
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -135,9 +135,7 @@
 		return errkind.New(errkind.Unauthenticated, "unknown key")
 	}
 	if g.cannotFinish(req.route, req.arrived) {
-		e := errkind.New(errkind.Stopping, "taken on a kept connection")
-		e.RetryAfter = minRetryAfter
-		return e
+		return errkind.New(errkind.Stopping, "taken on a kept connection")
 	}
 	if req.body, err = readBody(w, r, config.Limits.MaxBodyBytes); err != nil {
 		return err
