Give permits of limited targets to who loses most without them

Cause: requests that waited for a permit or for a target that turns the gateway away all woke together and the first took it. Change: they wait in an admit.Queue and get turns in its order; while some wait, others of the service need a turn too. A request that would get none in time is refused at once, by the rate of permits. A turn passes on when its caller leaves.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -48,8 +48,9 @@
 	case errkind.Overloaded:
 		f.Reserved, f.Brief = f.EndsIn > 0, true
 	case errkind.PlatformUnavailable:
-		// Without a configuration, others that the load balancer prefers are not ready either.
-		f.Here = f.Here || g.config.Load() != nil && g.opt.Paths != nil && g.opt.Paths.Reachable()
+		if g.opt.Paths == nil || !g.opt.Paths.Reachable() {
+			f.EndsIn = 0
+		}
 	}
 	g.returnsMu.Lock()
 	defer g.returnsMu.Unlock()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -47,6 +47,7 @@
 		}
 	}
 	g.countForRetries(req)
+	defer g.returnTurn(req)
 	unsent := 0
 	for {
 		if err := ctx.Err(); err != nil {
@@ -164,13 +165,17 @@
 }
 
 // chooseTarget chooses a target and counts the request as in flight there. It
-// returns nil if there is none.
+// returns nil if there is none or it is not the request's turn.
 func (g *Gateway) chooseTarget(ctx context.Context, req *request) *targets.Target {
 	q := g.targetQuery(req)
 	placed := g.placePrompt(ctx, req, q)
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !req.hasTurn && g.turns.needed(req.service.Name) {
+		return nil
+	}
+	defer g.endTurn(req)
 	t := placed
 	if t == nil || !g.targetView.Take(now, t, q) {
 		t = g.targetView.Choose(now, q)
@@ -362,9 +367,5 @@
 	if req.route.Kind != httproute.Streaming {
 		return -1
 	}
-	p := req.route.Priority
-	if req.team.HasPriority {
-		p = req.team.Priority
-	}
-	return min(max(p, 0), 9)
+	return min(max(req.rank(), 0), 9)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,6 +105,7 @@
 
 	mu           sync.Mutex
 	targetView   *targets.View
+	turns        *turns
 	retryBudgets map[string]*retry.Budget // by service
 	quarantine   *quarantine.Tracker
 	parts        *quarantine.PartTracker
@@ -139,6 +140,7 @@
 		opt:          o,
 		pool:         upstream.NewPool(upstream.Options{}),
 		targetView:   targets.NewView(rand.Uint64()),
+		turns:        newTurns(),
 		retryBudgets: map[string]*retry.Budget{},
 		quarantine:   quarantine.NewTracker(),
 		parts:        quarantine.NewPartTracker(),
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -10,26 +9,8 @@
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
-	"tarragonridge.example/tarragonridge/internal/timing"
 )
 
-// targetWaitDivisor gives the longest time that a request waits until a target takes it,
-// as a fraction of its route's latency objective.
-const targetWaitDivisor = 8
-
-// awaitTarget waits until a target that is limited or turns this gateway away takes a
-// request. It reports false at once if that would take too long.
-func (g *Gateway) awaitTarget(ctx context.Context, req *request) bool {
-	g.mu.Lock()
-	wait, ok := g.targetView.Wait(time.Now(), g.targetQuery(req))
-	g.mu.Unlock()
-	if !ok || wait > req.route.LatencyObjective/targetWaitDivisor-req.targetWait {
-		return false
-	}
-	req.targetWait += wait
-	return timing.Sleep(ctx, wait)
-}
-
 // noTargetError returns the error of a request for which no target is left. If some
 // are left out only for a while, the caller is told when there will be room.
 func (g *Gateway) noTargetError(req *request) *errkind.Error {
@@ -45,6 +26,8 @@
 		e = errkind.New(errkind.Overloaded, "the targets of %s want no requests for now: %s", req.service.Name, reasons)
 	case q.Version != nil:
 		return errkind.New(errkind.NoTarget, "no target of %s with version %s takes work: %s", req.service.Name, *q.Version, reasons)
+	case g.turns.needed(req.service.Name):
+		return errTurnsTaken(req.service.Name)
 	default:
 		return errkind.New(errkind.NoTarget, "no target of %s takes work: %s", req.service.Name, reasons)
 	}
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -13,7 +13,7 @@
 
 // Guards against a request that is held until its deadline for a permit that never comes.
 func TestRequestWithoutAShareIsNotHeld(t *testing.T) {
-	g := &Gateway{targetView: targets.NewView(1)}
+	g := &Gateway{targetView: targets.NewView(1), turns: newTurns()}
 	g.targetView.SetLimit(g.targetView.Put(targets.Registration{ID: "1", Service: "s"}), 1)
 	g.targetView.SetShares(func(string, float64) float64 { return 0 })
 	req := &request{
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,7 @@
 	crashReports   *prometheus.CounterVec
 	continued      *prometheus.CounterVec
 	duration       prometheus.Histogram
+	admission      admissionMetrics
 	configVersion  prometheus.Gauge
 }
 
@@ -65,11 +66,12 @@
 			Name: "tarragonridge_http_request_seconds", Help: "Time from a request to the end of its answer.",
 			Buckets: []float64{.02, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4, 12.8},
 		}),
+		admission: newAdmissionMetrics(),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "tarragonridge_http_config_version", Help: "Version of the routes in force here.",
 		}),
 	}
-	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.crashes, m.crashReports, m.continued, m.duration, m.configVersion, collectors.NewGoCollector())
+	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.crashes, m.crashReports, m.continued, m.duration, m.configVersion, m.admission.refused, m.admission.evicted, m.admission.wait, collectors.NewGoCollector())
 	return m
 }
 
@@ -103,6 +105,7 @@
 	ch <- limitedTargetsDesc
 	ch <- limitShareDesc
 	ch <- quarantinedPartsDesc
+	ch <- waitingDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -111,8 +114,10 @@
 	counts := g.targetView.CountByState(time.Now())
 	limited, share := g.targetView.Limits()
 	quarantinedParts := len(g.parts.Quarantined())
+	waiting := g.turns.queue.Len()
 	g.mu.Unlock()
 	ch <- prometheus.MustNewConstMetric(quarantinedPartsDesc, prometheus.GaugeValue, float64(quarantinedParts))
+	ch <- prometheus.MustNewConstMetric(waitingDesc, prometheus.GaugeValue, float64(waiting))
 	ch <- prometheus.MustNewConstMetric(limitShareDesc, prometheus.GaugeValue, share)
 	ch <- prometheus.MustNewConstMetric(limitedTargetsDesc, prometheus.GaugeValue, float64(limited))
 	for reason, n := range counts {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -39,6 +39,7 @@
 	runs         int           // attempts that may have run
 	rejections   int           // attempts that targets stated not to have run
 	targetWait   time.Duration // spent waiting until a target takes the request
+	hasTurn      bool          // to choose a target
 	ran          errkind.Ran   // whether any attempt has run, as far as is known
 
 	run         runState
