Play load that does not fit against the queue and the ration

A quarter to 1.2 of what is asked, a team at 7.5 times its usual, a burst of the least urgent route, returns after refusals, and the rest of a budget, each against first come, first served.

--- /dev/null
+++ b/internal/core/admit/load_test.go
@@ -0,0 +1,254 @@
+package admit
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// arrival is a request of a simulated load and what became of it.
+type arrival struct {
+	Ticket
+	at      time.Time
+	inTime  bool
+	late    bool
+	returns bool // comes back once if it is refused
+}
+
+// tally counts the requests that a predicate selects.
+type tally struct{ n, inTime, served float64 }
+
+func (l tally) String() string {
+	return fmt.Sprintf("%.0f asked, %.2f in time, %.2f served", l.n, l.inTime/l.n, l.served/l.n)
+}
+
+func count(load []*arrival, selects func(*arrival) bool) (l tally) {
+	for _, a := range load {
+		if !selects(a) {
+			continue
+		}
+		l.n++
+		if a.inTime {
+			l.inTime++
+		}
+		if a.inTime || a.late {
+			l.served++
+		}
+	}
+	return l
+}
+
+// playQueue plays a load against room that takes work at a rate, one request after
+// another, with the queue or, for comparison, first come, first served.
+func playQueue(load []*arrival, rate float64, firstCome bool) []*arrival {
+	load = slices.Clone(load)
+	for i, a := range load {
+		c := *a
+		load[i] = &c
+	}
+	slices.SortStableFunc(load, func(a, b *arrival) int { return a.at.Compare(b.at) })
+	byTicket := map[*Ticket]*arrival{}
+	q, limits := NewQueue(), Limits{Waiting: 200, Rate: rate}
+	var fifo []*arrival
+	busyUntil := time.Unix(1000, 0)
+	run := func(until time.Time) {
+		for !busyUntil.After(until) {
+			var t *Ticket
+			if firstCome {
+				if len(fifo) > 0 {
+					t, fifo = &fifo[0].Ticket, fifo[1:]
+				}
+			} else {
+				q.Expire(busyUntil)
+				if t = q.Next(busyUntil, func(*Ticket) bool { return true }); t != nil {
+					q.Done(busyUntil, t)
+				}
+			}
+			if t == nil {
+				busyUntil = until.Add(1)
+				return
+			}
+			if t.expired(busyUntil) {
+				continue
+			}
+			a := byTicket[t]
+			a.late = t.late(busyUntil)
+			a.inTime = !a.late
+			busyUntil = busyUntil.Add(time.Duration(t.work() / rate * float64(time.Second)))
+		}
+	}
+	for pending := slices.Clone(load); len(pending) > 0; {
+		a := pending[0]
+		pending = pending[1:]
+		run(a.at)
+		byTicket[&a.Ticket] = a
+		if firstCome {
+			if len(fifo) < limits.Waiting {
+				fifo = append(fifo, a)
+			}
+			continue
+		}
+		if _, err := q.Push(a.at, &a.Ticket, limits); err != nil && a.returns {
+			a.returns = false
+			a.at = a.at.Add(q.ReturnAfter(a.at, &a.Ticket, rate, a.Deadline.Sub(a.at)/returnDivisor))
+			i, _ := slices.BinarySearchFunc(pending, a, func(p, a *arrival) int { return p.at.Compare(a.at) })
+			pending = slices.Insert(pending, i, a)
+		}
+	}
+	run(busyUntil.Add(time.Minute))
+	return load
+}
+
+// route describes the requests of a route: how many a second, with which log-normal work.
+type route struct {
+	name                string
+	rank                int
+	perSecond, work     float64
+	objective, deadline time.Duration
+}
+
+// Two routes of one urgency each and a third, as customers of hard load state them.
+var routes = []route{
+	{"ask", 0, 170, 2400, 400 * time.Millisecond, 4 * time.Second},
+	{"chat", 1, 65, 700, 400 * time.Millisecond, 15 * time.Second},
+	{"adapt", 2, 85, 9200, 1200 * time.Millisecond, 6 * time.Second},
+}
+
+// randomLoad returns requests of the routes over a time. team returns the team of each.
+func randomLoad(from, to time.Duration, routes []route, team func(*rand.Rand) string) (load []*arrival) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, r := range routes {
+		for at := from; ; {
+			if at += time.Duration(random.ExpFloat64() / r.perSecond * float64(time.Second)); at > to {
+				break
+			}
+			arrived := time.Unix(1000, 0).Add(at)
+			load = append(load, &arrival{at: arrived, Ticket: Ticket{
+				Team: team(random), Route: r.name, Rank: r.rank, Work: r.work * math.Exp(random.NormFloat64()-0.5),
+				StartBy: arrived.Add(r.objective / 2), Deadline: arrived.Add(r.deadline / 2),
+			}})
+		}
+	}
+	return load
+}
+
+func asked(routes []route) (perSecond float64) {
+	for _, r := range routes {
+		perSecond += r.perSecond * r.work
+	}
+	return perSecond
+}
+
+func anyTeam(r *rand.Rand) string { return fmt.Sprint("team", r.IntN(24)) }
+
+func everyone(*arrival) bool { return true }
+
+// assertNoneStarves checks the bounds that customers state: a route or team is served at
+// least a quarter as often as all, the largest tenth of a route half as often as the route.
+func assertNoneStarves(t *testing.T, load []*arrival) {
+	t.Helper()
+	all := count(load, everyone)
+	groups := map[string][]*arrival{}
+	for _, a := range load {
+		groups["route "+a.Route] = append(groups["route "+a.Route], a)
+		groups["team "+a.Team] = append(groups["team "+a.Team], a)
+	}
+	for name, group := range groups {
+		served := count(group, everyone)
+		assert.Assert(t, served.served/served.n >= all.served/all.n/4, "%s: %s; all: %s", name, served, all)
+		if name[0] == 'r' {
+			slices.SortFunc(group, func(a, b *arrival) int { return int(b.Work - a.Work) })
+			largest := count(group[:len(group)/10], everyone)
+			assert.Assert(t, largest.served/largest.n >= served.served/served.n/2, "largest of %s: %s; all: %s", name, largest, served)
+		}
+	}
+}
+
+// Guards against callers of urgent routes who pay for load that does not fit, and against
+// routes, teams and sizes that starve: a quarter to all of what is asked fits.
+func TestUrgentRequestsAreServedUnderLoad(t *testing.T) {
+	for _, part := range []float64{0.25, 0.5, 0.75, 1.2} {
+		load := randomLoad(0, 30*time.Second, routes, anyTeam)
+		ordered, before := playQueue(load, part*asked(routes), false), playQueue(load, part*asked(routes), true)
+		for _, r := range routes {
+			t.Logf("%.2f fits, %s: %s; first come: %s", part, r.name,
+				count(ordered, func(a *arrival) bool { return a.Route == r.name }), count(before, func(a *arrival) bool { return a.Route == r.name }))
+		}
+		assertNoneStarves(t, ordered)
+		urgent := count(ordered, func(a *arrival) bool { return a.Rank == 0 })
+		assert.Assert(t, part < 0.5 || urgent.inTime >= 0.9*urgent.n, "%.2f fits: %s", part, urgent)
+		assert.Assert(t, count(ordered, everyone).inTime >= count(before, everyone).inTime, "%.2f fits", part)
+	}
+}
+
+// Guards against a team that asks 7.5 times its usual and thereby takes the room of others.
+func TestHotTeamWaitsForItself(t *testing.T) {
+	hot := []route{{"ask", 0, 7.5 * 60, 2400, 400 * time.Millisecond, 4 * time.Second}}
+	others := []route{{"ask", 0, 110, 2400, 400 * time.Millisecond, 4 * time.Second}}
+	load := append(randomLoad(0, 20*time.Second, others, anyTeam), randomLoad(5*time.Second, 15*time.Second, hot, func(*rand.Rand) string { return "hot" })...)
+	room := 1.5 * (60 + 110) * 2400.0
+	ordered, before := playQueue(load, room, false), playQueue(load, room, true)
+	other := func(a *arrival) bool { return a.Team != "hot" }
+	t.Logf("other teams: %s; first come: %s", count(ordered, other), count(before, other))
+	assertNoneStarves(t, ordered)
+	assert.Assert(t, count(ordered, other).inTime >= 0.95*count(ordered, other).n)
+}
+
+// Guards against an urgent request that waits for a burst of less urgent ones.
+func TestUrgentRequestsOvertakeABurst(t *testing.T) {
+	burst := randomLoad(5*time.Second, 6*time.Second, []route{{"adapt", 2, 850, 9200, 1200 * time.Millisecond, 6 * time.Second}}, anyTeam)
+	load := append(randomLoad(0, 15*time.Second, routes[:2], anyTeam), burst...)
+	room := 2 * asked(routes[:2])
+	ordered, before := playQueue(load, room, false), playQueue(load, room, true)
+	urgent := func(a *arrival) bool { return a.Rank < 2 }
+	t.Logf("urgent: %s; first come: %s", count(ordered, urgent), count(before, urgent))
+	assert.Assert(t, count(ordered, urgent).inTime >= 0.9*count(ordered, urgent).n)
+}
+
+// Guards against refused callers who come back together, or before there is room.
+func TestRefusedCallersFindRoomWhenTheyReturn(t *testing.T) {
+	load := randomLoad(0, 500*time.Millisecond, []route{{"ask", 0, 800, 2400, 400 * time.Millisecond, 4 * time.Second}}, anyTeam)
+	for _, a := range load {
+		a.Deadline, a.returns = a.StartBy, true
+	}
+	once := count(playQueue(load, 400*2400, false), everyone)
+	for _, a := range load {
+		a.Deadline, a.StartBy = a.at.Add(2*time.Second), time.Time{}
+	}
+	twice := count(playQueue(load, 400*2400, false), everyone)
+	t.Logf("patience 0.2 s: %s; 2 s: %s", once, twice)
+	assert.Assert(t, twice.served >= 0.99*twice.n)
+}
+
+// Guards against the rest of a budget that goes to a few large requests of little urgency,
+// and against routes and sizes that get nothing of it.
+func TestRestOfABudgetGoesToTheMostUrgent(t *testing.T) {
+	load := randomLoad(0, 20*time.Second, routes, anyTeam)
+	slices.SortFunc(load, func(a, b *arrival) int { return a.at.Compare(b.at) })
+	play := func(worthwhile func(*arrival, float64) bool) []*arrival {
+		left, played := 8*asked(routes), make([]*arrival, len(load))
+		for i, a := range load {
+			c := *a
+			if played[i] = &c; c.Work <= left && worthwhile(&c, left) {
+				left -= c.Work
+				played[i].inTime = true
+			}
+		}
+		return played
+	}
+	r := NewRation()
+	rationed := play(func(a *arrival, left float64) bool { return r.Worthwhile(a.at, &a.Ticket, left, 10*time.Second) })
+	before := play(func(*arrival, float64) bool { return true })
+	for _, r := range routes {
+		of := func(a *arrival) bool { return a.Route == r.name }
+		t.Logf("%s: %s; first come: %s", r.name, count(rationed, of), count(before, of))
+	}
+	assertNoneStarves(t, rationed)
+	urgent := func(a *arrival) bool { return a.Rank == 0 }
+	assert.Assert(t, count(rationed, urgent).served >= 1.3*count(before, urgent).served)
+}
