Keep the rest of a budget for the requests that go first

Cause: what a team has left went to whoever came first, a large request of little urgency or four small urgent ones. What goes first, and what is behind its floor, asks the budget as before.

--- a/internal/core/admit/order.go
+++ b/internal/core/admit/order.go
@@ -78,7 +78,16 @@
 // started, 0 if rate, the work that starts each second, is not known. The ticket may be
 // waiting or not.
 func (q *Queue) Wait(now time.Time, t *Ticket, rate float64) time.Duration {
-	if rate <= 0 || q.waiting == 0 {
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(q.Ahead(now, t) / rate * float64(time.Second))
+}
+
+// Ahead returns the work that is expected to start before a ticket, which may be waiting
+// or not.
+func (q *Queue) Ahead(now time.Time, t *Ticket) float64 {
+	if q.waiting == 0 {
 		return 0
 	}
 	self := *t
@@ -112,5 +121,5 @@
 	for _, work := range others {
 		ahead += min(work, own+t.work())
 	}
-	return time.Duration((ahead + own) / rate * float64(time.Second))
+	return ahead + own
 }
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -203,6 +203,9 @@
 	return expired
 }
 
+// First returns the ticket that would start next, nil if none waits. It stays in the queue.
+func (q *Queue) First(now time.Time) *Ticket { return q.nextCandidate(now, nil, nil) }
+
 // Next starts the first ticket for which place reports that there is room. It returns
 // nil if there is none. It never starts a ticket whose Deadline has passed.
 func (q *Queue) Next(now time.Time, place func(*Ticket) bool) *Ticket {
--- a/internal/core/admit/ration.go
+++ b/internal/core/admit/ration.go
@@ -26,13 +26,12 @@
 // NewRation returns a Ration that has seen no demand.
 func NewRation() *Ration { return &Ration{shares: newShares(), demand: map[demandClass]*decayed{}} }
 
-// Worthwhile reports whether a request that arrives gets its work from what is left, and
-// counts the request. It does if the rest covers what requests that go before it will ask
-// for within the horizon, as far as demand stays as it is: those of a lower rank, and those
-// of its rank that are not large if it is. A request whose route or size gets less than its
-// least part goes before all. left is the part of the supply that requests of this Ration
-// may use. A request with a lower rank than all others, and any request while much is left,
-// gets its work.
+// Worthwhile reports whether a request that arrives may ask for its work, and counts the
+// request. It may if what is left covers what requests that go before it will ask for
+// within the horizon, as far as demand stays as it is: those of a lower rank, and those of
+// its rank that are not large if it is. One that goes before all others always may, and so
+// may one whose route or size gets less than its least part. left is the part of the supply
+// that requests of this Ration may use.
 func (r *Ration) Worthwhile(now time.Time, t *Ticket, left float64, horizon time.Duration) bool {
 	t.large = r.shares.large(t)
 	class := demandClass{t.Rank, t.large}
@@ -42,7 +41,8 @@
 		r.demand[class] = d
 	}
 	d.add(now, demandMemory, t.work())
-	ok := t.work() <= left && (r.shares.behind(t) || t.work()+r.reserved(now, class, horizon) <= left)
+	reserved := r.reserved(now, class, horizon)
+	ok := reserved == 0 || r.shares.behind(t) || t.work()+reserved <= left
 	r.shares.record(now, t, ok)
 	return ok
 }
