Keep nothing back from a budget for requests that may come

It also turned refusals during an outage of the store into budget_busy (TestStoreOutage). Waiters of a budget can still be ordered by admit.Queue.

--- a/internal/gateway/admission_metrics.go
+++ b/internal/gateway/admission_metrics.go
@@ -17,7 +17,7 @@
 	return admissionMetrics{
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tarragonridge_admission_refused_total",
-			Help: "Requests refused because there is too little room, by reason: refused (at once), evicted (by one that goes first), too_late, rationed (the rest of the budget goes to others).",
+			Help: "Requests refused because there is too little room, by reason: refused (at once), evicted (by one that goes first) or too_late.",
 		}, []string{"reason"}),
 		evicted: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tarragonridge_admission_evicted_total",
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,9 +121,6 @@
 	returnsMu sync.Mutex
 	returns   admit.Returns // of refused callers
 
-	rationsMu sync.Mutex
-	rations   map[string]*admit.Ration // of budgets, by team
-
 	publications publications
 	activated    chan struct{} // signals that the fleet has become active
 	records      streamRecords
@@ -144,7 +141,6 @@
 		pool:         upstream.NewPool(upstream.Options{}),
 		targetView:   targets.NewView(rand.Uint64()),
 		turns:        newTurns(),
-		rations:      map[string]*admit.Ration{},
 		retryBudgets: map[string]*retry.Budget{},
 		quarantine:   quarantine.NewTracker(),
 		parts:        quarantine.NewPartTracker(),
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -207,12 +207,8 @@
 	if req.meta.PromptTokens+req.meta.OutputTokens == 0 {
 		return g.opt.Budgets.Reserve(ctx, "", 0)
 	}
-	tokens := req.meta.PromptTokens + req.meta.OutputTokens
-	if err := g.checkRation(req, tokens); err != nil {
-		return nil, err
-	}
 	maxWait := max(req.route.LatencyObjective/budgetWaitDivisor, prepaid.MinMaxWait)
-	return g.opt.Budgets.ReserveWithin(ctx, req.team.Name, tokens, maxWait)
+	return g.opt.Budgets.ReserveWithin(ctx, req.team.Name, req.meta.PromptTokens+req.meta.OutputTokens, maxWait)
 }
 
 // chargedTokens returns the tokens that the request is charged: those of its prompt
--- a/internal/prepaid/team.go
+++ b/internal/prepaid/team.go
@@ -17,8 +17,6 @@
 	sent    []budget.GrantHistory // tokens sent to the home stripe by each stripe, in a table that reports eras
 	waiters []*waiter             // in order of arrival
 
-	spendPart spendPart
-
 	// shortOf is the least number of tokens that a round found neither here nor in the
 	// stripes, at shortAt.
 	shortOf int64
