--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -180,6 +180,12 @@
 	return true
 }
 
+// Refuse counts a ticket that is refused without having waited.
+func (q *Queue) Refuse(now time.Time, t *Ticket) {
+	t.large = q.sharesOf(t.Pool).large(t)
+	q.sharesOf(t.Pool).record(now, t, false)
+}
+
 // Expire removes and returns the tickets whose Deadline has passed.
 func (q *Queue) Expire(now time.Time) (expired []*Ticket) {
 	if q.expiry.IsZero() || !now.After(q.expiry) {
--- a/internal/core/admit/returns.go
+++ b/internal/core/admit/returns.go
@@ -22,7 +22,7 @@
 type Refusal struct {
 	Here      bool          // the room is short at this router only
 	Brief     bool          // the cause is expected to end before the objective is lost
-	EndsIn    time.Duration // the time until there is room; 0 if it is not known
+	EndsIn    time.Duration // the time until there is room, at this router or at another one; 0 if it is not known
 	Reserved  bool          // EndsIn was given to this caller alone
 	Objective time.Duration // time left until the latency objective; 0 if there is none
 	TimeLeft  time.Duration // that the caller has
@@ -51,7 +51,8 @@
 	case f.EndsIn > 0 && f.Reserved:
 		return max(min(f.EndsIn, horizon), MinReturn)
 	case f.Here:
-		from, to = MinReturn, MinReturn+hereSpread
+		from = max(f.EndsIn, MinReturn)
+		to = from + hereSpread
 	case f.EndsIn > 0 && f.EndsIn < horizon:
 		// The spread keeps callers with the same end from returning together.
 		from, to = f.EndsIn, min(f.EndsIn+f.EndsIn/2, horizon)
