--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -85,3 +85,34 @@
 	assert.Assert(t, retries <= 120, "%d retries of 1000 requests", retries)
 	assert.Assert(t, retries >= 100)
 }
+
+// Guards against refused callers who return together, into the same outage, or too late to
+// be served.
+func TestTimeToReturnFollowsTheCause(t *testing.T) {
+	const ms = time.Millisecond
+	for _, test := range []struct {
+		refusal  admit.Refusal
+		from, to time.Duration
+	}{
+		{admit.Refusal{Here: true, TimeLeft: 6000 * ms}, 50 * ms, 100 * ms},
+		{admit.Refusal{Here: true, EndsIn: 400 * ms, TimeLeft: 6000 * ms}, 400 * ms, 450 * ms},
+		{admit.Refusal{EndsIn: 400 * ms, TimeLeft: 6000 * ms}, 400 * ms, 600 * ms},
+		{admit.Refusal{EndsIn: 300 * ms, Reserved: true, TimeLeft: 6000 * ms}, 300 * ms, 300 * ms},
+		{admit.Refusal{Brief: true, Objective: 400 * ms, TimeLeft: 4000 * ms}, 100 * ms, 200 * ms},
+		{admit.Refusal{Objective: 400 * ms, TimeLeft: 4000 * ms}, 500 * ms, 1000 * ms},
+		{admit.Refusal{EndsIn: 5000 * ms, TimeLeft: 4000 * ms}, 500 * ms, 1000 * ms},
+		{admit.Refusal{TimeLeft: 100 * ms}, 50 * ms, 50 * ms},
+		{admit.Refusal{Impatient: true, Here: true, TimeLeft: 4000 * ms}, 50 * ms, 50 * ms},
+		{admit.Refusal{Impatient: true, TimeLeft: 4000 * ms}, 250 * ms, 250 * ms},
+		{admit.Refusal{Impatient: true, EndsIn: 400 * ms, TimeLeft: 4000 * ms}, 400 * ms, 400 * ms},
+	} {
+		var returns admit.Returns
+		least, most := time.Hour, time.Duration(0)
+		for range 100 {
+			after := returns.After(test.refusal)
+			least, most = min(least, after), max(most, after)
+		}
+		assert.Assert(t, least >= test.from && most <= test.to, "%+v: %v to %v", test.refusal, least, most)
+		assert.Assert(t, most-least >= (test.to-test.from)*9/10, "%+v: not spread, %v to %v", test.refusal, least, most)
+	}
+}
--- a/internal/core/admit/returns.go
+++ b/internal/core/admit/returns.go
@@ -41,7 +41,7 @@
 	horizon := Horizon(f.TimeLeft)
 	if f.Impatient {
 		wanted := f.EndsIn
-		if wanted <= 0 {
+		if wanted <= 0 && !f.Here {
 			wanted = DefaultReturn
 		}
 		return max(min(wanted, horizon), MinReturn)
