Refuse who is overtaken and would start too late; return when demand leaves room

And a time to return that counts only what waits lies in the same burst. Change: Queue.Expire takes the rate of each pool and refuses what would be too late even at 1.5 times that; ReturnAfter takes off what is asked meanwhile.

--- a/internal/core/admit/order.go
+++ b/internal/core/admit/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -123,3 +124,48 @@
 	}
 	return ahead + own
 }
+
+// rateMargin is the factor by which a measured rate may be too low. A ticket is known to be
+// too late if it is so even with that much more room.
+const rateMargin = 1.5
+
+// tooLate returns the tickets that will not start until their Deadline, in order, given the
+// rate of each pool.
+func (q *Queue) tooLate(now time.Time, rate func(pool string) float64) (tooLate []*Ticket) {
+	positions := make([]position, 0, q.waiting)
+	for _, g := range q.groups {
+		p := q.position(now, g.tickets[0])
+		for _, t := range g.tickets {
+			p.ticket, p.late = t, t.late(now)
+			positions = append(positions, p)
+		}
+	}
+	// Teams take turns: each ticket adds to the usage of its team.
+	slices.SortFunc(positions, position.compare)
+	added := map[string]float64{}
+	for i := range positions {
+		t := positions[i].ticket
+		positions[i].usage += added[t.Team]
+		added[t.Team] += t.work()
+	}
+	slices.SortFunc(positions, position.compare)
+	rates, ahead := map[string]float64{}, map[string]float64{} // by pool
+	for _, p := range positions {
+		t := p.ticket
+		perSecond, known := rates[t.Pool]
+		if !known && rate != nil {
+			perSecond = rateMargin * rate(t.Pool)
+			rates[t.Pool] = perSecond
+		}
+		start := now
+		if perSecond > 0 {
+			start = now.Add(time.Duration(ahead[t.Pool] / perSecond * float64(time.Second)))
+		}
+		if t.expired(start) {
+			tooLate = append(tooLate, t)
+			continue
+		}
+		ahead[t.Pool] += t.work()
+	}
+	return tooLate
+}
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -71,7 +71,8 @@
 	expiry   time.Time      // no waiting ticket's Deadline is before it; zero if none has one
 	inFlight map[string]int // started tickets by team
 	usage    usage
-	shares   map[string]*shares // by pool
+	shares   map[string]*shares  // by pool
+	asked    map[string]*decayed // work of the tickets pushed lately, by pool
 	returns  Returns
 	// nextReturn is, by rank, when the next refused caller finds room that no other was given.
 	nextReturn map[int]time.Time
@@ -95,7 +96,7 @@
 // NewQueue returns an empty queue.
 func NewQueue() *Queue {
 	return &Queue{
-		groups: map[groupKey]*group{}, byTeam: map[string]int{}, inFlight: map[string]int{}, usage: usage{}, shares: map[string]*shares{},
+		groups: map[groupKey]*group{}, byTeam: map[string]int{}, inFlight: map[string]int{}, usage: usage{}, shares: map[string]*shares{}, asked: map[string]*decayed{},
 		nextReturn: map[int]time.Time{},
 	}
 }
@@ -112,6 +113,7 @@
 // Push returns an Overloaded error. Its RetryAfter is the expected wait, if that is known.
 func (q *Queue) Push(now time.Time, t *Ticket, limits Limits) (evicted *Ticket, err error) {
 	t.large = q.sharesOf(t.Pool).large(t)
+	q.askedOf(t.Pool).add(now, usageMemory, t.work())
 	wait := q.Wait(now, t, limits.Rate)
 	if t.expired(now) || limits.Rate > 0 && t.expired(now.Add(wait)) {
 		return nil, q.refuse(now, t, wait, "it would start too late")
@@ -186,26 +188,25 @@
 	q.sharesOf(t.Pool).record(now, t, false)
 }
 
-// Expire removes and returns the tickets whose Deadline has passed.
-func (q *Queue) Expire(now time.Time) (expired []*Ticket) {
-	if q.expiry.IsZero() || !now.After(q.expiry) {
+// Expire removes and returns the tickets that will not start until their Deadline: those
+// whose Deadline has passed and those that have too much work ahead. rate returns the work
+// that starts each second in a pool, 0 if it is not known; it may be nil.
+func (q *Queue) Expire(now time.Time, rate func(pool string) float64) (expired []*Ticket) {
+	if q.expiry.IsZero() || rate == nil && !now.After(q.expiry) {
 		return nil
 	}
+	expired = q.tooLate(now, rate)
+	for _, t := range expired {
+		q.Remove(now, t)
+	}
 	q.expiry = time.Time{}
 	for _, g := range q.groups {
 		for _, t := range g.tickets {
-			switch {
-			case t.expired(now):
-				expired = append(expired, t)
-			case !t.Deadline.IsZero() && (q.expiry.IsZero() || t.Deadline.Before(q.expiry)):
+			if !t.Deadline.IsZero() && (q.expiry.IsZero() || t.Deadline.Before(q.expiry)) {
 				q.expiry = t.Deadline
 			}
 		}
 	}
-	slices.SortFunc(expired, compareStartBy)
-	for _, t := range expired {
-		q.Remove(now, t)
-	}
 	return expired
 }
 
@@ -320,5 +321,14 @@
 	return s
 }
 
+func (q *Queue) askedOf(pool string) *decayed {
+	d := q.asked[pool]
+	if d == nil {
+		d = &decayed{}
+		q.asked[pool] = d
+	}
+	return d
+}
+
 // behind reports whether a group of the ticket gets less than its least part.
 func (q *Queue) behind(t *Ticket) bool { return q.sharesOf(t.Pool).behind(t) }
--- a/internal/core/admit/returns.go
+++ b/internal/core/admit/returns.go
@@ -76,19 +76,20 @@
 }
 
 // ReturnAfter returns when a caller whose ticket was refused should return: once the work
-// ahead of it has started, and that of those refused before it, unless they are less
-// urgent. If that lies beyond horizon, it is some time within its second half. rate is the
-// work that starts each second.
+// ahead of it and that of those refused before it, unless they are less urgent, has started
+// besides what comes meanwhile, if demand stays as it is. If that lies beyond horizon, or
+// demand takes all of the room, it is some time within the second half of horizon. rate is
+// the work that starts each second.
 func (q *Queue) ReturnAfter(now time.Time, t *Ticket, rate float64, horizon time.Duration) time.Duration {
-	if rate > 0 {
-		at := now.Add(q.Wait(now, t, rate))
+	if free := rate - q.askedOf(t.Pool).of(now, usageMemory)/usageMemory.Seconds(); rate > 0 && free > 0 {
+		at := now.Add(q.Wait(now, t, free))
 		for rank, next := range q.nextReturn {
 			if rank <= t.Rank && next.After(at) {
 				at = next
 			}
 		}
 		if after := at.Sub(now); after < horizon {
-			q.nextReturn[t.Rank] = at.Add(time.Duration(t.work() / rate * float64(time.Second)))
+			q.nextReturn[t.Rank] = at.Add(time.Duration(t.work() / free * float64(time.Second)))
 			return max(after, MinReturn)
 		}
 	}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -74,6 +74,10 @@
 		g.endWait(evicted, false)
 		g.opt.Metrics.admission.refuse("evicted", evicted.Rank)
 	}
+	for _, expired := range g.turns.queue.Expire(now, func(pool string) float64 { return g.targetView.PermitRate(targets.Query{Service: pool}) }) {
+		g.endWait(expired, false)
+		g.opt.Metrics.admission.refuse("too_late", expired.Rank)
+	}
 	g.giveTurns(now, q.Service)
 	g.mu.Unlock()
 
