--- a/internal/core/admit/returns.go
+++ b/internal/core/admit/returns.go
@@ -8,7 +8,7 @@
 const (
 	// MinReturn is the least time after which a refused caller is asked to return.
 	MinReturn = 50 * time.Millisecond
-	// DefaultReturn is the time for a caller of whose patience nothing is known.
+	// DefaultReturn is the time where nothing is known of the end or of the caller's patience.
 	DefaultReturn = 250 * time.Millisecond
 	// returnDivisor bounds the time to return as a fraction of the time that the caller
 	// has left. Callers wait a third at most.
@@ -46,14 +46,16 @@
 		}
 		return max(min(wanted, horizon), MinReturn)
 	}
-	from, to := horizon/2, horizon
+	from, to := DefaultReturn, DefaultReturn*3/2
 	switch {
 	case f.EndsIn > 0 && f.Reserved:
 		return max(min(f.EndsIn, horizon), MinReturn)
 	case f.Here:
 		from = max(f.EndsIn, MinReturn)
 		to = from + hereSpread
-	case f.EndsIn > 0 && f.EndsIn < horizon:
+	case f.EndsIn >= horizon:
+		from, to = horizon/2, horizon
+	case f.EndsIn > 0:
 		// The spread keeps callers with the same end from returning together.
 		from, to = f.EndsIn, min(f.EndsIn+f.EndsIn/2, horizon)
 	case f.Brief && f.Objective > 2*MinReturn:
--- a/internal/core/storepath/storepath.go
+++ b/internal/core/storepath/storepath.go
@@ -46,12 +46,6 @@
 // UsesDirect reports whether calls use the direct path.
 func (s *Selector) UsesDirect() bool { return s.currentAddress == s.directAddress }
 
-// Reachable reports whether the path in use has not failed since its last success.
-func (s *Selector) Reachable() bool {
-	_, failed := s.failedAt[s.currentAddress]
-	return !failed
-}
-
 // Pick returns the address for a call. While a relay is in use, at most one call per
 // probeInterval is sent over the direct path, to test it; only calls with mayProbe
 // set are chosen for this.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -47,10 +47,6 @@
 		f.Reserved = true
 	case errkind.Overloaded:
 		f.Reserved, f.Brief = f.EndsIn > 0, true
-	case errkind.PlatformUnavailable:
-		if g.opt.Paths == nil || !g.opt.Paths.Reachable() {
-			f.EndsIn = 0
-		}
 	}
 	g.returnsMu.Lock()
 	defer g.returnsMu.Unlock()
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -65,10 +65,3 @@
 	defer p.mu.Unlock()
 	p.selector.SetRelays(slices.Compact(relays))
 }
-
-// Reachable reports whether the path in use has not failed since its last success.
-func (p *StorePaths) Reachable() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.selector.Reachable()
-}
