--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/core/admit"
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
@@ -105,6 +106,7 @@
 
 	mu           sync.Mutex
 	targetView   *targets.View
+	turns        *turns
 	retryBudgets map[string]*retry.Budget // by service
 	quarantine   *quarantine.Tracker
 	parts        *quarantine.PartTracker
@@ -117,6 +119,9 @@
 	// several versions serve or served lately.
 	severalVersions map[string]bool
 
+	returnsMu sync.Mutex
+	returns   admit.Returns // of refused callers
+
 	publications publications
 	activated    chan struct{} // signals that the fleet has become active
 	records      streamRecords
@@ -136,6 +141,7 @@
 		opt:          o,
 		pool:         upstream.NewPool(upstream.Options{}),
 		targetView:   targets.NewView(rand.Uint64()),
+		turns:        newTurns(),
 		retryBudgets: map[string]*retry.Budget{},
 		quarantine:   quarantine.NewTracker(),
 		parts:        quarantine.NewPartTracker(),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,7 @@
 	crashReports   *prometheus.CounterVec
 	continued      *prometheus.CounterVec
 	duration       prometheus.Histogram
+	admission      admissionMetrics
 	configVersion  prometheus.Gauge
 }
 
@@ -70,11 +71,13 @@
 			Name: "tarragonridge_http_request_seconds", Help: "Time from a request to the end of its answer.",
 			Buckets: []float64{.02, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4, 12.8},
 		}),
+		admission: newAdmissionMetrics(),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "tarragonridge_http_config_version", Help: "Version of the routes in force here.",
 		}),
 	}
-	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.invalidOrders, m.crashes, m.crashReports, m.continued, m.duration, m.configVersion, collectors.NewGoCollector())
+	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.invalidOrders, m.crashes, m.crashReports, m.continued, m.duration, m.configVersion,
+		m.admission.refused, m.admission.evicted, m.admission.wait, collectors.NewGoCollector())
 	return m
 }
 
@@ -118,6 +121,7 @@
 	ch <- coldTargetsDesc
 	ch <- evacuatedDomainsDesc
 	ch <- quarantinedPartsDesc
+	ch <- waitingDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -130,12 +134,14 @@
 		evacuated[n > 0]++
 	}
 	quarantinedParts := len(g.parts.Quarantined())
+	waiting := g.turns.queue.Len()
 	g.mu.Unlock()
 	ch <- prometheus.MustNewConstMetric(quarantinedPartsDesc, prometheus.GaugeValue, float64(quarantinedParts))
 	ch <- prometheus.MustNewConstMetric(coldTargetsDesc, prometheus.GaugeValue, float64(cold))
 	for label, known := range map[string]bool{"known": true, "none": false} {
 		ch <- prometheus.MustNewConstMetric(evacuatedDomainsDesc, prometheus.GaugeValue, float64(evacuated[known]), label)
 	}
+	ch <- prometheus.MustNewConstMetric(waitingDesc, prometheus.GaugeValue, float64(waiting))
 	ch <- prometheus.MustNewConstMetric(limitShareDesc, prometheus.GaugeValue, share)
 	ch <- prometheus.MustNewConstMetric(limitedTargetsDesc, prometheus.GaugeValue, float64(limited))
 	for reason, n := range counts {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -39,6 +39,7 @@
 	runs         int           // attempts that may have run
 	rejections   int           // attempts that targets stated not to have run
 	targetWait   time.Duration // spent waiting until a target takes the request
+	hasTurn      bool          // to choose a target
 	ran          errkind.Ran   // whether any attempt has run, as far as is known
 
 	run         runState
@@ -135,9 +136,7 @@
 		return errkind.New(errkind.Unauthenticated, "unknown key")
 	}
 	if g.cannotFinish(req.route, req.arrived) {
-		e := errkind.New(errkind.Stopping, "taken on a kept connection")
-		e.RetryAfter = minRetryAfter
-		return e
+		return errkind.New(errkind.Stopping, "taken on a kept connection")
 	}
 	if req.body, err = readBody(w, r, config.Limits.MaxBodyBytes); err != nil {
 		return err
