--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -18,8 +18,10 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"tarragonridge.example/tarragonridge/internal/core/retry"
+	"tarragonridge.example/tarragonridge/internal/core/room"
 	"tarragonridge.example/tarragonridge/internal/gateway"
 	"tarragonridge.example/tarragonridge/internal/logqueue"
+	"tarragonridge.example/tarragonridge/internal/netcount"
 	"tarragonridge.example/tarragonridge/internal/placement"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
@@ -118,6 +120,8 @@
 	started := time.Now()
 	storePaths := gateway.NewStorePaths(cfg.Store.Address, cfg.Store.RelayPort, log)
 	store := adapter.NewStore(storePaths)
+	storeBytes := &netcount.Counter{}
+	store.CountBytes(storeBytes)
 	metrics := gateway.NewMetrics()
 	metrics.CountDroppedLines(queue.Dropped)
 	instrumented := platform.NewInstrumentedTable(store, metrics.Registry)
@@ -141,6 +145,7 @@
 	g := gateway.New(gateway.Options{
 		Codec: adapter.Headers{}, Budgets: budgets, Paths: storePaths, Table: table, Logger: log, Metrics: metrics, GracePeriod: cfg.GracePeriod(),
 		FleetTable: instrumented, Placement: placements, Host: cfg.Host, Incarnation: incarnation,
+		Room: roomLimits(cfg.Limits), FailureDomain: cfg.FailureDomain, StoreBytes: storeBytes,
 		Retries: retry.Limits{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window()},
 	})
 	callers, err := net.Listen("tcp", cfg.Listen.Callers)
@@ -165,6 +170,7 @@
 	tasks.Go(func() { g.WatchFleet(tasksCtx, store) })
 	tasks.Go(func() { g.PublishFleet(tasksCtx) })
 	tasks.Go(func() { g.RecordStreams(tasksCtx) })
+	tasks.Go(func() { g.WatchRoom(tasksCtx) })
 	tasks.Go(func() { budgets.Run(tasksCtx) })
 	log.Info("started", "host", cfg.Host, "callers", cfg.Listen.Callers)
 	closeDeadline := make(chan time.Time, 1)
@@ -182,6 +188,18 @@
 	return nil
 }
 
+// roomLimits returns the limits that the gateway watches: none unless a limit other than
+// that of the memory is set.
+func roomLimits(l settings.GatewayLimits) room.Limits {
+	if l.LinkMbps == 0 && l.ProcessorShare == 0 && l.Descriptors == 0 {
+		return room.Limits{}
+	}
+	return room.Limits{
+		LinkBytesPerS: l.LinkBytesPerS(), Processor: l.ProcessorShare, Descriptors: l.Descriptors,
+		MemoryBytes: int64(memoryLimitFraction * float64(l.MemoryMB<<20)),
+	}
+}
+
 // auxiliaryListener serves readiness or metrics on an address of its own.
 type auxiliaryListener struct {
 	address string
--- a/internal/core/errkind/errkind.go
+++ b/internal/core/errkind/errkind.go
@@ -37,6 +37,7 @@
 	OutcomeUnknown       Kind = "outcome_unknown"
 	Overloaded           Kind = "overloaded"
 	NoTarget             Kind = "no_target"
+	NoRoom               Kind = "no_room"
 	TargetsLimited       Kind = "targets_limited"
 	VersionUnknown       Kind = "version_unknown"
 	PlatformUnavailable  Kind = "platform_unavailable"
@@ -104,6 +105,7 @@
 	{OutcomeUnknown, 502, "outcome unknown", RanUnknown, 0},
 	{Overloaded, 503, "overloaded", RanNo, retrySoon},
 	{NoTarget, 503, "no target available", RanNo, retrySoon},
+	{NoRoom, 503, "this router has no room", RanNo, retrySoon},
 	{TargetsLimited, 503, "targets are at their request limits", RanNo, retrySoon},
 	{VersionUnknown, 503, "version that began the stream is unknown", RanNo, 0},
 	{PlatformUnavailable, 503, "platform unavailable", RanNo, retryLater},
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -27,6 +27,8 @@
 type RouterRow struct {
 	Incarnation string `json:"incarnation"`
 	Renewal     int64  `json:"renewal"` // number of the renewal, from 1
+	// FailureDomain of the router; empty in rows of versions that do not tell it.
+	FailureDomain string `json:"failure_domain,omitempty"`
 }
 
 // Limit is the value of the row of a target that names a request limit.
@@ -80,6 +82,8 @@
 	renewedAt map[string]time.Time // when a renewal was last seen, by host
 	limits    map[string]Limit     // by target
 	draining  map[string]Draining  // by target
+	domains   map[string]string    // failure domains of routers, by host
+	rooms     map[string]roomState // routers out of rotation, by host
 	// countFrom is the time from which missing renewals count: when the state became
 	// active, or the renewals of this router were seen again after an interruption.
 	countFrom time.Time
@@ -94,7 +98,7 @@
 
 // NewState returns the state of the router on a host before it has read any rows.
 func NewState(host string) *State {
-	return &State{self: host, renewedAt: map[string]time.Time{}, limits: map[string]Limit{}, draining: map[string]Draining{},
+	return &State{self: host, renewedAt: map[string]time.Time{}, domains: map[string]string{}, rooms: map[string]roomState{}, limits: map[string]Limit{}, draining: map[string]Draining{},
 		versions: map[ServiceVersion]bool{}, unusedVersions: map[ServiceVersion]time.Time{}, unusedLimits: map[string]time.Time{},
 		unusedDraining: map[string]time.Time{}}
 }
@@ -109,6 +113,7 @@
 		clear(s.limits)
 		clear(s.draining)
 		clear(s.versions)
+		clear(s.rooms)
 		present := map[string]bool{}
 		for _, row := range c.Rows {
 			present[row.Key] = true
@@ -123,7 +128,9 @@
 	for _, key := range c.Removed {
 		if host, ok := strings.CutPrefix(key, routerPrefix); ok {
 			delete(s.renewedAt, host)
+			delete(s.domains, host)
 		}
+		s.removeRoom(key)
 		if target, ok := strings.CutPrefix(key, limitPrefix); ok {
 			delete(s.limits, target)
 		}
@@ -162,6 +169,14 @@
 			s.countFrom = now
 		}
 		s.renewedAt[host] = now
+		var router RouterRow
+		if err := json.Unmarshal(row.Value, &router); err != nil {
+			return err
+		}
+		s.domains[host] = router.FailureDomain
+	}
+	if err := s.applyRoom(now, row); err != nil {
+		return err
 	}
 	if target, ok := strings.CutPrefix(row.Key, limitPrefix); ok {
 		var limit Limit
--- /dev/null
+++ b/internal/core/room/room.go
@@ -0,0 +1,203 @@
+// Package room decides what a gateway does when its host has too little room: whether
+// requests fit on the link, whether the gateway should get new connections, and which
+// connections it lets go. It does no I/O and has no clock (docs/design/room.md).
+package room
+
+import (
+	"math"
+	"time"
+)
+
+// Limits are the limits of a host. What is 0 is unknown and not watched.
+type Limits struct {
+	LinkBytesPerS float64 // each way
+	Processor     float64 // cores
+	MemoryBytes   int64   // of the heap
+	Descriptors   int64
+}
+
+// Any reports whether anything is watched.
+func (l Limits) Any() bool { return l != Limits{} }
+
+// Level says how much room there is.
+type Level int
+
+// Levels.
+const (
+	Free Level = iota
+	Busy
+	Full
+)
+
+func (l Level) String() string { return [...]string{"free", "busy", "full"}[l] }
+
+// Resource is what a level is about.
+type Resource int
+
+// Resources.
+const (
+	Link Resource = iota
+	Processor
+	Memory
+	Descriptors
+	resourceCount
+)
+
+func (r Resource) String() string {
+	return [...]string{"link", "processor", "memory", "descriptors"}[r]
+}
+
+// Resources returns the resources that are watched.
+func (l Limits) Resources() (watched []Resource) {
+	for r, limited := range [resourceCount]bool{l.LinkBytesPerS > 0, l.Processor > 0, l.MemoryBytes > 0, l.Descriptors > 0} {
+		if limited {
+			watched = append(watched, Resource(r))
+		}
+	}
+	return watched
+}
+
+// Sample is what was measured at a time. Bytes and connections count from the start of
+// the process.
+type Sample struct {
+	In, Out     int64         // bytes received and sent
+	Refused     int64         // bytes that would have been sent for requests that did not fit
+	Lateness    time.Duration // of the timer of this sample
+	Heap        int64         // bytes
+	Descriptors int64
+	Accepted    int64 // connections from callers
+}
+
+const (
+	// DefaultObjective stands for the shortest latency objective until one is known.
+	DefaultObjective = time.Second
+	// boundDivisor gives the bound of the delay of a small call, as a fraction of the
+	// shortest latency objective.
+	boundDivisor = 8
+	// loadWindow is the time over which loads are averaged.
+	loadWindow = 500 * time.Millisecond
+	// maxLateness bounds a sample of the lateness, in multiples of the bound, so that a
+	// process that was stopped once does not count as out of processor time.
+	maxLateness = 4
+	// Thresholds of Memory and Descriptors, as fractions of the limit.
+	countThreshold = 0.9
+	// busyPart is the load, as a fraction of the threshold for Full, from which a resource
+	// is busy. A gateway that lets connections go does so down to this load.
+	busyPart = 0.75
+	// hysteresis is the fraction of a threshold below which a level ends.
+	hysteresis = 0.9
+	// maxLoad bounds a load, in multiples of the threshold for Full.
+	maxLoad = 100
+)
+
+// Host is the state of a gateway's host. It is not safe for concurrent use.
+type Host struct {
+	Rotation
+
+	limits Limits
+	pace   Pace
+	bound  time.Duration
+	last   Sample
+	lastAt time.Time                 // of the last sample; zero before the first
+	loads  [resourceCount]float64    // as a fraction of the threshold for Full
+	levels [resourceCount]Level      // with hysteresis
+	flow   struct{ in, out float64 } // bytes per second, averaged
+}
+
+// NewHost returns the state of a host. random returns a random time below its argument.
+func NewHost(limits Limits, random func(time.Duration) time.Duration) *Host {
+	h := &Host{limits: limits, Rotation: newRotation(random), pace: newPace(limits.LinkBytesPerS)}
+	h.SetObjective(DefaultObjective)
+	return h
+}
+
+// SetObjective sets the shortest latency objective of the requests served.
+func (h *Host) SetObjective(objective time.Duration) {
+	if objective <= 0 {
+		objective = DefaultObjective
+	}
+	h.bound = objective / boundDivisor
+	h.pace.bound = h.bound
+}
+
+// Bound returns the longest time for which callers' bytes may delay a small call.
+func (h *Host) Bound() time.Duration { return h.bound }
+
+// Pace returns the pace of what is sent. It is nil if the rate of the link is unknown.
+func (h *Host) Pace() *Pace {
+	if h.limits.LinkBytesPerS <= 0 {
+		return nil
+	}
+	return &h.pace
+}
+
+// Observe records a sample and what is known of the other gateways.
+func (h *Host) Observe(now time.Time, s Sample, peers Peers) {
+	elapsed := now.Sub(h.lastAt)
+	if h.lastAt.IsZero() || elapsed <= 0 {
+		h.last, h.lastAt = s, now
+		return
+	}
+	h.observeLoads(s, elapsed)
+	for r := range h.loads {
+		h.levels[r] = nextLevel(h.levels[r], h.loads[r])
+	}
+	h.Rotation.observe(now, h.Level(), h.loadOfCallers(), s.Accepted, peers)
+	h.last, h.lastAt = s, now
+}
+
+func (h *Host) observeLoads(s Sample, elapsed time.Duration) {
+	weight := 1 - math.Exp(-elapsed.Seconds()/loadWindow.Seconds())
+	perSecond := func(now, before int64) float64 { return float64(max(now-before, 0)) / elapsed.Seconds() }
+	h.flow.in += weight * (perSecond(s.In, h.last.In) - h.flow.in)
+	h.flow.out += weight * (perSecond(s.Out+s.Refused, h.last.Out+h.last.Refused) - h.flow.out)
+	if h.limits.LinkBytesPerS > 0 {
+		h.setLoad(Link, max(h.flow.in, h.flow.out)/h.pace.bytesPerS())
+	}
+	if h.limits.Processor > 0 {
+		late := min(float64(max(s.Lateness, 0))/float64(h.bound), maxLateness)
+		h.setLoad(Processor, h.loads[Processor]+weight*(late-h.loads[Processor]))
+	}
+	if h.limits.MemoryBytes > 0 {
+		h.setLoad(Memory, float64(s.Heap)/float64(h.limits.MemoryBytes)/countThreshold)
+	}
+	if h.limits.Descriptors > 0 {
+		h.setLoad(Descriptors, float64(s.Descriptors)/float64(h.limits.Descriptors)/countThreshold)
+	}
+}
+
+func (h *Host) setLoad(r Resource, load float64) { h.loads[r] = min(max(load, 0), maxLoad) }
+
+// nextLevel returns the level that follows a level at a load.
+func nextLevel(level Level, load float64) Level {
+	switch {
+	case load >= 1 || level == Full && load >= hysteresis:
+		return Full
+	case load >= busyPart || level != Free && load >= hysteresis*busyPart:
+		return Busy
+	}
+	return Free
+}
+
+// Level returns the level of the resource with the least room.
+func (h *Host) Level() Level {
+	level := Free
+	for _, l := range h.levels {
+		level = max(level, l)
+	}
+	return level
+}
+
+// LevelOf returns the level of a resource.
+func (h *Host) LevelOf(r Resource) Level { return h.levels[r] }
+
+// Load returns the load of a resource as a fraction of the load from which it is full.
+func (h *Host) Load(r Resource) float64 { return h.loads[r] }
+
+// Flow returns the bytes per second each way, averaged over a short time. Those sent
+// include what would have been sent for requests that did not fit.
+func (h *Host) Flow() (in, out float64) { return h.flow.in, h.flow.out }
+
+func (h *Host) loadOfCallers() callerLoad {
+	return callerLoad{load: max(h.loads[Link], h.loads[Processor]), bytesPerS: max(h.flow.in, h.flow.out)}
+}
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"tarragonridge.example/tarragonridge/internal/netcount"
 )
 
 // retryInterval is how long an attempt to connect may stay unanswered before another
@@ -22,6 +24,7 @@
 	// counts as broken (TCP_USER_TIMEOUT); 0 leaves it to the kernel.
 	UserTimeout time.Duration
 	KeepAlive   net.KeepAliveConfig
+	Bytes       *netcount.Counter // of all connections; nil if they are not counted
 }
 
 // Dialer opens connections. It is safe for concurrent use.
@@ -42,7 +45,7 @@
 			return errors.Join(controlErr, err)
 		}
 	}
-	return &Dialer{timeout: o.Timeout, connect: dialer.DialContext}
+	return &Dialer{timeout: o.Timeout, connect: netcount.Dial(dialer.DialContext, o.Bytes)}
 }
 
 // result is the result of an attempt.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -26,9 +26,7 @@
 	if answer.RetryAfter > 0 && answer.Ran == errkind.RanNo {
 		h.Set("Retry-After", formatRetryAfter(err.RetryAfter, time.Until(req.deadline)))
 	}
-	if g.phase.Load() != phaseServing {
-		h.Set("Connection", "close")
-	}
+	g.closeAfterAnswer(h, req)
 	body, encodeErr := json.Marshal(httpapi.NewProblem(err, req.meta.RequestID))
 	if encodeErr != nil {
 		g.opt.Logger.Error("failed to encode the problem document", "err", encodeErr)
--- /dev/null
+++ b/internal/gateway/entry.go
@@ -0,0 +1,231 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/room"
+)
+
+const (
+	// entryWaitDivisor gives the longest time that a request waits for the link and the
+	// processor of this host, as a fraction of its route's latency objective.
+	entryWaitDivisor = 4
+	// headBytes is the size of the head of an attempt, about.
+	headBytes = 600
+	// processorTurns is the number of times that a request waits for the processor before
+	// it is sent to a target: when it has arrived, and when it has its tokens.
+	processorTurns = 2
+	// minEntryPause is the least pause between two starts of requests that wait.
+	minEntryPause = time.Millisecond
+)
+
+// entryTicket is a request that waits for a place on the link.
+type entryTicket struct {
+	team    string
+	rank    int // 0 is the most urgent
+	bytes   int64
+	startBy time.Time     // a later start does not serve the caller in time
+	started chan struct{} // closed at the start
+}
+
+// entryQueue orders the requests that wait for a place on the link.
+type entryQueue interface {
+	// ahead returns the bytes of the requests that would start before the ticket.
+	ahead(t *entryTicket) int64
+	push(t *entryTicket)
+	// next returns the ticket that starts next, nil if none waits. It stays in the queue.
+	next() *entryTicket
+	// remove removes a ticket and reports whether it was in the queue.
+	remove(t *entryTicket) bool
+	waitingTickets() int
+}
+
+// fifo is an entryQueue in the order of arrival.
+type fifo struct {
+	tickets []*entryTicket
+	bytes   int64
+}
+
+func (q *fifo) ahead(*entryTicket) int64 { return q.bytes }
+func (q *fifo) waitingTickets() int      { return len(q.tickets) }
+
+func (q *fifo) push(t *entryTicket) {
+	q.tickets = append(q.tickets, t)
+	q.bytes += t.bytes
+}
+
+func (q *fifo) next() *entryTicket {
+	if len(q.tickets) == 0 {
+		return nil
+	}
+	return q.tickets[0]
+}
+
+func (q *fifo) remove(t *entryTicket) bool {
+	i := slices.Index(q.tickets, t)
+	if i < 0 {
+		return false
+	}
+	q.tickets = slices.Delete(q.tickets, i, i+1)
+	q.bytes -= t.bytes
+	return true
+}
+
+// refusalReasons are the resources for which requests are refused.
+var refusalReasons = [...]room.Resource{room.Link, room.Processor, room.Memory}
+
+// enterHost waits until the host has room for a request whose body was not read. It fails
+// at once if that takes longer than the request's latency objective allows.
+func (g *Gateway) enterHost(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) error {
+	if g.room == nil {
+		return nil
+	}
+	allowed := req.route.LatencyObjective / entryWaitDivisor
+	if allowed <= 0 {
+		allowed = min(room.DefaultObjective, req.deadline.Sub(req.arrived)) / entryWaitDivisor
+	}
+	t := &entryTicket{team: req.team.Name, rank: req.route.Priority, bytes: headBytes + max(r.ContentLength, 0), startBy: req.arrived.Add(allowed)}
+	resource, wait, ok := g.room.enter(ctx, t)
+	if ok {
+		req.place = t.bytes
+		return nil
+	}
+	if ctx.Err() != nil {
+		return errCallerGone
+	}
+	if !g.room.inRotation() {
+		w.Header().Set("Connection", "close")
+	}
+	// The server reads a short rest of the body before it answers, for which the caller
+	// has as long as for any body.
+	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return errkind.Wrap(err, errkind.Internal, "read deadline")
+	}
+	e := errkind.New(errkind.NoRoom, "%s of this host: %d ms to wait, %d ms allowed", resource, wait.Milliseconds(), allowed.Milliseconds())
+	e.RetryAfter = minRetryAfter + rand.N(minRetryAfter) // at another gateway
+	return e
+}
+
+// enter waits for a place for a ticket. If there is none in time it returns the resource
+// that has no room, and the wait.
+func (h *hostRoom) enter(ctx context.Context, t *entryTicket) (resource room.Resource, wait time.Duration, ok bool) {
+	now := time.Now()
+	h.mu.Lock()
+	if resource, wait = h.blocked(now, t); wait > 0 {
+		h.refuse(resource, t)
+		h.mu.Unlock()
+		return resource, wait, false
+	}
+	pace := h.host.Pace()
+	if pace == nil {
+		h.mu.Unlock()
+		return 0, 0, true
+	}
+	h.recordSent(now, pace)
+	wait = pace.Wait(now, h.waiting.ahead(t))
+	switch {
+	case wait == 0 && h.waiting.next() == nil:
+		pace.Start(now, t.bytes)
+		h.mu.Unlock()
+		return 0, 0, true
+	case now.Add(wait).After(t.startBy):
+		h.refuse(room.Link, t)
+		h.mu.Unlock()
+		return room.Link, wait, false
+	}
+	t.started = make(chan struct{})
+	h.waiting.push(t)
+	h.startWaiting(now, pace)
+	h.mu.Unlock()
+
+	late := time.NewTimer(t.startBy.Sub(now))
+	defer late.Stop()
+	select {
+	case <-t.started:
+		return 0, 0, true
+	case <-late.C:
+	case <-ctx.Done():
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.waiting.remove(t) {
+		return 0, 0, true // it has started
+	}
+	h.refuse(room.Link, t)
+	return room.Link, time.Since(now), false
+}
+
+// blocked returns the resource other than the link that has no room for a ticket, and
+// how long the ticket would have to wait for it; 0 if it has room. h.mu is held.
+func (h *hostRoom) blocked(now time.Time, t *entryTicket) (room.Resource, time.Duration) {
+	if h.host.LevelOf(room.Memory) == room.Full {
+		return room.Memory, max(t.startBy.Sub(now), 1)
+	}
+	if h.host.LevelOf(room.Processor) == room.Full {
+		wait := time.Duration(processorTurns * h.host.Load(room.Processor) * float64(h.host.Bound()))
+		if now.Add(wait).After(t.startBy) {
+			return room.Processor, wait
+		}
+	}
+	return 0, 0
+}
+
+// refuse counts a refusal. h.mu is held.
+func (h *hostRoom) refuse(resource room.Resource, t *entryTicket) {
+	h.refused[slices.Index(refusalReasons[:], resource)]++
+	if resource == room.Link {
+		h.refusedBytes.Add(t.bytes)
+	}
+}
+
+// recordSent tells the pace what was sent since the last call. h.mu is held.
+func (h *hostRoom) recordSent(now time.Time, pace *room.Pace) {
+	callers, targets := h.callers.Out(), h.targets.Out()
+	pace.Sent(now, callers-h.sent.callers, targets-h.sent.targets)
+	h.sent.callers, h.sent.targets = callers, targets
+}
+
+// startWaiting starts the requests for which there is room now and sets the timer for
+// the next one. h.mu is held.
+func (h *hostRoom) startWaiting(now time.Time, pace *room.Pace) {
+	for t := h.waiting.next(); t != nil; t = h.waiting.next() {
+		if wait := pace.Wait(now, 0); wait > 0 {
+			wait = max(wait, minEntryPause)
+			if h.wake == nil {
+				h.wake = time.AfterFunc(wait, h.wakeWaiting)
+			} else {
+				h.wake.Reset(wait)
+			}
+			return
+		}
+		h.waiting.remove(t)
+		pace.Start(now, t.bytes)
+		close(t.started)
+	}
+}
+
+func (h *hostRoom) wakeWaiting() {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	pace := h.host.Pace()
+	h.recordSent(now, pace)
+	h.startWaiting(now, pace)
+}
+
+// leaveHost gives back the place of a request of which no target was sent anything.
+func (g *Gateway) leaveHost(req *request) {
+	if req.place == 0 || req.runs > 0 || req.rejections > 0 {
+		return
+	}
+	g.room.mu.Lock()
+	defer g.room.mu.Unlock()
+	if pace := g.room.host.Pace(); pace != nil {
+		pace.Cancel(time.Now(), req.place)
+	}
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -109,7 +109,7 @@
 }
 
 func (g *Gateway) publishRenewal(renewal int64) {
-	value, err := json.Marshal(fleet.RouterRow{Incarnation: g.opt.Incarnation, Renewal: renewal})
+	value, err := json.Marshal(fleet.RouterRow{Incarnation: g.opt.Incarnation, Renewal: renewal, FailureDomain: g.opt.FailureDomain})
 	if err != nil {
 		g.opt.Logger.Error("failed to encode the row of this gateway", "err", err)
 		return
@@ -137,6 +137,9 @@
 		for _, target := range g.fleet.ExpiredDraining(now, g.hasDrainingTarget, g.streamRetention()) {
 			g.publications.add(fleet.DrainingKey(target), nil)
 		}
+		for _, host := range g.fleet.ExpiredRooms(now) {
+			g.publications.add(fleet.RoomKey(host), nil)
+		}
 		for _, v := range g.fleet.ExpiredVersions(now, g.targetView.HasVersion, g.streamRetention()) {
 			g.publications.add(v.Key(), nil)
 		}
@@ -195,17 +198,29 @@
 func (g *Gateway) LeaveFleet(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, fleetWriteTimeout)
 	defer cancel()
-	if _, err := g.opt.FleetTable.Commit(ctx, platform.Txn{Deletes: []string{fleet.RouterKey(g.opt.Host)}}); err != nil {
+	if _, err := g.opt.FleetTable.Commit(ctx, platform.Txn{Deletes: g.ownFleetKeys()}); err != nil {
 		g.opt.Logger.Info("failed to remove the row of this gateway", "err", err)
 	}
 }
 
+// ownFleetKeys returns the keys of the rows about this gateway.
+func (g *Gateway) ownFleetKeys() []string {
+	keys := []string{fleet.RouterKey(g.opt.Host)}
+	if !g.room.inRotation() {
+		keys = append(keys, fleet.RoomKey(g.opt.Host))
+	}
+	return keys
+}
+
 // WatchFleet applies what other gateways publish until ctx ends.
 func (g *Gateway) WatchFleet(ctx context.Context, feed Feed) {
 	g.watch(ctx, "fleet", func(ctx context.Context, after platform.Version) (platform.Version, error) {
 		changes, next, err := feed.Fleet(ctx, after, longPollWait)
 		if err == nil {
 			g.applyFleet(changes)
+			if changes.Complete {
+				g.resumeRoom(time.Now())
+			}
 		}
 		return next, err
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,7 +17,9 @@
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/retry"
+	"tarragonridge.example/tarragonridge/internal/core/room"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
+	"tarragonridge.example/tarragonridge/internal/netcount"
 	"tarragonridge.example/tarragonridge/internal/placement"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
@@ -90,13 +92,19 @@
 	Retries     retry.Limits
 	Logger      *slog.Logger
 	Metrics     *Metrics
-	GracePeriod time.Duration // from the stop signal to the end of the process
+	Room        room.Limits // of the host; the zero value if nothing is watched
+	// FailureDomain of this gateway. Too few gateways of one stay in rotation if all give
+	// up their readiness at once.
+	FailureDomain string
+	StoreBytes    *netcount.Counter // of the connections to the store; nil if not counted
+	GracePeriod   time.Duration     // from the stop signal to the end of the process
 }
 
 // Gateway serves callers. Create one with New.
 type Gateway struct {
 	opt        Options
 	pool       *upstream.Pool
+	room       *hostRoom // nil if nothing is watched
 	config     atomic.Pointer[httproute.Config]
 	phase      atomic.Int32
 	inProgress atomic.Int64 // requests in progress
@@ -131,9 +139,11 @@
 // New returns a gateway without a configuration. It answers requests with status
 // 503 until it has one.
 func New(o Options) *Gateway {
+	hostRoom := newHostRoom(o.Room, o.StoreBytes)
 	g := &Gateway{
 		opt:          o,
-		pool:         upstream.NewPool(upstream.Options{}),
+		pool:         upstream.NewPool(upstream.Options{Bytes: hostRoom.targetBytes()}),
+		room:         hostRoom,
 		targetView:   targets.NewView(rand.Uint64()),
 		retryBudgets: map[string]*retry.Budget{},
 		quarantine:   quarantine.NewTracker(),
@@ -148,6 +158,9 @@
 		recordsDue:      make(chan struct{}, 1),
 	}
 	o.Metrics.Registry.MustRegister(g)
+	if hostRoom != nil {
+		o.Metrics.Registry.MustRegister(hostRoom)
+	}
 	return g
 }
 
@@ -225,7 +238,9 @@
 }
 
 // Ready reports whether the gateway should get new connections.
-func (g *Gateway) Ready() bool { return g.phase.Load() == phaseServing && g.config.Load() != nil }
+func (g *Gateway) Ready() bool {
+	return g.phase.Load() == phaseServing && g.config.Load() != nil && g.room.inRotation()
+}
 
 // ServeReady answers the readiness check of the load balancer.
 func (g *Gateway) ServeReady(w http.ResponseWriter, _ *http.Request) {
@@ -269,7 +284,7 @@
 		ErrorLog:          slog.NewLogLogger(g.opt.Logger.Handler(), slog.LevelDebug),
 	}
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(listener) }()
+	go func() { done <- server.Serve(g.room.listen(listener)) }()
 	idleTicker := time.NewTicker(idleCloseInterval)
 	defer idleTicker.Stop()
 	for {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -17,6 +17,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/explain"
+	"tarragonridge.example/tarragonridge/internal/netcount"
 	"tarragonridge.example/tarragonridge/internal/placement"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
 )
@@ -54,6 +55,9 @@
 	latestAt    time.Time     // of the events that were sent to the caller
 	longestGap  time.Duration // between two of them
 
+	conn  *netcount.Conn // of the caller; nil if its bytes are not counted
+	place int64          // bytes of the place on the host's link; 0 if there is none
+
 	status int            // of the answer to the caller; 0 if no head was sent
 	err    *errkind.Error // why the request was not served; nil if it was
 }
@@ -74,6 +78,7 @@
 	defer g.inProgress.Add(-1)
 	req := &request{arrived: time.Now(), lastEvent: -1, ran: errkind.RanNo}
 	req.deadline = req.arrived.Add(defaultDeadline)
+	req.conn, _ = r.Context().Value(callerConnKey{}).(*netcount.Conn)
 	defer func() { g.finishRequest(req) }()
 	if err := g.prepare(w, r, req); err != nil {
 		if errors.Is(err, errCallerGone) {
@@ -139,6 +144,9 @@
 		e.RetryAfter = minRetryAfter
 		return e
 	}
+	if err := g.enterHost(r.Context(), w, r, req); err != nil {
+		return err
+	}
 	if req.body, err = readBody(w, r, config.Limits.MaxBodyBytes); err != nil {
 		return err
 	}
@@ -251,6 +259,7 @@
 // finishRequest counts the end of a request, and logs it if the request was not
 // served in time. Others are not logged individually.
 func (g *Gateway) finishRequest(req *request) {
+	g.leaveHost(req)
 	g.opt.Metrics.observeRequest(req)
 	if req.err == nil {
 		g.logLateAnswer(req)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -98,9 +98,7 @@
 		// incomplete. The same must hold for the answer to the caller.
 		h.Set("Transfer-Encoding", "identity")
 	}
-	if g.phase.Load() != phaseServing {
-		h.Set("Connection", "close")
-	}
+	g.closeAfterAnswer(h, req)
 }
 
 // classifyBrokenAnswer returns the outcome of an attempt whose answer broke off.
--- a/internal/netcount/netcount.go
+++ b/internal/netcount/netcount.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // Counter counts bytes. The zero value is ready to use.
@@ -26,6 +27,7 @@
 	tcp   *net.TCPConn
 	own   Counter
 	total *Counter
+	since time.Time // start of the connection
 	// onClose is called once; nil if nobody wants to know.
 	onClose func()
 	closed  atomic.Bool
@@ -38,11 +40,14 @@
 	if !ok || total == nil {
 		return c
 	}
-	return &Conn{Conn: tcp, tcp: tcp, total: total}
+	return &Conn{Conn: tcp, tcp: tcp, total: total, since: time.Now()}
 }
 
-// Counts returns the bytes of the connection itself.
-func (c *Conn) Counts() *Counter { return &c.own }
+// BytesPerS returns the bytes per second, received and sent, that the connection has
+// carried since its start.
+func (c *Conn) BytesPerS(now time.Time) float64 {
+	return float64(c.own.In()+c.own.Out()) / max(now.Sub(c.since), time.Second).Seconds()
+}
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -113,8 +113,16 @@
 // GatewayLimits bounds the resources that a gateway uses.
 type GatewayLimits struct {
 	MemoryMB int64 `json:"memory_mb"` // the platform kills a process that exceeds it; 0 means no limit
+	// The limits below make the gateway watch the room of its host (docs/design/room.md).
+	// What is 0 is not watched.
+	LinkMbps       float64 `json:"link_mbps"`       // rate of the host's link each way, 10^6 bits per second
+	ProcessorShare float64 `json:"processor_share"` // cores that the process may use
+	Descriptors    int64   `json:"descriptors"`     // open descriptors that the process may have
 }
 
+// LinkBytesPerS returns the rate of the link each way, 0 if it is unknown.
+func (l GatewayLimits) LinkBytesPerS() float64 { return l.LinkMbps * 1e6 / 8 }
+
 func secondsToDuration(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func defaultGateway() Gateway {
@@ -135,6 +143,7 @@
 	maxWindowS = 600
 	// Shares are drawn twice this time ahead of their use.
 	maxOldestCopyS = 600
+	maxCores       = 4096
 )
 
 func (d *decoder) checkGateway(s *Gateway) {
@@ -154,6 +163,9 @@
 	d.checkFloatRange("retries.window_s", s.Retries.WindowS, minWindowS, maxWindowS)
 	d.checkFloatRange("grace_s", s.GraceS, minGraceS, maxGraceS)
 	d.checkIntRange("limits.memory_mb", s.Limits.MemoryMB, 0, maxCount)
+	d.checkFloatRange("limits.link_mbps", s.Limits.LinkMbps, 0, maxCount)
+	d.checkFloatRange("limits.processor_share", s.Limits.ProcessorShare, 0, maxCores)
+	d.checkIntRange("limits.descriptors", s.Limits.Descriptors, 0, maxCount)
 }
 
 func (d *decoder) checkFloatRange(key string, v, minimum, maximum float64) {
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -18,6 +18,7 @@
   "store": {"address": "store:1", "relay_port": 70000},
   "budgets": {"oldest_copy_s": -1},
   "retries": {"ratio": 2, "slack": "x", "window_s": 0},
+  "limits": {"memory_mb": -1, "link_mbps": -0.5, "processor_share": -1, "descriptors": -1},
   "grace_s": 1,
 }`
 
@@ -30,7 +31,8 @@
 		keys = append(keys, p.Key)
 	}
 	assert.DeepEqual(t, keys, []string{
-		"host", "listen.ready", "store.address", "store.relay_port", "budgets.oldest_copy_s", "retries.ratio", "retries.slack", "retries.window_s", "grace_s",
+		"host", "listen.ready", "store.address", "store.relay_port", "budgets.oldest_copy_s", "retries.ratio", "retries.slack", "retries.window_s",
+		"limits.memory_mb", "limits.link_mbps", "limits.processor_share", "limits.descriptors", "grace_s",
 	})
 }
 
@@ -41,7 +43,7 @@
 	"internal-ports.0": "7340", "internal-ports.1": "7355", "platform.address": "10.200.1.7:8223",
 	"platform.writes-per-s": "800", "platform.part-writes-s": "200",
 	"bounds.retry-budget-ratio": "0.2", "bounds.budget-slack": "58.0", "bounds.budget-window-s": "10", "bounds.grace-s": "8.5",
-	"limits.memory-mb": "284",
+	"limits.memory-mb": "284", "limits.link-mbps": "10.0", "limits.cpu-share": "0.144", "limits.max-fds": "4100",
 }
 
 // Guards against templates that render to settings which the process refuses,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/dial"
+	"tarragonridge.example/tarragonridge/internal/netcount"
 )
 
 // Options configures a Pool.
@@ -21,6 +22,7 @@
 	// UserTimeout is how long sent bytes may stay unacknowledged before the
 	// connection counts as broken (TCP_USER_TIMEOUT); default 1500 ms.
 	UserTimeout time.Duration
+	Bytes       *netcount.Counter // of all connections; nil if they are not counted
 }
 
 // idleMargin is how long before the target's keep-alive timeout an idle
@@ -55,6 +57,7 @@
 	dialer := dial.New(dial.Options{
 		Timeout: o.DialTimeout, UserTimeout: o.UserTimeout,
 		KeepAlive: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+		Bytes:     o.Bytes,
 	})
 	return &Pool{opt: o, dialer: dialer, idle: map[string][]*conn{}, connCount: map[string]int{}}
 }
@@ -162,6 +165,16 @@
 	return nil
 }
 
+// Conns returns the number of connections, idle and in use.
+func (p *Pool) Conns() (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, count := range p.connCount {
+		n += count
+	}
+	return n
+}
+
 // countClosed removes a closed connection from connCount. p.mu must be held.
 func (p *Pool) countClosed(address string) {
 	if p.connCount[address]--; p.connCount[address] <= 0 {
