Refuse at once what a full link would make late

On a full link the answer of a target waits as long as any small call. The time that a new connection to a target takes tells how long, and a request whose objective does not allow it is refused before its body is read.

--- a/internal/core/room/room.go
+++ b/internal/core/room/room.go
@@ -98,9 +98,10 @@
 	pace   Pace
 	bound  time.Duration
 	last   Sample
-	lastAt time.Time                 // of the last sample; zero before the first
-	loads  [resourceCount]float64    // as a fraction of the threshold for Full
-	levels [resourceCount]Level      // with hysteresis
+	lastAt time.Time              // of the last sample; zero before the first
+	loads  [resourceCount]float64 // as a fraction of the threshold for Full
+	levels [resourceCount]Level   // with hysteresis
+	calls  calls
 	flow   struct{ in, out float64 } // bytes per second, averaged
 }
 
@@ -131,6 +132,41 @@
 	return &h.pace
 }
 
+// ObserveCall records how long a small call took that depends on the network alone, or
+// how long it took until it was given up.
+func (h *Host) ObserveCall(d time.Duration) { h.calls.observe(d) }
+
+// CallDelay returns how long small calls took lately. It is up to date while the link is
+// full.
+func (h *Host) CallDelay() time.Duration { return h.calls.delay }
+
+// NeedsCall reports whether a small call is to be made, because the link is full and none
+// has ended since the last sample but one.
+func (h *Host) NeedsCall() bool { return h.levels[Link] == Full && !h.calls.recent }
+
+// calls averages the delay of small calls.
+type calls struct {
+	shortest time.Duration // since the last sample
+	any      bool          // there was one
+	recent   bool          // there was one before the last sample
+	delay    time.Duration // averaged
+}
+
+func (c *calls) observe(d time.Duration) {
+	if !c.any || d < c.shortest {
+		c.shortest = d
+	}
+	c.any = true
+}
+
+// fold adds the shortest call to the average. Longer ones may be due to others.
+func (c *calls) fold() {
+	if c.any {
+		c.delay += (c.shortest - c.delay) / 2
+	}
+	c.recent, c.any = c.any, false
+}
+
 // Observe records a sample and what is known of the other gateways.
 func (h *Host) Observe(now time.Time, s Sample, peers Peers) {
 	elapsed := now.Sub(h.lastAt)
@@ -139,6 +175,7 @@
 		return
 	}
 	h.observeLoads(s, elapsed)
+	h.calls.fold()
 	for r := range h.loads {
 		h.levels[r] = nextLevel(h.levels[r], h.loads[r])
 	}
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -98,9 +98,6 @@
 	if ctx.Err() != nil {
 		return errCallerGone
 	}
-	if !g.room.inRotation() {
-		w.Header().Set("Connection", "close")
-	}
 	// The server reads a short rest of the body before it answers, for which the caller
 	// has as long as for any body.
 	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
@@ -160,12 +157,15 @@
 	return room.Link, time.Since(now), false
 }
 
-// blocked returns the resource other than the link that has no room for a ticket, and
-// how long the ticket would have to wait for it; 0 if it has room. h.mu is held.
+// blocked returns the resource that has no room for a ticket, whatever it has to send,
+// and how long the ticket would have to wait for it; 0 if all have room. h.mu is held.
 func (h *hostRoom) blocked(now time.Time, t *entryTicket) (room.Resource, time.Duration) {
 	if h.host.LevelOf(room.Memory) == room.Full {
 		return room.Memory, max(t.startBy.Sub(now), 1)
 	}
+	if wait := h.host.CallDelay(); h.host.LevelOf(room.Link) == room.Full && now.Add(wait).After(t.startBy) {
+		return room.Link, wait // so long does its answer wait
+	}
 	if h.host.LevelOf(room.Processor) == room.Full {
 		wait := time.Duration(processorTurns * h.host.Load(room.Processor) * float64(h.host.Bound()))
 		if now.Add(wait).After(t.startBy) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,7 +142,7 @@
 	hostRoom := newHostRoom(o.Room, o.StoreBytes)
 	g := &Gateway{
 		opt:          o,
-		pool:         upstream.NewPool(upstream.Options{Bytes: hostRoom.targetBytes()}),
+		pool:         upstream.NewPool(upstream.Options{Bytes: hostRoom.targetBytes(), Dialed: hostRoom.observeDial}),
 		room:         hostRoom,
 		targetView:   targets.NewView(rand.Uint64()),
 		retryBudgets: map[string]*retry.Budget{},
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -68,6 +68,18 @@
 	return &h.targets
 }
 
+// observeDial records how long a new connection to a target took, or until it was given
+// up. Targets answer without a process of theirs, so that the shortest of several tells
+// how long small calls wait for the link.
+func (h *hostRoom) observeDial(d time.Duration) {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.host.ObserveCall(d)
+}
+
 // listen returns a listener that counts the bytes of callers.
 func (h *hostRoom) listen(l net.Listener) net.Listener {
 	if h == nil {
@@ -154,9 +166,12 @@
 		if level := h.host.LevelOf(r); level != before[i] && max(level, before[i]) == room.Full {
 			in, out := h.host.Flow()
 			g.opt.Logger.Info("room of the host", "resource", r, "level", level, "load", h.host.Load(r),
-				"in_bytes_per_s", int64(in), "out_bytes_per_s", int64(out), "DBG", []int64{h.callers.In(), h.targets.In(), h.store.In(), h.callers.Out(), h.targets.Out(), h.store.Out(), h.released, h.listener.Load().Accepted(), h.listener.Load().Open()}, "late_ms", lateness.Milliseconds(), "bound_ms", h.host.Bound().Milliseconds())
+				"in_bytes_per_s", int64(in), "out_bytes_per_s", int64(out), "call_ms", h.host.CallDelay().Milliseconds(), "late_ms", lateness.Milliseconds(), "bound_ms", h.host.Bound().Milliseconds())
 		}
 	}
+	if h.host.NeedsCall() {
+		go g.probeLink()
+	}
 	ready, announced := h.host.Ready(), h.host.Announced()
 	h.ready.Store(ready)
 	if ready != wasReady {
@@ -171,6 +186,18 @@
 	}
 }
 
+// probeLink opens a connection to some engine, for observeDial. It is kept for the next
+// request.
+func (g *Gateway) probeLink() {
+	addresses := g.engineAddresses()
+	if len(addresses) == 0 {
+		return
+	}
+	if err := g.pool.Probe(context.Background(), addresses[rand.IntN(len(addresses))]); err != nil {
+		g.opt.Logger.Debug("probe of the link failed", "err", err)
+	}
+}
+
 // announceRoom tells the other gateways that this one is out of rotation or wants to be.
 // h.mu is held.
 func (g *Gateway) announceRoom(now time.Time, h *hostRoom) {
--- a/internal/gateway/room_metrics.go
+++ b/internal/gateway/room_metrics.go
@@ -18,12 +18,13 @@
 	roomReadyDesc    = roomDesc("in_rotation", "1 if the host has room for new connections, else 0.")
 	roomWaitingDesc  = roomDesc("waiting_requests", "Requests that wait for a place on the link.")
 	roomRefusedDesc  = roomDesc("refused_requests_total", "Requests that were refused because a resource has no room for them in time.", "resource")
+	roomCallDesc     = roomDesc("small_call_seconds", "How long small calls that depend on the network alone took lately. Up to date while the link is full.")
 	roomReleasedDesc = roomDesc("released_connections_total", "Connections of callers that were let go after a whole answer.")
 )
 
 // Describe implements prometheus.Collector.
 func (h *hostRoom) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{roomBytesDesc, roomLoadDesc, roomLevelDesc, roomReadyDesc, roomWaitingDesc, roomRefusedDesc, roomReleasedDesc} {
+	for _, d := range []*prometheus.Desc{roomBytesDesc, roomLoadDesc, roomLevelDesc, roomReadyDesc, roomWaitingDesc, roomRefusedDesc, roomCallDesc, roomReleasedDesc} {
 		ch <- d
 	}
 }
@@ -51,5 +52,6 @@
 		ch <- prometheus.MustNewConstMetric(roomRefusedDesc, prometheus.CounterValue, float64(h.refused[i]), r.String())
 	}
 	ch <- prometheus.MustNewConstMetric(roomWaitingDesc, prometheus.GaugeValue, float64(h.waiting.waitingTickets()))
+	ch <- prometheus.MustNewConstMetric(roomCallDesc, prometheus.GaugeValue, h.host.CallDelay().Seconds())
 	ch <- prometheus.MustNewConstMetric(roomReleasedDesc, prometheus.CounterValue, float64(h.released))
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -23,6 +23,9 @@
 	// connection counts as broken (TCP_USER_TIMEOUT); default 1500 ms.
 	UserTimeout time.Duration
 	Bytes       *netcount.Counter // of all connections; nil if they are not counted
+	// Dialed is called with the time after which a new connection was open, or was given
+	// up. nil if nobody wants to know.
+	Dialed func(time.Duration)
 }
 
 // idleMargin is how long before the target's keep-alive timeout an idle
@@ -139,7 +142,11 @@
 func (p *Pool) dial(ctx context.Context, req *Request) (*conn, error) {
 	ctx, cancel := context.WithDeadline(ctx, req.ResponseHeaderDeadline)
 	defer cancel()
+	began := time.Now()
 	netConn, err := p.dialer.DialContext(ctx, "tcp", req.Address)
+	if p.opt.Dialed != nil {
+		p.opt.Dialed(time.Since(began))
+	}
 	if err != nil {
 		p.mu.Lock()
 		p.countClosed(req.Address)
