Say that a full host is not ready before it is sure, and take it back

The load balancer takes a host out after two checks in a row, so that the first costs nothing. Callers that a full host refuses are told to return when others take them.

--- a/internal/core/room/rotation.go
+++ b/internal/core/room/rotation.go
@@ -4,18 +4,20 @@
 
 const (
 	// tellAfter is how long the host must be full before it tells the other gateways that
-	// it wants to leave the rotation.
-	tellAfter = time.Second
-	// leaveAfter is how long the host must be full before it leaves the rotation. A burst
-	// of two seconds fills it for less.
+	// it wants to leave the rotation, and tellSpread the greatest random time in addition.
+	tellAfter  = 500 * time.Millisecond
+	tellSpread = 250 * time.Millisecond
+	// doubtAfter is how long the host must be full before it says that it is not ready. If
+	// it does not stay full until leaveAfter, it is ready again: the load balancer takes it
+	// out only after two checks in a row, which are one second apart. A burst of two
+	// seconds fills it for less than leaveAfter.
+	doubtAfter = 1500 * time.Millisecond
 	leaveAfter = 2500 * time.Millisecond
-	// leaveSpread is the greatest random time in addition to tellAfter and leaveAfter.
-	leaveSpread = 500 * time.Millisecond
 	// confirmTimeout is how long the host waits to read back that others were told. A full
 	// link may keep it from reading anything. It then leaves unconfirmed, turnTime after
 	// the gateway whose turn is before its own.
-	confirmTimeout = 1500 * time.Millisecond
-	turnTime       = 500 * time.Millisecond
+	confirmTimeout = time.Second
+	turnTime       = 250 * time.Millisecond
 	// firstRetry and maxRetry bound the time after which the host tries again to leave.
 	firstRetry = time.Second
 	maxRetry   = 16 * time.Second
@@ -44,7 +46,8 @@
 const (
 	in      state = iota // gets new connections
 	leaving              // has told the other gateways that it wants to leave
-	out                  // says that it is not ready
+	doubt                // says that it is not ready, and may take that back
+	out                  // says that it is not ready for a while
 )
 
 // Peers is what is known of the gateways of the same failure domain.
@@ -76,8 +79,9 @@
 
 	state     state
 	fullSince time.Time     // zero while not full
-	spread    time.Duration // in addition to the times after which a full host leaves
+	spread    time.Duration // in addition to tellAfter
 	since     time.Time     // start of the state
+	unready   time.Time     // when the host last said that it is not ready
 	retry     time.Duration // pause after the last attempt to leave that failed
 	notBefore time.Time     // no attempt to leave earlier
 	returned  time.Time     // when the host last came back; zero if it never left
@@ -96,7 +100,7 @@
 }
 
 // Ready reports whether the host should get new connections.
-func (r *Rotation) Ready() bool { return r.state != out }
+func (r *Rotation) Ready() bool { return r.state != out && r.state != doubt }
 
 // Announced reports whether the other gateways are to be told that this host is out of
 // rotation, or wants to be.
@@ -112,14 +116,14 @@
 	case level != Full:
 		r.fullSince = time.Time{}
 	case r.fullSince.IsZero():
-		r.fullSince, r.spread = now, r.random(leaveSpread)
+		r.fullSince, r.spread = now, r.random(tellSpread)
 	}
 	switch r.state {
 	case in:
-		if r.fullFor(now, tellAfter) && !now.Before(r.notBefore) && peers.Out < peers.allowed() {
+		if r.fullFor(now, tellAfter+r.spread) && !now.Before(r.notBefore) && peers.Out < peers.allowed() {
 			r.enter(now, leaving)
 		}
-	case leaving:
+	case leaving, doubt:
 		r.observeLeaving(now, peers, accepted)
 	case out:
 		r.observeOut(now, load, accepted)
@@ -134,7 +138,13 @@
 		r.notBefore = now.Add(r.retry/2 + r.random(r.retry))
 		r.retry = min(2*r.retry, maxRetry)
 		r.enter(now, in)
-	case r.fullFor(now, leaveAfter) && (peers.Confirmed || now.Sub(r.since) >= confirmTimeout+time.Duration(peers.Turn)*turnTime):
+	case r.state == leaving:
+		confirmed := peers.Confirmed || now.Sub(r.since) >= confirmTimeout+time.Duration(peers.Turn)*turnTime
+		if confirmed && r.fullFor(now, doubtAfter) {
+			r.unready = now
+			r.enter(now, doubt)
+		}
+	case r.fullFor(now, leaveAfter) && now.Sub(r.since) >= leaveAfter-doubtAfter:
 		if !r.returned.IsZero() && now.Sub(r.returned) < 2*r.stay {
 			r.stay = min(2*r.stay, maxStay)
 		} else {
@@ -145,16 +155,30 @@
 	}
 }
 
-// fullFor reports whether the host has been full for a time and the random time in
-// addition.
+// fullFor reports whether the host has been full for a time.
 func (r *Rotation) fullFor(now time.Time, d time.Duration) bool {
-	return !r.fullSince.IsZero() && now.Sub(r.fullSince) >= d+r.spread
+	return !r.fullSince.IsZero() && now.Sub(r.fullSince) >= d
+}
+
+// Relief returns the time after which callers who are told to come back reach another
+// gateway, as far as is known: 0 if the host is out of rotation, or never will be.
+func (r *Rotation) Relief(now time.Time) time.Duration {
+	var at time.Time
+	switch {
+	case r.state == out || r.state == doubt:
+		at = r.unready.Add(noticeTime)
+	case r.fullSince.IsZero() || now.Before(r.notBefore):
+		return 0
+	default:
+		at = r.fullSince.Add(doubtAfter + noticeTime)
+	}
+	return max(at.Sub(now), 0)
 }
 
 func (r *Rotation) leave(now time.Time, accepted int64) {
 	r.enter(now, out)
 	r.roomSince = time.Time{}
-	r.releaseAt, r.quota, r.released, r.acceptedAt = now.Add(noticeTime), 0, 0, accepted
+	r.releaseAt, r.quota, r.released, r.acceptedAt = r.unready.Add(noticeTime), 0, 0, accepted
 	r.skip, r.skipNext = 0, 1
 }
 
@@ -165,6 +189,7 @@
 		return
 	}
 	r.stay = min(max(stay, minStay), maxStay)
+	r.unready = now
 	r.leave(now, 0)
 }
 
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -15,6 +15,8 @@
 	// entryWaitDivisor gives the longest time that a request waits for the link and the
 	// processor of this host, as a fraction of its route's latency objective.
 	entryWaitDivisor = 4
+	// answerWaitDivisor gives the longest time for which an answer may wait for the link.
+	answerWaitDivisor = 2
 	// headBytes is the size of the head of an attempt, about.
 	headBytes = 600
 	// processorTurns is the number of times that a request waits for the processor before
@@ -29,8 +31,10 @@
 	team    string
 	rank    int // 0 is the most urgent
 	bytes   int64
-	startBy time.Time     // a later start does not serve the caller in time
-	started chan struct{} // closed at the start
+	startBy time.Time // a later start does not serve the caller in time
+	// answerWait is the longest time for which the answer may wait for the link.
+	answerWait time.Duration
+	started    chan struct{} // closed at the start
 }
 
 // entryQueue orders the requests that wait for a place on the link.
@@ -85,12 +89,16 @@
 	if g.room == nil {
 		return nil
 	}
-	allowed := req.route.LatencyObjective / entryWaitDivisor
-	if allowed <= 0 {
-		allowed = min(room.DefaultObjective, req.deadline.Sub(req.arrived)) / entryWaitDivisor
+	objective := req.route.LatencyObjective
+	if objective <= 0 {
+		objective = min(room.DefaultObjective, req.deadline.Sub(req.arrived))
+	}
+	t := &entryTicket{
+		team: req.team.Name, rank: req.route.Priority, bytes: headBytes + max(r.ContentLength, 0),
+		startBy: req.arrived.Add(objective / entryWaitDivisor), answerWait: objective / answerWaitDivisor,
 	}
-	t := &entryTicket{team: req.team.Name, rank: req.route.Priority, bytes: headBytes + max(r.ContentLength, 0), startBy: req.arrived.Add(allowed)}
 	resource, wait, ok := g.room.enter(ctx, t)
+	relief := g.room.relief()
 	if ok {
 		req.place = t.bytes
 		return nil
@@ -103,8 +111,8 @@
 	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return errkind.Wrap(err, errkind.Internal, "read deadline")
 	}
-	e := errkind.New(errkind.NoRoom, "%s of this host: %d ms to wait, %d ms allowed", resource, wait.Milliseconds(), allowed.Milliseconds())
-	e.RetryAfter = minRetryAfter + rand.N(minRetryAfter) // at another gateway
+	e := errkind.New(errkind.NoRoom, "%s of this host: %d ms to wait, objective %d ms", resource, wait.Milliseconds(), objective.Milliseconds())
+	e.RetryAfter = relief + minRetryAfter + rand.N(minRetryAfter)
 	return e
 }
 
@@ -157,14 +165,21 @@
 	return room.Link, time.Since(now), false
 }
 
+// relief returns the time after which callers who come back reach another gateway.
+func (h *hostRoom) relief() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.host.Relief(time.Now())
+}
+
 // blocked returns the resource that has no room for a ticket, whatever it has to send,
 // and how long the ticket would have to wait for it; 0 if all have room. h.mu is held.
 func (h *hostRoom) blocked(now time.Time, t *entryTicket) (room.Resource, time.Duration) {
 	if h.host.LevelOf(room.Memory) == room.Full {
 		return room.Memory, max(t.startBy.Sub(now), 1)
 	}
-	if wait := h.host.CallDelay(); h.host.LevelOf(room.Link) == room.Full && now.Add(wait).After(t.startBy) {
-		return room.Link, wait // so long does its answer wait
+	if wait := h.host.CallDelay(); h.host.LevelOf(room.Link) == room.Full && wait > t.answerWait {
+		return room.Link, wait
 	}
 	if h.host.LevelOf(room.Processor) == room.Full {
 		wait := time.Duration(processorTurns * h.host.Load(room.Processor) * float64(h.host.Bound()))
