--- a/internal/core/room/rotation.go
+++ b/internal/core/room/rotation.go
@@ -53,18 +53,14 @@
 // Peers is what is known of the gateways of the same failure domain.
 type Peers struct {
 	Members   int  // gateways of the domain, this one included
-	Out       int  // those that are out of rotation or want to be, this one included
+	Out       int  // those that are out of rotation or want to be, this one included if Confirmed
 	Confirmed bool // this gateway's own wish was read back
 	Turn      int  // place of this gateway in a fixed order of the domain, from 0
 }
 
-// allowed is the number of gateways of a domain that may be out of rotation.
-func (p Peers) allowed() int {
-	if p.Members < 2 {
-		return 0
-	}
-	return (p.Members + 2) / 3
-}
+// allow reports whether so many gateways of the domain may be out of rotation: a third,
+// rounded up, but not the only one.
+func (p Peers) allow(out int) bool { return p.Members > 1 && out <= (p.Members+2)/3 }
 
 // callerLoad is the load that ends with the connections of callers.
 type callerLoad struct {
@@ -120,7 +116,7 @@
 	}
 	switch r.state {
 	case in:
-		if r.fullFor(now, tellAfter+r.spread) && !now.Before(r.notBefore) && peers.Out < peers.allowed() {
+		if r.fullFor(now, tellAfter+r.spread) && !now.Before(r.notBefore) && peers.allow(peers.Out+1) {
 			r.enter(now, leaving)
 		}
 	case leaving, doubt:
@@ -131,10 +127,14 @@
 }
 
 func (r *Rotation) observeLeaving(now time.Time, peers Peers, accepted int64) {
+	others := peers.Out
+	if peers.Confirmed {
+		others--
+	}
 	switch {
 	case r.fullSince.IsZero():
 		r.enter(now, in)
-	case peers.Out > peers.allowed():
+	case !peers.allow(others + 1):
 		r.notBefore = now.Add(r.retry/2 + r.random(r.retry))
 		r.retry = min(2*r.retry, maxRetry)
 		r.enter(now, in)
@@ -185,7 +185,7 @@
 // Resume takes the host out of rotation at the start of a process, where the one before
 // was out, or wanted to be, for at least stay.
 func (r *Rotation) Resume(now time.Time, stay time.Duration, peers Peers) {
-	if r.state != in || peers.Out > peers.allowed() {
+	if r.state != in || !peers.allow(peers.Out) {
 		return
 	}
 	r.stay = min(max(stay, minStay), maxStay)
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -12,29 +12,19 @@
 )
 
 const (
-	// entryWaitDivisor gives the longest time that a request waits for the link and the
-	// processor of this host, as a fraction of its route's latency objective.
-	entryWaitDivisor = 4
-	// answerWaitDivisor gives the longest time for which an answer may wait for the link.
-	answerWaitDivisor = 2
 	// headBytes is the size of the head of an attempt, about.
 	headBytes = 600
-	// processorTurns is the number of times that a request waits for the processor before
-	// it is sent to a target: when it has arrived, and when it has its tokens.
-	processorTurns = 2
 	// minEntryPause is the least pause between two starts of requests that wait.
 	minEntryPause = time.Millisecond
 )
 
 // entryTicket is a request that waits for a place on the link.
 type entryTicket struct {
+	room.Request
 	team    string
-	rank    int // 0 is the most urgent
-	bytes   int64
-	startBy time.Time // a later start does not serve the caller in time
-	// answerWait is the longest time for which the answer may wait for the link.
-	answerWait time.Duration
-	started    chan struct{} // closed at the start
+	rank    int           // 0 is the most urgent
+	startBy time.Time     // a later start does not serve the caller in time
+	started chan struct{} // closed at the start
 }
 
 // entryQueue orders the requests that wait for a place on the link.
@@ -60,7 +50,7 @@
 
 func (q *fifo) push(t *entryTicket) {
 	q.tickets = append(q.tickets, t)
-	q.bytes += t.bytes
+	q.bytes += t.Bytes
 }
 
 func (q *fifo) next() *entryTicket {
@@ -76,7 +66,7 @@
 		return false
 	}
 	q.tickets = slices.Delete(q.tickets, i, i+1)
-	q.bytes -= t.bytes
+	q.bytes -= t.Bytes
 	return true
 }
 
@@ -93,14 +83,11 @@
 	if objective <= 0 {
 		objective = min(room.DefaultObjective, req.deadline.Sub(req.arrived))
 	}
-	t := &entryTicket{
-		team: req.team.Name, rank: req.route.Priority, bytes: headBytes + max(r.ContentLength, 0),
-		startBy: req.arrived.Add(objective / entryWaitDivisor), answerWait: objective / answerWaitDivisor,
-	}
+	t := &entryTicket{Request: room.Request{Bytes: headBytes + max(r.ContentLength, 0), Objective: objective}, team: req.team.Name, rank: req.route.Priority}
+	t.startBy = req.arrived.Add(t.StartBy())
 	resource, wait, ok := g.room.enter(ctx, t)
-	relief := g.room.relief()
 	if ok {
-		req.place = t.bytes
+		req.place = t.Bytes
 		return nil
 	}
 	if ctx.Err() != nil {
@@ -112,7 +99,7 @@
 		return errkind.Wrap(err, errkind.Internal, "read deadline")
 	}
 	e := errkind.New(errkind.NoRoom, "%s of this host: %d ms to wait, objective %d ms", resource, wait.Milliseconds(), objective.Milliseconds())
-	e.RetryAfter = relief + minRetryAfter + rand.N(minRetryAfter)
+	e.RetryAfter = g.room.relief() + minRetryAfter + rand.N(minRetryAfter)
 	return e
 }
 
@@ -121,27 +108,22 @@
 func (h *hostRoom) enter(ctx context.Context, t *entryTicket) (resource room.Resource, wait time.Duration, ok bool) {
 	now := time.Now()
 	h.mu.Lock()
-	if resource, wait = h.blocked(now, t); wait > 0 {
-		h.refuse(resource, t)
-		h.mu.Unlock()
-		return resource, wait, false
-	}
 	pace := h.host.Pace()
-	if pace == nil {
-		h.mu.Unlock()
-		return 0, 0, true
+	if pace != nil {
+		h.recordSent(now, pace)
 	}
-	h.recordSent(now, pace)
-	wait = pace.Wait(now, h.waiting.ahead(t))
-	switch {
-	case wait == 0 && h.waiting.next() == nil:
-		pace.Start(now, t.bytes)
+	switch fit := h.host.Fit(now, t.Request, h.waiting.ahead(t)); {
+	case fit.Refuse:
+		h.refuse(fit.Resource, t)
+		h.mu.Unlock()
+		return fit.Resource, fit.Wait, false
+	case pace == nil:
 		h.mu.Unlock()
 		return 0, 0, true
-	case now.Add(wait).After(t.startBy):
-		h.refuse(room.Link, t)
+	case fit.Wait == 0 && h.waiting.next() == nil:
+		pace.Start(now, t.Bytes)
 		h.mu.Unlock()
-		return room.Link, wait, false
+		return 0, 0, true
 	}
 	t.started = make(chan struct{})
 	h.waiting.push(t)
@@ -172,29 +154,11 @@
 	return h.host.Relief(time.Now())
 }
 
-// blocked returns the resource that has no room for a ticket, whatever it has to send,
-// and how long the ticket would have to wait for it; 0 if all have room. h.mu is held.
-func (h *hostRoom) blocked(now time.Time, t *entryTicket) (room.Resource, time.Duration) {
-	if h.host.LevelOf(room.Memory) == room.Full {
-		return room.Memory, max(t.startBy.Sub(now), 1)
-	}
-	if wait := h.host.CallDelay(); h.host.LevelOf(room.Link) == room.Full && wait > t.answerWait {
-		return room.Link, wait
-	}
-	if h.host.LevelOf(room.Processor) == room.Full {
-		wait := time.Duration(processorTurns * h.host.Load(room.Processor) * float64(h.host.Bound()))
-		if now.Add(wait).After(t.startBy) {
-			return room.Processor, wait
-		}
-	}
-	return 0, 0
-}
-
 // refuse counts a refusal. h.mu is held.
 func (h *hostRoom) refuse(resource room.Resource, t *entryTicket) {
 	h.refused[slices.Index(refusalReasons[:], resource)]++
 	if resource == room.Link {
-		h.refusedBytes.Add(t.bytes)
+		h.refusedBytes.Add(t.Bytes)
 	}
 }
 
@@ -219,7 +183,7 @@
 			return
 		}
 		h.waiting.remove(t)
-		pace.Start(now, t.bytes)
+		pace.Start(now, t.Bytes)
 		close(t.started)
 	}
 }
