--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -194,24 +194,16 @@
 	}
 }
 
-// LeaveFleet removes this gateway's row, so that the others use its shares of limits.
+// LeaveFleet removes this gateway's row, so that the others use its shares of limits. It
+// leaves the row that says that the gateway is out of rotation to its next process.
 func (g *Gateway) LeaveFleet(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, fleetWriteTimeout)
 	defer cancel()
-	if _, err := g.opt.FleetTable.Commit(ctx, platform.Txn{Deletes: g.ownFleetKeys()}); err != nil {
+	if _, err := g.opt.FleetTable.Commit(ctx, platform.Txn{Deletes: []string{fleet.RouterKey(g.opt.Host)}}); err != nil {
 		g.opt.Logger.Info("failed to remove the row of this gateway", "err", err)
 	}
 }
 
-// ownFleetKeys returns the keys of the rows about this gateway.
-func (g *Gateway) ownFleetKeys() []string {
-	keys := []string{fleet.RouterKey(g.opt.Host)}
-	if !g.room.inRotation() {
-		keys = append(keys, fleet.RoomKey(g.opt.Host))
-	}
-	return keys
-}
-
 // WatchFleet applies what other gateways publish until ctx ends.
 func (g *Gateway) WatchFleet(ctx context.Context, feed Feed) {
 	g.watch(ctx, "fleet", func(ctx context.Context, after platform.Version) (platform.Version, error) {
