--- a/internal/core/room/rotation.go
+++ b/internal/core/room/rotation.go
@@ -15,9 +15,10 @@
 	leaveAfter = 2500 * time.Millisecond
 	// confirmTimeout is how long the host waits to read back that others were told. A full
 	// link may keep it from reading anything. It then leaves unconfirmed, turnTime after
-	// the gateway whose turn is before its own.
-	confirmTimeout = time.Second
-	turnTime       = 250 * time.Millisecond
+	// the gateway whose turn is before its own. Until it leaves, ever more waits in front of
+	// its link.
+	confirmTimeout = 500 * time.Millisecond
+	turnTime       = 200 * time.Millisecond
 	// firstRetry and maxRetry bound the time after which the host tries again to leave.
 	firstRetry = time.Second
 	maxRetry   = 16 * time.Second
@@ -139,8 +140,8 @@
 		r.retry = min(2*r.retry, maxRetry)
 		r.enter(now, in)
 	case r.state == leaving:
-		confirmed := peers.Confirmed || now.Sub(r.since) >= confirmTimeout+time.Duration(peers.Turn)*turnTime
-		if confirmed && r.fullFor(now, doubtAfter) {
+		inTurn := now.Sub(r.since) >= confirmTimeout && r.fullFor(now, doubtAfter+time.Duration(peers.Turn)*turnTime)
+		if inTurn || peers.Confirmed && r.fullFor(now, doubtAfter) {
 			r.unready = now
 			r.enter(now, doubt)
 		}
