--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -21,10 +21,11 @@
 // entryTicket is a request that waits for a place on the link.
 type entryTicket struct {
 	room.Request
-	team    string
-	rank    int           // 0 is the most urgent
-	startBy time.Time     // a later start does not serve the caller in time
-	started chan struct{} // closed at the start
+	team     string
+	rank     int           // 0 is the most urgent
+	startBy  time.Time     // a later start does not serve the caller in time
+	deadline time.Time     // of the caller
+	started  chan struct{} // closed at the start
 }
 
 // entryQueue orders the requests that wait for a place on the link.
@@ -83,8 +84,11 @@
 	if objective <= 0 {
 		objective = min(room.DefaultObjective, req.deadline.Sub(req.arrived))
 	}
-	t := &entryTicket{Request: room.Request{Bytes: headBytes + max(r.ContentLength, 0), Objective: objective}, team: req.team.Name, rank: req.route.Priority}
-	t.startBy = req.arrived.Add(t.StartBy())
+	t := &entryTicket{
+		Request: room.Request{Bytes: headBytes + max(r.ContentLength, 0), Objective: objective},
+		team:    req.team.Name, rank: req.route.Priority, deadline: req.deadline,
+	}
+	t.startBy = req.arrived.Add(t.LongestWait())
 	resource, wait, ok := g.room.enter(ctx, t)
 	if ok {
 		req.place = t.Bytes
