Count a link as full where it delays small calls beyond the bound

A link at 0.8 to 0.9 of its usable part makes answers late where bursts come, and its host stayed in rotation. The delay of new connections to targets counts from two thirds of the usable part. As it shows a burst sooner and longer, the host waits 2.25 s until it says that it is not ready.

--- a/internal/core/room/room.go
+++ b/internal/core/room/room.go
@@ -102,7 +102,9 @@
 	loads  [resourceCount]float64 // as a fraction of the threshold for Full
 	levels [resourceCount]Level   // with hysteresis
 	calls  calls
-	flow   struct{ in, out float64 } // bytes per second, averaged
+	// linkLoad is the part of loads[Link] that bytes make.
+	linkLoad float64
+	flow     struct{ in, out float64 } // bytes per second, averaged
 }
 
 // NewHost returns the state of a host. random returns a random time below its argument.
@@ -159,10 +161,11 @@
 	c.any = true
 }
 
-// fold adds the shortest call to the average. Longer ones may be due to others.
+// fold adds the shortest call to the average. Longer ones may be due to others. A short
+// call ends the delay at once.
 func (c *calls) fold() {
 	if c.any {
-		c.delay += (c.shortest - c.delay) / 2
+		c.delay = min((c.delay+c.shortest)/2, c.shortest)
 	}
 	c.recent, c.any = c.any, false
 }
@@ -174,8 +177,8 @@
 		h.last, h.lastAt = s, now
 		return
 	}
-	h.observeLoads(s, elapsed)
 	h.calls.fold()
+	h.observeLoads(s, elapsed)
 	for r := range h.loads {
 		h.levels[r] = nextLevel(h.levels[r], h.loads[r])
 	}
@@ -189,7 +192,12 @@
 	h.flow.in += weight * (perSecond(s.In, h.last.In) - h.flow.in)
 	h.flow.out += weight * (perSecond(s.Out+s.Refused, h.last.Out+h.last.Refused) - h.flow.out)
 	if h.limits.LinkBytesPerS > 0 {
-		h.setLoad(Link, max(h.flow.in, h.flow.out)/h.pace.bytesPerS())
+		h.linkLoad = min(max(h.flow.in, h.flow.out)/h.pace.bytesPerS(), maxLoad)
+		h.setLoad(Link, h.linkLoad)
+		if h.linkLoad >= hysteresis*busyPart {
+			// Bursts may delay small calls at a load that would do on average.
+			h.setLoad(Link, max(h.linkLoad, float64(h.calls.delay)/float64(h.bound)))
+		}
 	}
 	if h.limits.Processor > 0 {
 		late := min(float64(max(s.Lateness, 0))/float64(h.bound), maxLateness)
@@ -236,5 +244,5 @@
 func (h *Host) Flow() (in, out float64) { return h.flow.in, h.flow.out }
 
 func (h *Host) loadOfCallers() callerLoad {
-	return callerLoad{load: max(h.loads[Link], h.loads[Processor]), bytesPerS: max(h.flow.in, h.flow.out)}
+	return callerLoad{load: max(h.linkLoad, h.loads[Processor]), bytesPerS: max(h.flow.in, h.flow.out)}
 }
--- a/internal/core/room/rotation.go
+++ b/internal/core/room/rotation.go
@@ -10,9 +10,9 @@
 	// doubtAfter is how long the host must be full before it says that it is not ready. If
 	// it does not stay full until leaveAfter, it is ready again: the load balancer takes it
 	// out only after two checks in a row, which are one second apart. A burst of two
-	// seconds fills it for less than leaveAfter.
-	doubtAfter = 1500 * time.Millisecond
-	leaveAfter = 2500 * time.Millisecond
+	// seconds, and what has piled up by its end, fills it for three.
+	doubtAfter = 2250 * time.Millisecond
+	leaveAfter = 3250 * time.Millisecond
 	// confirmTimeout is how long the host waits to read back that others were told. A full
 	// link may keep it from reading anything. It then leaves unconfirmed, turnTime after
 	// the gateway whose turn is before its own. Until it leaves, ever more waits in front of
@@ -26,9 +26,9 @@
 	// checks, which are one second apart, and a margin.
 	noticeTime = 2500 * time.Millisecond
 	// minStay and maxStay bound how long the host stays out of rotation at least. A return
-	// after which the host is full again costs its callers leaveAfter and noticeTime, so
+	// after which the host is full again costs its callers doubtAfter and noticeTime, so
 	// minStay is ten times that. A host that is full again soon stays out twice as long.
-	minStay = 10 * (leaveAfter + noticeTime)
+	minStay = 50 * time.Second
 	maxStay = 10 * time.Minute
 	// returnLoad is the load below which there is lasting room, and returnAfter how long.
 	returnLoad  = 0.5
