--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -22,6 +22,7 @@
 type entryTicket struct {
 	room.Request
 	team     string
+	route    string
 	rank     int           // 0 is the most urgent
 	startBy  time.Time     // a later start does not serve the caller in time
 	deadline time.Time     // of the caller
@@ -86,7 +87,10 @@
 	}
 	t := &entryTicket{
 		Request: room.Request{Bytes: headBytes + max(r.ContentLength, 0), Objective: objective},
-		team:    req.team.Name, rank: req.route.Priority, deadline: req.deadline,
+		team:    req.team.Name, route: req.route.Name, rank: req.route.Priority, deadline: req.deadline,
+	}
+	if req.team.HasPriority {
+		t.rank = req.team.Priority
 	}
 	t.startBy = req.arrived.Add(t.LongestWait())
 	resource, wait, ok := g.room.enter(ctx, t)
