Count a connection that was given up as twice as slow

Requests with an objective of 1.2 s were held for 400 ms at a full link and then refused, because no connection shows a delay beyond its timeout of 400 ms.

--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -15,12 +16,16 @@
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/room"
 	"tarragonridge.example/tarragonridge/internal/netcount"
+	"tarragonridge.example/tarragonridge/internal/upstream"
 )
 
 const (
 	// roomSampleInterval is the time between two samples of the host's room.
 	roomSampleInterval = 200 * time.Millisecond
 	liveHeapMetric     = "/gc/heap/live:bytes"
+	// givenUpFactor is how much longer than until it was given up a new connection would
+	// have taken, as it counts.
+	givenUpFactor = 2
 )
 
 // hostRoom is the state and the measures of the gateway's host.
@@ -68,13 +73,16 @@
 	return &h.targets
 }
 
-// observeDial records how long a new connection to a target took, or until it was given
-// up. Targets answer without a process of theirs, so that the shortest of several tells
-// how long small calls wait for the link.
-func (h *hostRoom) observeDial(d time.Duration) {
-	if h == nil {
+// observeDial records how long a new connection to a target took, or until it failed.
+// Targets answer without a process of theirs, so that the shortest of several tells how
+// long small calls wait for the link.
+func (h *hostRoom) observeDial(d time.Duration, err error) {
+	if h == nil || errors.Is(err, context.Canceled) {
 		return
 	}
+	if upstream.IsTimeout(err) {
+		d *= givenUpFactor
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.host.ObserveCall(d)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -23,9 +23,9 @@
 	// connection counts as broken (TCP_USER_TIMEOUT); default 1500 ms.
 	UserTimeout time.Duration
 	Bytes       *netcount.Counter // of all connections; nil if they are not counted
-	// Dialed is called with the time after which a new connection was open, or was given
-	// up. nil if nobody wants to know.
-	Dialed func(time.Duration)
+	// Dialed is called with the time after which a new connection was open, or failed. nil
+	// if nobody wants to know.
+	Dialed func(time.Duration, error)
 }
 
 // idleMargin is how long before the target's keep-alive timeout an idle
@@ -145,7 +145,7 @@
 	began := time.Now()
 	netConn, err := p.dialer.DialContext(ctx, "tcp", req.Address)
 	if p.opt.Dialed != nil {
-		p.opt.Dialed(time.Since(began))
+		p.opt.Dialed(time.Since(began), err)
 	}
 	if err != nil {
 		p.mu.Lock()
