--- a/internal/core/room/room.go
+++ b/internal/core/room/room.go
@@ -62,7 +62,7 @@
 type Sample struct {
 	In, Out     int64         // bytes received and sent
 	Refused     int64         // bytes that would have been sent for requests that did not fit
-	Lateness    time.Duration // of the timer of this sample
+	Lateness    time.Duration // of the timer of this sample; negative if no timer has caused it
 	Heap        int64         // bytes
 	Descriptors int64
 	Accepted    int64 // connections from callers
@@ -199,8 +199,8 @@
 			h.setLoad(Link, max(h.linkLoad, float64(h.calls.delay)/float64(h.bound)))
 		}
 	}
-	if h.limits.Processor > 0 {
-		late := min(float64(max(s.Lateness, 0))/float64(h.bound), maxLateness)
+	if h.limits.Processor > 0 && s.Lateness >= 0 {
+		late := min(float64(s.Lateness)/float64(h.bound), maxLateness)
 		h.setLoad(Processor, h.loads[Processor]+weight*(late-h.loads[Processor]))
 	}
 	if h.limits.MemoryBytes > 0 {
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -93,6 +93,7 @@
 		t.rank = req.team.Priority
 	}
 	t.startBy = req.arrived.Add(t.LongestWait())
+	g.sampleRoomIfDue(time.Now())
 	resource, wait, ok := g.room.enter(ctx, t)
 	if ok {
 		req.place = t.Bytes
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -20,9 +20,14 @@
 )
 
 const (
-	// roomSampleInterval is the time between two samples of the host's room.
+	// roomSampleInterval is the time between two samples of the host's room while there is
+	// work. Requests take them. A timer does so as often while the host is not free, and
+	// every idleSampleInterval otherwise, because each time costs a wake-up.
 	roomSampleInterval = 200 * time.Millisecond
-	liveHeapMetric     = "/gc/heap/live:bytes"
+	idleSampleInterval = time.Second
+	// notMeasured is the lateness of a sample that no timer has caused.
+	notMeasured    = time.Duration(-1)
+	liveHeapMetric = "/gc/heap/live:bytes"
 	// givenUpFactor is how much longer than until it was given up a new connection would
 	// have taken, as it counts.
 	givenUpFactor = 2
@@ -39,6 +44,7 @@
 
 	mu       sync.Mutex
 	host     *room.Host
+	sampleAt time.Time // when the next sample is due
 	waiting  entryQueue
 	wake     *time.Timer // starts the next of waiting; nil before the first has waited
 	sent     struct{ callers, targets int64 }
@@ -139,27 +145,46 @@
 	if g.room == nil {
 		return
 	}
-	timer := time.NewTimer(roomSampleInterval)
+	interval := idleSampleInterval
+	timer := time.NewTimer(interval)
 	defer timer.Stop()
-	for due := time.Now().Add(roomSampleInterval); ; {
+	for due := time.Now().Add(interval); ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 		}
 		now := time.Now()
-		g.sampleRoom(now, now.Sub(due))
-		due = now.Add(roomSampleInterval)
-		timer.Reset(roomSampleInterval)
+		interval = idleSampleInterval
+		if g.sampleRoom(now, now.Sub(due)) {
+			interval = roomSampleInterval
+		}
+		due = now.Add(interval)
+		timer.Reset(interval)
+	}
+}
+
+// sampleRoomIfDue takes a sample if none was taken for roomSampleInterval.
+func (g *Gateway) sampleRoomIfDue(now time.Time) {
+	g.room.mu.Lock()
+	due := !now.Before(g.room.sampleAt)
+	if due {
+		g.room.sampleAt = now.Add(roomSampleInterval)
+	}
+	g.room.mu.Unlock()
+	if due {
+		g.sampleRoom(now, notMeasured)
 	}
 }
 
-// sampleRoom takes a sample and logs and publishes what changes by it.
-func (g *Gateway) sampleRoom(now time.Time, lateness time.Duration) {
+// sampleRoom takes a sample and logs and publishes what changes by it. It reports whether
+// a timer is to take the next one soon.
+func (g *Gateway) sampleRoom(now time.Time, lateness time.Duration) (soon bool) {
 	h, conns := g.room, g.pool.Conns()
 	peers := g.roomPeers(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.sampleAt = now.Add(roomSampleInterval)
 	if config := g.config.Load(); config != nil && config != h.config {
 		h.config = config
 		h.host.SetObjective(shortestObjective(config))
@@ -174,7 +199,7 @@
 		if level := h.host.LevelOf(r); level != before[i] && max(level, before[i]) == room.Full {
 			in, out := h.host.Flow()
 			g.opt.Logger.Info("room of the host", "resource", r, "level", level, "load", h.host.Load(r),
-				"in_bytes_per_s", int64(in), "out_bytes_per_s", int64(out), "call_ms", h.host.CallDelay().Milliseconds(), "late_ms", lateness.Milliseconds(), "bound_ms", h.host.Bound().Milliseconds())
+				"in_bytes_per_s", int64(in), "out_bytes_per_s", int64(out), "call_ms", h.host.CallDelay().Milliseconds(), "late_ms", max(lateness, 0).Milliseconds(), "bound_ms", h.host.Bound().Milliseconds())
 		}
 	}
 	if h.host.NeedsCall() {
@@ -192,6 +217,7 @@
 	case !announced && wasAnnounced:
 		g.publications.add(fleet.RoomKey(g.opt.Host), nil)
 	}
+	return announced || h.host.Level() != room.Free
 }
 
 // probeLink opens a connection to some engine, for observeDial. It is kept for the next
