--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -28,6 +28,8 @@
 type RouterRow struct {
 	Incarnation string `json:"incarnation"`
 	Renewal     int64  `json:"renewal"` // number of the renewal, from 1
+	// FailureDomain of the router; empty in rows of versions that do not tell it.
+	FailureDomain string `json:"failure_domain,omitempty"`
 }
 
 // Limit is the value of the row of a target that names a request limit.
@@ -97,6 +99,8 @@
 	limits    map[string]Limit     // by target
 	draining  map[string]Draining  // by target
 	cold      map[string]coldTarget
+	domains   map[string]string    // failure domains of routers, by host
+	rooms     map[string]roomState // routers out of rotation, by host
 	// countFrom is the time from which missing renewals count: when the state became
 	// active, or the renewals of this router were seen again after an interruption.
 	countFrom time.Time
@@ -112,6 +116,7 @@
 // NewState returns the state of the router on a host before it has read any rows.
 func NewState(host string) *State {
 	return &State{self: host, renewedAt: map[string]time.Time{}, limits: map[string]Limit{}, draining: map[string]Draining{}, cold: map[string]coldTarget{},
+		domains: map[string]string{}, rooms: map[string]roomState{},
 		versions: map[ServiceVersion]bool{}, unusedVersions: map[ServiceVersion]time.Time{}, unusedLimits: map[string]time.Time{},
 		unusedDraining: map[string]time.Time{}}
 }
@@ -127,6 +132,7 @@
 		clear(s.draining)
 		clear(s.cold)
 		clear(s.versions)
+		clear(s.rooms)
 		present := map[string]bool{}
 		for _, row := range c.Rows {
 			present[row.Key] = true
@@ -148,7 +154,9 @@
 	for _, key := range c.Removed {
 		if host, ok := strings.CutPrefix(key, routerPrefix); ok {
 			delete(s.renewedAt, host)
+			delete(s.domains, host)
 		}
+		s.removeRoom(key)
 		if target, ok := strings.CutPrefix(key, limitPrefix); ok {
 			delete(s.limits, target)
 		}
@@ -196,6 +204,14 @@
 			s.countFrom = now
 		}
 		s.renewedAt[host] = now
+		var router RouterRow
+		if err := json.Unmarshal(row.Value, &router); err != nil {
+			return err
+		}
+		s.domains[host] = router.FailureDomain
+	}
+	if err := s.applyRoom(now, row); err != nil {
+		return err
 	}
 	if target, ok := strings.CutPrefix(row.Key, limitPrefix); ok {
 		var limit Limit
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -109,7 +109,7 @@
 }
 
 func (g *Gateway) publishRenewal(renewal int64) {
-	value, err := json.Marshal(fleet.RouterRow{Incarnation: g.opt.Incarnation, Renewal: renewal})
+	value, err := json.Marshal(fleet.RouterRow{Incarnation: g.opt.Incarnation, Renewal: renewal, FailureDomain: g.opt.FailureDomain})
 	if err != nil {
 		g.opt.Logger.Error("failed to encode the row of this gateway", "err", err)
 		return
@@ -140,6 +140,9 @@
 		for _, target := range g.fleet.ExpiredCold(now) {
 			g.publications.add(fleet.ColdKey(target), nil)
 		}
+		for _, host := range g.fleet.ExpiredRooms(now) {
+			g.publications.add(fleet.RoomKey(host), nil)
+		}
 		for _, v := range g.fleet.ExpiredVersions(now, g.targetView.HasVersion, g.streamRetention()) {
 			g.publications.add(v.Key(), nil)
 		}
@@ -194,7 +197,8 @@
 	}
 }
 
-// LeaveFleet removes this gateway's row, so that the others use its shares of limits.
+// LeaveFleet removes this gateway's row, so that the others use its shares of limits. It
+// leaves the row that says that the gateway is out of rotation to its next process.
 func (g *Gateway) LeaveFleet(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, fleetWriteTimeout)
 	defer cancel()
@@ -209,6 +213,9 @@
 		changes, next, err := feed.Fleet(ctx, after, longPollWait)
 		if err == nil {
 			g.applyFleet(changes)
+			if changes.Complete {
+				g.resumeRoom(time.Now())
+			}
 		}
 		return next, err
 	})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -17,6 +17,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/explain"
+	"tarragonridge.example/tarragonridge/internal/netcount"
 	"tarragonridge.example/tarragonridge/internal/placement"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
 )
@@ -55,6 +56,9 @@
 	latestAt    time.Time     // of the events that were sent to the caller
 	longestGap  time.Duration // between two of them
 
+	conn  *netcount.Conn // of the caller; nil if its bytes are not counted
+	place int64          // bytes of the place on the host's link; 0 if there is none
+
 	status int            // of the answer to the caller; 0 if no head was sent
 	err    *errkind.Error // why the request was not served; nil if it was
 }
@@ -75,6 +79,7 @@
 	defer g.inProgress.Add(-1)
 	req := &request{arrived: time.Now(), lastEvent: -1, ran: errkind.RanNo}
 	req.deadline = req.arrived.Add(defaultDeadline)
+	req.conn, _ = r.Context().Value(callerConnKey{}).(*netcount.Conn)
 	defer func() { g.finishRequest(req) }()
 	if err := g.prepare(w, r, req); err != nil {
 		if errors.Is(err, errCallerGone) {
@@ -138,6 +143,9 @@
 	if g.cannotFinish(req.route, req.arrived) {
 		return errkind.New(errkind.Stopping, "taken on a kept connection")
 	}
+	if err := g.enterHost(r.Context(), w, r, req); err != nil {
+		return err
+	}
 	if req.body, err = readBody(w, r, config.Limits.MaxBodyBytes); err != nil {
 		return err
 	}
@@ -250,6 +258,7 @@
 // finishRequest counts the end of a request, and logs it if the request was not
 // served in time. Others are not logged individually.
 func (g *Gateway) finishRequest(req *request) {
+	g.leaveHost(req)
 	g.opt.Metrics.observeRequest(req)
 	if req.err == nil {
 		g.logLateAnswer(req)
