Choose engines and services by the time that they need

Engines of one service differ in speed by more than two and run into noise; the choice compared the tokens that wait. The relay beside an engine now learns what the engine needs from begin, first event and end, and answers expected times; the gateway compares these, asks further engines if the first ones would be late, and moves an overdue first event while another engine can still bring it in time. Services without relays are chosen by the times of this gateway's own answers.

--- a/internal/core/placement/load_test.go
+++ b/internal/core/placement/load_test.go
@@ -21,10 +21,12 @@
 	simPerSecond   = 9.5 // prompts for each engine
 	simClump       = 3   // prompts that arrive together
 	simTokensPerMS = 40.8
+	simStartTokens = 400 // what an engine needs for a first event besides reading, as tokens
 	simMemory      = 355_000
 	simSubjects    = 12                   // shared beginnings for each engine and kind
 	simLinkDelay   = 3 * time.Millisecond // of a question and its answer, and of a message
 	simSeconds     = 20
+	simNoiseTime   = 600 * time.Millisecond // after which it is drawn anew which engines run into noise
 	// simPause is the longest pause of a stream that callers accept. While that much is
 	// waiting to be read, each stream of the engine pauses for longer.
 	simPause = 600 * time.Millisecond
@@ -32,6 +34,7 @@
 
 // simEngine reads prompts one after another.
 type simEngine struct {
+	speed     func(time.Duration) float64 // relative to simTokensPerMS
 	busyUntil time.Duration
 	queue     *Queue // what the relay beside it knows
 	held      *Queue // what it holds in memory
@@ -45,6 +48,7 @@
 	ids     []string
 	random  *rand.Rand
 	chooser *route.Chooser
+	known   Known      // of all routers
 	events  []simEvent // messages under way, in the order of their time
 }
 
@@ -57,7 +61,7 @@
 type choosePolicy func(s *simulation, now time.Duration, router int, p Prompt) int
 
 func (s *simulation) ranked(p Prompt) []int {
-	return route.Ranked(p.Parts[len(p.Parts)-1].Hash, s.ids, Candidates)
+	return route.Ranked(p.Parts[len(p.Parts)-1].Hash, s.ids, 2*Candidates)
 }
 
 // Baselines by name, and the policy under test.
@@ -76,20 +80,30 @@
 		}
 		return s.chooser.Choose(route.Query{}, route.Settings{Choice: policy.LeastLoad}, candidates)
 	},
+	"tokens that wait": func(s *simulation, now time.Duration, _ int, p Prompt) int {
+		ranked, loads := s.loads(now, p)
+		for _, l := range loads {
+			l.Wait, l.Pace = 0, Pace{}
+		}
+		return ranked[Choose(Request{Prompt: p}, loads[:Candidates])]
+	},
 	"placement": func(s *simulation, now time.Duration, _ int, p Prompt) int {
-		ranked := s.ranked(p)
-		loads := make([]*Load, len(ranked))
-		for i, engine := range ranked {
-			load := s.engines[engine].queue.Load(start.Add(now), p)
-			loads[i] = &load
+		ranked, loads := s.loads(now, p)
+		for i, l := range loads {
+			s.known.Add(start.Add(now), s.ids[ranked[i]], l.Pace)
+		}
+		r := Request{Prompt: p, Usual: s.known.Median(start.Add(now)), Objective: simPause}
+		i := Choose(r, loads[:Candidates])
+		if r.Late(loads[i]) {
+			i = r.Wider(loads, i)
 		}
-		return ranked[Choose(p, 0, loads)]
+		return ranked[i]
 	},
 	"oracle": func(s *simulation, now time.Duration, _ int, p Prompt) int {
 		best, bestEnd := 0, time.Duration(0)
 		for i, e := range s.engines {
 			uncached := p.Tokens - e.held.Load(start.Add(now), p).CachedTokens
-			end := max(e.busyUntil, now) + 2*readTime(uncached)
+			end := e.readAt(now, 2*uncached+simStartTokens)
 			if i == 0 || end < bestEnd {
 				best, bestEnd = i, end
 			}
@@ -98,8 +112,29 @@
 	},
 }
 
-func readTime(tokens int64) time.Duration {
-	return time.Duration(float64(tokens) / simTokensPerMS * float64(time.Millisecond))
+// loads returns the engines with most affinity and what their relays tell.
+func (s *simulation) loads(now time.Duration, p Prompt) (ranked []int, loads []*Load) {
+	ranked = s.ranked(p)
+	for _, engine := range ranked {
+		load := s.engines[engine].queue.Load(start.Add(now), p)
+		loads = append(loads, &load)
+	}
+	return ranked, loads
+}
+
+// readAt returns when the engine will have read a prompt that arrives now. Its speed
+// changes at multiples of simNoiseTime only.
+func (e *simEngine) readAt(now time.Duration, tokens int64) time.Duration {
+	at, left := max(e.busyUntil, now), float64(tokens)
+	for {
+		speed := simTokensPerMS * e.speed(at) / float64(time.Millisecond)
+		change := (at/simNoiseTime + 1) * simNoiseTime
+		if readable := speed * float64(change-at); readable < left {
+			at, left = change, left-readable
+			continue
+		}
+		return at + time.Duration(left/speed)
+	}
 }
 
 // randomPrompt returns a prompt of one of the kinds of the site.
@@ -122,12 +157,17 @@
 	return p
 }
 
-// play plays the load with a number of routers. delayed is the fraction of prompts that
+// even are engines that are equally fast.
+func even(*rand.Rand, int) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return 1 }
+}
+
+// play plays the load with a number of routers before engines of some speeds. delayed is the fraction of prompts that
 // wait longer than simPause, reread that of the tokens which an engine reads again.
-func play(routers int, choose choosePolicy) (delayed, reread float64) {
+func play(routers int, speeds func(r *rand.Rand, engine int) func(time.Duration) float64, choose choosePolicy) (delayed, reread float64) {
 	s := &simulation{random: rand.New(rand.NewPCG(1, 1)), chooser: route.NewChooser(1)}
 	for i := range simEngines {
-		e := &simEngine{queue: NewQueue(), held: NewQueue(), inFlight: make([]int, routers)}
+		e := &simEngine{speed: speeds(s.random, i), queue: NewQueue(), held: NewQueue(), inFlight: make([]int, routers)}
 		e.queue.SetMemory(simMemory)
 		e.held.SetMemory(2 * simMemory) // all of it
 		s.engines, s.ids = append(s.engines, e), append(s.ids, "engine"+strconv.Itoa(i))
@@ -155,13 +195,13 @@
 			seen[part.Hash] = true
 		}
 		e.held.Begin(start.Add(now), id, p)
-		e.held.End(id)
-		e.busyUntil = max(e.busyUntil, now) + readTime(uncached)
+		e.held.End(id, 0, 0)
+		e.busyUntil = e.readAt(now, uncached+simStartTokens)
 		first := e.busyUntil
 		e.inFlight[router]++
 		s.after(now+simLinkDelay, func() { e.queue.Begin(start.Add(now), id, p) })
-		s.after(first+simLinkDelay, func() { e.queue.FirstEvent(id) })
-		s.after(first+500*time.Millisecond, func() { e.queue.End(id); e.inFlight[router]-- })
+		s.after(first+simLinkDelay, func() { e.queue.FirstEvent(start.Add(first), id) })
+		s.after(first+500*time.Millisecond, func() { e.queue.End(id, 0, 0); e.inFlight[router]-- })
 		prompts++
 		tokens += p.Tokens
 		if first-now > simPause {
@@ -189,7 +229,7 @@
 func TestPromptsDoNotQueueBehindEachOther(t *testing.T) {
 	for _, routers := range []int{3, 23, 103, 300} {
 		for name, choose := range choosePolicies {
-			delayed, reread := play(routers, choose)
+			delayed, reread := play(routers, even, choose)
 			t.Logf("%3d routers, %s: %.4f delayed, %.3f read again", routers, name, delayed, reread)
 			if name == "placement" {
 				assert.Assert(t, delayed <= 0.01, "%d routers: %.4f of the prompts are delayed", routers, delayed)
@@ -198,3 +238,83 @@
 		}
 	}
 }
+
+// uneven are engines a quarter of which is slow, and a seventh of which runs into noise.
+func uneven(r *rand.Rand, engine int) func(time.Duration) float64 {
+	speed, seed := []float64{0.55, 1.2, 1.2, 1.2}[engine%4], r.Uint64()
+	return func(at time.Duration) float64 {
+		if rand.New(rand.NewPCG(seed, uint64(at/simNoiseTime))).Float64() < 0.15 {
+			return speed / 2.5
+		}
+		return speed
+	}
+}
+
+// Guards against prompts that wait at a slow engine, or at one that runs into noise, while
+// a fast one could read them, and against ones that leave theirs without need.
+func TestPromptsGoToEnginesThatReadThemSoon(t *testing.T) {
+	for _, routers := range []int{3, 23, 103} {
+		delays, rereads := map[string]float64{}, map[string]float64{}
+		for name, choose := range choosePolicies {
+			delays[name], rereads[name] = play(routers, uneven, choose)
+			t.Logf("%3d routers, %s: %.4f delayed, %.3f read again", routers, name, delays[name], rereads[name])
+		}
+		assert.Assert(t, delays["placement"] <= 0.01 && delays["placement"] < delays["tokens that wait"], "%d routers: %v", routers, delays)
+		assert.Assert(t, rereads["placement"] <= 0.05, "%d routers: %v", routers, rereads)
+	}
+}
+
+// Guards against prompts that keep going to an engine which has turned slow, and against an
+// engine that gets nothing any more after it was slow.
+func TestEngineThatTurnsSlowAndRecovers(t *testing.T) {
+	const slowFrom, slowUntil, simEnd = 6 * time.Second, 12 * time.Second, simSeconds * time.Second
+	speeds := func(_ *rand.Rand, engine int) func(time.Duration) float64 {
+		return func(at time.Duration) float64 {
+			if engine == 0 && at >= slowFrom && at < slowUntil {
+				return 0.2
+			}
+			return 1
+		}
+	}
+	var placed, ofAll [simSeconds]float64 // prompts at the engine and at all, by second
+	count := func(s *simulation, now time.Duration, router int, p Prompt) int {
+		engine := choosePolicies["placement"](s, now, router, p)
+		if now < simEnd {
+			ofAll[now/time.Second]++
+			if engine == 0 {
+				placed[now/time.Second]++
+			}
+		}
+		return engine
+	}
+	delayed, _ := play(23, speeds, count)
+	share := func(from, to int) (share float64) {
+		var n, all float64
+		for i := from; i < to; i++ {
+			n, all = n+placed[i], all+ofAll[i]
+		}
+		return n / all * simEngines
+	}
+	before, slow, after := share(2, 6), share(7, 12), share(14, 20)
+	t.Logf("share of an even one: %.2f before, %.2f while it is slow, %.2f after; %.4f delayed", before, slow, after, delayed)
+	assert.Assert(t, slow <= 0.4 && after >= 0.75*before && delayed <= 0.01)
+}
+
+// Guards against a choice by times of which some are lost: all relays start again.
+func TestEstimatesOfARestartedRelayAreLost(t *testing.T) {
+	restarted := false
+	delayed, _ := play(23, uneven, func(s *simulation, now time.Duration, router int, p Prompt) int {
+		if !restarted && now > simSeconds*time.Second/2 {
+			restarted = true
+			for i, e := range s.engines {
+				if i%2 == 0 {
+					e.queue = NewQueue()
+					e.queue.SetMemory(simMemory)
+				}
+			}
+		}
+		return choosePolicies["placement"](s, now, router, p)
+	})
+	t.Logf("%.4f delayed", delayed)
+	assert.Assert(t, restarted && delayed <= 0.01)
+}
--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -16,6 +16,7 @@
 type Prompt struct {
 	Tokens int64  // of the whole prompt
 	Parts  []Part // shared parts, in order
+	Output int64  // the most tokens that its answer may have; 0 if unknown
 }
 
 // Part is a shared part of a prompt.
@@ -26,9 +27,13 @@
 
 // Load is what an engine has to do, as seen by a request with a certain prompt.
 type Load struct {
-	WaitingTokens int64 // of prompts that it has to read first
-	CachedTokens  int64 // of the request's own prompt that it is likely to hold in memory
-	Running       int   // requests of all routers
+	WaitingTokens int64         // of prompts that it has to read first
+	CachedTokens  int64         // of the request's own prompt that it is likely to hold in memory
+	Running       int           // requests of all routers
+	HeldTokens    int64         // of memory that running requests need
+	MemoryTokens  int64         // of the engine; 0 if unknown
+	Wait          time.Duration // until the prompts that wait are read; 0 also if unknown
+	Pace          Pace
 }
 
 const (
@@ -50,7 +55,11 @@
 	requests map[uint64]*list.Element // of entries, by request
 	order    *list.List               // of entries, in the order in which they began
 	waiting  int64                    // tokens
+	prompts  int                      // that wait
+	held     int64                    // tokens of memory
+	meter    paceMeter
 
+	memory   int64 // tokens
 	capacity int64 // tokens of shared parts that the engine is taken to hold
 	cached   int64
 	parts    map[uint64]*list.Element // of cachedPart, by hash
@@ -60,7 +69,9 @@
 type entry struct {
 	id      uint64
 	began   time.Time
+	waits   bool  // its first event is not there yet
 	waiting int64 // uncached tokens of its prompt; 0 once its first event is there
+	held    int64 // tokens of memory that it needs by itself
 }
 
 type cachedPart struct {
@@ -70,17 +81,39 @@
 
 // NewQueue returns the queue of an engine.
 func NewQueue() *Queue {
-	return &Queue{requests: map[uint64]*list.Element{}, order: list.New(), parts: map[uint64]*list.Element{}, recency: list.New()}
+	return &Queue{requests: map[uint64]*list.Element{}, order: list.New(), parts: map[uint64]*list.Element{}, recency: list.New(), meter: newPaceMeter()}
 }
 
 // SetMemory sets the memory of the engine in tokens. Until then it is taken to hold no
 // shared parts.
-func (q *Queue) SetMemory(tokens int64) { q.capacity = tokens / cacheDivisor }
+func (q *Queue) SetMemory(tokens int64) { q.memory, q.capacity = tokens, tokens/cacheDivisor }
 
 // Load returns the engine's load as seen by a request.
 func (q *Queue) Load(now time.Time, p Prompt) Load {
 	q.expire(now)
-	return Load{WaitingTokens: q.waiting, CachedTokens: q.cachedTokens(p), Running: len(q.requests)}
+	l := Load{
+		WaitingTokens: q.waiting, CachedTokens: q.cachedTokens(p), Running: len(q.requests),
+		HeldTokens: q.held, MemoryTokens: q.memory, Pace: q.meter.pace(now),
+	}
+	l.Wait = q.wait(now, l.Pace)
+	return l
+}
+
+// wait returns the time until the engine has read what waits. It is reading the oldest
+// prompt: what that has taken so far is over, or, if the prompt is overdue, it is taken to
+// need as much again.
+func (q *Queue) wait(now time.Time, p Pace) time.Duration {
+	if q.prompts == 0 || p.Read == 0 {
+		return 0
+	}
+	wait := p.readTime(float64(q.waiting) + promptOverhead*float64(q.prompts))
+	for at := q.order.Front(); at != nil; at = at.Next() {
+		if e := at.Value.(*entry); e.waits {
+			needs, progress := p.readTime(work(e.waiting)), q.meter.progress(now)
+			return wait - min(progress, needs) + max(progress-needs, 0)
+		}
+	}
+	return wait
 }
 
 // Begin counts a request that a router sends to the engine.
@@ -89,34 +122,58 @@
 	if q.requests[id] != nil || len(q.requests) >= maxRequests {
 		return
 	}
-	e := &entry{id: id, began: now, waiting: max(p.Tokens-q.cachedTokens(p), 0)}
+	e := &entry{id: id, began: now, waits: true, waiting: max(p.Tokens-q.cachedTokens(p), 0)}
+	e.held = e.waiting + p.Output
 	q.requests[id] = q.order.PushBack(e)
 	q.waiting += e.waiting
+	q.held += e.held
+	q.prompts++
+	q.meter.begin(now)
 	q.use(p)
 }
 
 // FirstEvent records that the engine has read the prompt of a request.
-func (q *Queue) FirstEvent(id uint64) {
-	if at := q.requests[id]; at != nil {
-		q.stopWaiting(at.Value.(*entry))
+func (q *Queue) FirstEvent(now time.Time, id uint64) {
+	at := q.requests[id]
+	if at == nil || !at.Value.(*entry).waits {
+		return
 	}
+	e := at.Value.(*entry)
+	done := work(e.waiting)
+	q.stopWaiting(e)
+	q.meter.read(now, done, q.prompts == 0)
 }
 
-// End records that a request has ended.
-func (q *Queue) End(id uint64) {
+// End records that a request has ended, with a number of events and the longest pause
+// between two of them.
+func (q *Queue) End(id uint64, events int64, longestPause time.Duration) {
 	if at := q.requests[id]; at != nil {
+		q.meter.end(events, longestPause)
 		q.remove(at)
 	}
 }
 
 func (q *Queue) stopWaiting(e *entry) {
+	if !e.waits {
+		return
+	}
 	q.waiting -= e.waiting
-	e.waiting = 0
+	q.prompts--
+	e.waits, e.waiting = false, 0
+}
+
+// dropPrompt ends the wait for a first event that does not come.
+func (q *Queue) dropPrompt(e *entry) {
+	if e.waits {
+		q.stopWaiting(e)
+		q.meter.drop(q.prompts == 0)
+	}
 }
 
 func (q *Queue) remove(at *list.Element) {
 	e := q.order.Remove(at).(*entry)
-	q.stopWaiting(e)
+	q.dropPrompt(e)
+	q.held -= e.held
 	delete(q.requests, e.id)
 }
 
@@ -128,7 +185,7 @@
 		case age >= maxRun:
 			q.remove(at)
 		case age >= maxPromptWait:
-			q.stopWaiting(e)
+			q.dropPrompt(e)
 		default:
 			return
 		}
--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -6,11 +6,13 @@
 import (
 	"iter"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/policy"
+	"tarragonridge.example/tarragonridge/internal/core/robust"
 	"tarragonridge.example/tarragonridge/internal/core/route"
 )
 
@@ -38,6 +40,7 @@
 	InFlight int // requests of this router at the target
 
 	limit               requestLimit
+	pace                pace
 	backpressure        *backpressure // of this start of the target
 	consecutiveFailures int
 	avoidedSince        time.Time
@@ -51,6 +54,8 @@
 	byService    map[string][]*Target
 	byID         map[string]*Target
 	chooser      *route.Chooser
+	random       *rand.Rand
+	usualTimes   map[string]*robust.Mean      // seconds of an answer, by route
 	versions     map[fleet.ServiceVersion]int // number of targets
 	share        fleet.ShareFunc              // of limits; nil for no share
 	returns      map[string]*returnTimes      // of refused callers, by service
@@ -60,7 +65,7 @@
 // NewView returns an empty view. seed initializes the random choice between equal
 // targets.
 func NewView(seed uint64) *View {
-	return &View{byService: map[string][]*Target{}, byID: map[string]*Target{}, chooser: route.NewChooser(seed), versions: map[fleet.ServiceVersion]int{}, returns: map[string]*returnTimes{}, backpressure: map[string]*backpressure{}}
+	return &View{byService: map[string][]*Target{}, byID: map[string]*Target{}, chooser: route.NewChooser(seed), random: rand.New(rand.NewPCG(seed, 1)), usualTimes: map[string]*robust.Mean{}, versions: map[fleet.ServiceVersion]int{}, returns: map[string]*returnTimes{}, backpressure: map[string]*backpressure{}}
 }
 
 // Put adds or replaces a registration. A target that has started again under the
@@ -74,14 +79,14 @@
 		t = nil
 	}
 	if t == nil {
-		t = &Target{Registration: r, limit: noLimit}
+		t = &Target{Registration: r, limit: noLimit, pace: newPace()}
 		v.byID[r.ID] = t
 		v.byService[r.Service] = append(v.byService[r.Service], t)
 		v.countVersion(t.ServiceVersion(), 1)
 	}
 	if t.StartedMS != r.StartedMS {
 		t.consecutiveFailures, t.avoidedUntil, t.probing = 0, time.Time{}, false
-		t.limit = noLimit
+		t.limit, t.pace = noLimit, newPace()
 	}
 	// The other fields do not change: requests read them without the caller's lock.
 	t.FailureDomain, t.Draining, t.Slots, t.StartedMS = r.FailureDomain, r.Draining, r.Slots, r.StartedMS
@@ -217,14 +222,16 @@
 	if len(preferred) == 0 {
 		return nil
 	}
+	if q.PrefixHash == 0 {
+		t := v.soonest(now, preferred)
+		t.beginProbe(now)
+		return t
+	}
 	candidates := make([]route.Candidate, len(preferred))
 	for i, t := range preferred {
 		candidates[i] = route.Candidate{Target: t.ID, InFlight: t.InFlight}
 	}
-	settings := route.Settings{Choice: policy.LeastLoad, AffinityLoadBound: AffinityLoadBound, AffinitySlack: AffinitySlack}
-	if q.PrefixHash != 0 {
-		settings.Choice = policy.Affinity
-	}
+	settings := route.Settings{Choice: policy.Affinity, AffinityLoadBound: AffinityLoadBound, AffinitySlack: AffinitySlack}
 	index := v.chooser.Choose(route.Query{PrefixHash: q.PrefixHash}, settings, candidates)
 	if index < 0 {
 		return nil
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -83,7 +83,7 @@
 				return g.finalError(req, errkind.Wrap(cause, errkind.Overloaded, "targets are full"))
 			}
 		case outcomeBroken:
-			if !req.canContinue() || req.runs >= req.route.MaxAttempts || !g.takeRetry(req) {
+			if !req.canContinue() || req.runs >= req.route.MaxAttempts || !(req.hurry.takeRetry() || g.takeRetry(req)) {
 				return g.finalError(req, errkind.Wrap(cause, errkind.OutcomeUnknown, "target gave no whole answer"))
 			}
 		}
@@ -173,6 +173,7 @@
 	defer g.mu.Unlock()
 	t := placed
 	if t == nil || !g.targetView.Take(now, t, q) {
+		req.expected = expectation{}
 		t = g.targetView.Choose(now, q)
 	}
 	if t != nil {
@@ -193,9 +194,10 @@
 // connections. But a rejection by another target that now uses the address counts as a
 // failure.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request, t *targets.Target) (outcome, error) {
+	sentBefore := req.eventsSent
 	req.placed = g.beginPlacement(req, t)
 	result, cause := g.exchange(ctx, w, r, req, t)
-	req.placed.End()
+	req.placed.End(req.eventsSent-sentBefore, req.longestGap)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.EndRequest()
@@ -206,6 +208,7 @@
 	switch {
 	case result == outcomeServed:
 		t.RecordSuccess()
+		g.recordAnswerTime(req, t)
 	case errors.Is(cause, upstream.ErrConnLimit), errors.Is(cause, errDeclined), errors.Is(cause, errQuarantined), result == outcomeAbandoned, errors.Is(cause, errFailedAnswer):
 		t.RecordInconclusive()
 	case result == outcomeRejected && !errors.Is(cause, errTargetReplaced):
@@ -222,6 +225,14 @@
 	return result, cause
 }
 
+// recordAnswerTime records how long a target that is not an engine took to answer. An
+// answer that says that the target failed tells nothing. g.mu is held.
+func (g *Gateway) recordAnswerTime(req *request, t *targets.Target) {
+	if req.service.Slots == 0 && req.status < http.StatusInternalServerError {
+		g.targetView.RecordAnswer(time.Now(), t, req.route.Name, req.answeredIn)
+	}
+}
+
 // maxTargetConns returns the number of connections that this router may open to a
 // target: its share of the service's limit, at least 2, or 0 if there is no limit.
 func (g *Gateway) maxTargetConns(service httproute.Service) int {
@@ -239,7 +250,9 @@
 	if err != nil {
 		return outcomeAbandoned, err
 	}
-	answer, err := g.pool.Do(ctx, &upstream.Request{
+	attemptCtx := g.hurryAttempt(ctx, req, now)
+	defer req.hurry.end()
+	answer, err := g.pool.Do(attemptCtx, &upstream.Request{
 		Address: t.Address, Method: r.Method, Head: head, Body: req.body,
 		ResponseHeaderDeadline: earlier(req.deadline, req.answerBy(now)), MaxConns: g.maxTargetConns(req.service),
 		Matches: func(resp *http.Response) bool {
@@ -256,6 +269,7 @@
 		return g.classifyFailure(ctx, req, err)
 	}
 	defer answer.Close()
+	req.answeredIn = time.Since(now)
 	g.hearLimit(t, answer.StatusCode, info)
 	if info.NotRun {
 		drainBody(answer)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,8 @@
 	crashes        prometheus.Counter
 	crashReports   *prometheus.CounterVec
 	continued      *prometheus.CounterVec
+	widened        prometheus.Counter
+	hurried        *prometheus.CounterVec
 	duration       prometheus.Histogram
 	configVersion  prometheus.Gauge
 }
@@ -61,6 +63,14 @@
 			Name: "tarragonridge_http_continued_streams_total",
 			Help: "Streams that continue at another target, by how the version that began them is known, and whether the target has it.",
 		}, []string{"origin", "version"}),
+		widened: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tarragonridge_placement_widened_total",
+			Help: "Prompts for which further engines were asked, because they were likely to be late at the first ones.",
+		}),
+		hurried: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tarragonridge_http_overdue_first_events_total",
+			Help: "Attempts whose first event was overdue at their engine while another one could still bring it in time, by result: moved there, or no_retry, for which the retry budget had no room.",
+		}, []string{"result"}),
 		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "tarragonridge_http_request_seconds", Help: "Time from a request to the end of its answer.",
 			Buckets: []float64{.02, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4, 12.8},
@@ -69,7 +79,7 @@
 			Name: "tarragonridge_http_config_version", Help: "Version of the routes in force here.",
 		}),
 	}
-	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.crashes, m.crashReports, m.continued, m.duration, m.configVersion, collectors.NewGoCollector())
+	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.crashes, m.crashReports, m.continued, m.widened, m.hurried, m.duration, m.configVersion, collectors.NewGoCollector())
 	return m
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -47,7 +47,10 @@
 	origin      streamOrigin
 	sentFrom    *targets.Target    // whose events were sent last
 	placed      *placement.Request // the attempt in progress, at the relay of its engine
+	expected    expectation        // of the attempt in progress
+	hurry       *hurry             // likewise
 	targetStart int64              // of the attempt in progress: start of its target, Unix milliseconds
+	answeredIn  time.Duration      // from the start of the attempt in progress to the head of its answer
 	lastEvent   int64              // ID of the last event that the caller has; -1 if none
 	eventsSent  int64              // events that were sent to the caller
 	firstAt     time.Time
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -202,6 +202,7 @@
 	req.eventsSent += newEvents
 	if newEvents > 0 {
 		req.placed.FirstEvent()
+		req.hurry.stop()
 		g.recordEvents(req)
 	}
 	req.recordSent(time.Now())
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -32,6 +32,7 @@
 	mu      sync.Mutex
 	waiting map[uint64]*query // by id
 	silent  map[netip.Addr]silence
+	known   placement.Known
 }
 
 // query is a question to a relay that has not been answered.
@@ -96,7 +97,16 @@
 	delete(c.waiting, m.ID)
 	delete(c.silent, q.to)
 	c.queries.WithLabelValues("answered").Inc()
-	q.answer <- result{q.index, placement.Load{WaitingTokens: m.Waiting, CachedTokens: m.Cached, Running: m.Running}}
+	load := m.load()
+	c.known.Add(time.Now(), q.to.String(), load.Pace)
+	q.answer <- result{q.index, load}
+}
+
+// Usual returns the pace that an engine of unknown pace is taken to have.
+func (c *Client) Usual() placement.Pace {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known.Median(time.Now())
 }
 
 // Loads asks the relays on the hosts of some engines and waits up to timeout. The load of
@@ -209,9 +219,10 @@
 	}
 }
 
-// End tells the relay that the request has ended.
-func (r *Request) End() {
+// End tells the relay that the request has ended, with a number of events and the longest
+// pause between two of them.
+func (r *Request) End(events int64, longestPause time.Duration) {
 	if r != nil {
-		r.client.send(r.relay, message{Kind: kindEnd, ID: r.id})
+		r.client.send(r.relay, message{Kind: kindEnd, ID: r.id, Events: min(events, maxTokens), Pause: min(longestPause, maxDuration)})
 	}
 }
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -4,6 +4,8 @@
 package placement
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
@@ -11,6 +13,9 @@
 )
 
 // protocolVersion is the version of the messages. Messages of another one are dropped.
+// Processes of different age run side by side: a field that is added is optional, ignored
+// by older processes, and means unknown if it is absent. A field that changes its meaning
+// needs a new version.
 const protocolVersion = 1
 
 // Bounds of a message.
@@ -18,6 +23,7 @@
 	maxMessageBytes = 1 << 10
 	maxParts        = 16
 	maxTokens       = 1 << 30
+	maxDuration     = time.Hour
 )
 
 // kind says what a message is about.
@@ -42,6 +48,13 @@
 	Cached  int64       `cbor:"7,keyasint,omitempty"`
 	Running int         `cbor:"8,keyasint,omitempty"`
 	Memory  int64       `cbor:"9,keyasint,omitempty"` // of the engine, in tokens
+
+	Output int64         `cbor:"10,keyasint,omitempty"` // most tokens of the answer
+	Events int64         `cbor:"11,keyasint,omitempty"` // of a stream that has ended
+	Pause  time.Duration `cbor:"12,keyasint,omitempty"` // longest one in it, or for an engine, the usual longest one
+	Held   int64         `cbor:"13,keyasint,omitempty"` // tokens of memory
+	Wait   time.Duration `cbor:"14,keyasint,omitempty"`
+	Read   time.Duration `cbor:"15,keyasint,omitempty"` // see placement.Pace
 }
 
 var decoding = func() cbor.DecMode {
@@ -74,6 +87,10 @@
 		return message{}, errkind.New(errkind.InvalidRequest, "message of version %d", m.Version)
 	}
 	inRange := func(tokens int64) bool { return tokens >= 0 && tokens <= maxTokens }
+	valid := func(d time.Duration) bool { return d >= 0 && d <= maxDuration }
+	if !inRange(m.Output) || !inRange(m.Events) || !inRange(m.Held) || !valid(m.Pause) || !valid(m.Wait) || !valid(m.Read) {
+		return message{}, errkind.New(errkind.InvalidRequest, "message of kind %d with estimates out of range", m.Kind)
+	}
 	if m.Kind < kindQuery || m.Kind > kindEnd || !inRange(m.Tokens) || !inRange(m.Waiting) || !inRange(m.Cached) || !inRange(m.Memory) || m.Running < 0 || len(m.Parts) > maxParts {
 		return message{}, errkind.New(errkind.InvalidRequest, "message of kind %d with values out of range", m.Kind)
 	}
@@ -89,14 +106,28 @@
 
 // setPrompt adds a prompt, of which only the first parts are told if there are many.
 func (m *message) setPrompt(p placement.Prompt) {
-	m.Tokens = min(p.Tokens, maxTokens)
+	m.Tokens, m.Output = min(p.Tokens, maxTokens), min(p.Output, maxTokens)
 	for _, part := range p.Parts[:min(len(p.Parts), maxParts)] {
 		m.Parts = append(m.Parts, [2]uint64{part.Hash, uint64(part.Tokens)})
 	}
 }
 
+// setLoad adds the load of an engine.
+func (m *message) setLoad(l placement.Load) {
+	m.Waiting, m.Cached, m.Running = min(l.WaitingTokens, maxTokens), l.CachedTokens, l.Running
+	m.Held, m.Memory = min(l.HeldTokens, maxTokens), l.MemoryTokens
+	m.Wait, m.Read, m.Pause = min(l.Wait, maxDuration), min(l.Pace.Read, maxDuration), min(l.Pace.Pause, maxDuration)
+}
+
+func (m message) load() placement.Load {
+	return placement.Load{
+		WaitingTokens: m.Waiting, CachedTokens: m.Cached, Running: m.Running, HeldTokens: m.Held, MemoryTokens: m.Memory,
+		Wait: m.Wait, Pace: placement.Pace{Read: m.Read, Pause: m.Pause},
+	}
+}
+
 func (m message) prompt() placement.Prompt {
-	p := placement.Prompt{Tokens: m.Tokens}
+	p := placement.Prompt{Tokens: m.Tokens, Output: m.Output}
 	for _, part := range m.Parts {
 		p.Parts = append(p.Parts, placement.Part{Hash: part[0], Tokens: int64(part[1])})
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
@@ -53,15 +54,15 @@
 	r := c.Begin(engines[1], 10_000, p)
 	loads := func() []*placement.Load { return c.Loads(context.Background(), engines, p, testTimeout) }
 	got := loads()
-	assert.DeepEqual(t, got, []*placement.Load{{}, {WaitingTokens: 900, CachedTokens: 700, Running: 1}})
+	assert.DeepEqual(t, got, []*placement.Load{{}, {WaitingTokens: 900, CachedTokens: 700, Running: 1, HeldTokens: 900, MemoryTokens: 10_000}})
 	r.FirstEvent()
 	r.FirstEvent()
-	assert.DeepEqual(t, loads()[1], &placement.Load{CachedTokens: 700, Running: 1})
-	r.End()
-	assert.DeepEqual(t, loads()[1], &placement.Load{CachedTokens: 700})
+	assert.DeepEqual(t, loads()[1], &placement.Load{CachedTokens: 700, Running: 1, HeldTokens: 900, MemoryTokens: 10_000})
+	r.End(2, 0)
+	assert.DeepEqual(t, loads()[1], &placement.Load{CachedTokens: 700, MemoryTokens: 10_000})
 	var none *Request
 	none.FirstEvent()
-	none.End()
+	none.End(0, 0)
 }
 
 // Guards against requests that wait each time for a relay that does not answer, and
@@ -92,6 +93,7 @@
 	for name, m := range map[string]message{
 		"kind": {Kind: 99, ID: 1}, "tokens": {Kind: kindBegin, ID: 1, Tokens: -1}, "huge": {Kind: kindBegin, ID: 1, Tokens: maxTokens + 1},
 		"parts out of order": {Kind: kindBegin, ID: 1, Parts: [][2]uint64{{1, 5}, {2, 4}}}, "memory": {Kind: kindBegin, ID: 1, Memory: -1},
+		"output": {Kind: kindBegin, ID: 1, Output: -1}, "pause": {Kind: kindEnd, ID: 1, Pause: -1}, "wait": {Kind: kindLoad, ID: 1, Wait: maxDuration + 1},
 	} {
 		data, err := encode(m)
 		assert.NilError(t, err)
@@ -118,6 +120,45 @@
 	assert.Equal(t, len(answers), 0)
 }
 
+// firstMessage is a message as processes without estimates know it.
+type firstMessage struct {
+	Version uint8       `cbor:"1,keyasint"`
+	Kind    kind        `cbor:"2,keyasint"`
+	ID      uint64      `cbor:"3,keyasint"`
+	Tokens  int64       `cbor:"4,keyasint,omitempty"`
+	Parts   [][2]uint64 `cbor:"5,keyasint,omitempty"`
+	Waiting int64       `cbor:"6,keyasint,omitempty"`
+	Cached  int64       `cbor:"7,keyasint,omitempty"`
+	Running int         `cbor:"8,keyasint,omitempty"`
+	Memory  int64       `cbor:"9,keyasint,omitempty"`
+}
+
+// Guards against relays and gateways of different age that do not understand each other
+// during a rolling restart.
+func TestOlderProcessesAreUnderstood(t *testing.T) {
+	load := message{Kind: kindLoad, ID: 7}
+	load.setLoad(placement.Load{WaitingTokens: 5, CachedTokens: 4, Running: 3, HeldTokens: 2, MemoryTokens: 9, Wait: time.Second, Pace: placement.Pace{Read: time.Second, Pause: time.Second}})
+	data, err := encode(load)
+	assert.NilError(t, err)
+	var old firstMessage
+	assert.NilError(t, decoding.Unmarshal(data, &old))
+	assert.DeepEqual(t, old, firstMessage{Version: 1, Kind: kindLoad, ID: 7, Waiting: 5, Cached: 4, Running: 3, Memory: 9})
+	data, err = cbor.Marshal(firstMessage{Version: 1, Kind: kindLoad, ID: 7, Waiting: 5, Cached: 4, Running: 3})
+	assert.NilError(t, err)
+	m, err := decode(data)
+	assert.NilError(t, err)
+	assert.Equal(t, m.load(), placement.Load{WaitingTokens: 5, CachedTokens: 4, Running: 3})
+	server := &Server{Queue: placement.NewQueue(), Logger: slog.New(slog.DiscardHandler)}
+	for _, old := range []firstMessage{{Kind: kindBegin, ID: 1, Tokens: 900}, {Kind: kindFirstEvent, ID: 1}, {Kind: kindEnd, ID: 1}} {
+		old.Version = 1
+		data, err := cbor.Marshal(old)
+		assert.NilError(t, err)
+		server.handle(time.Now(), data, netip.AddrPort{})
+	}
+	assert.Equal(t, server.invalid, 0)
+	assert.Equal(t, server.Queue.Load(time.Now(), placement.Prompt{}).Running, 0)
+}
+
 // Guards against bytes of another host that crash a process or are taken for a message
 // with values out of range.
 func FuzzDecode(f *testing.F) {
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -60,16 +60,17 @@
 	}
 	switch m.Kind {
 	case kindQuery:
-		load := s.Queue.Load(now, m.prompt())
-		answer, err = encode(message{Kind: kindLoad, ID: m.ID, Waiting: min(load.WaitingTokens, maxTokens), Cached: load.CachedTokens, Running: load.Running})
+		load := message{Kind: kindLoad, ID: m.ID}
+		load.setLoad(s.Queue.Load(now, m.prompt()))
+		answer, err = encode(load)
 		return answer, err == nil
 	case kindBegin:
 		s.Queue.SetMemory(m.Memory)
 		s.Queue.Begin(now, m.ID, m.prompt())
 	case kindFirstEvent:
-		s.Queue.FirstEvent(m.ID)
+		s.Queue.FirstEvent(now, m.ID)
 	case kindEnd:
-		s.Queue.End(m.ID)
+		s.Queue.End(m.ID, m.Events, m.Pause)
 	case kindLoad: // gateways do not send it
 	}
 	return nil, false
