Read the targets' streams on while a caller reads slowly

A gateway read from the target and wrote to the caller in one goroutine, so a slow caller held its target up, and targets cut off answers that remain unread for some seconds. The connection to a caller now tries each write without blocking; what it does not take goes into a bounded backlog that one goroutine writes. Callers that keep up cost the same system call as before. The request is settled when the backlog is written or the caller is gone; events of which the connection took nothing are not charged. A write deadline bounds plain answers too.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -37,6 +37,10 @@
 	// memoryLimitFraction is the fraction of the platform's memory limit that the
 	// Go runtime may use. The rest is for socket buffers and the binary itself.
 	memoryLimitFraction = 0.6
+	// backlogDivisor is the part of the process's memory that may be held for callers that
+	// read slowly. The soft limit of the runtime leaves 0.4 of it, and as much is used at
+	// most by connections and requests.
+	backlogDivisor = 4
 	// budgetCloseMargin is how long before the end of the grace period the process
 	// gives up handing back its budgets.
 	budgetCloseMargin = 200 * time.Millisecond
@@ -141,7 +145,8 @@
 	g := gateway.New(gateway.Options{
 		Codec: adapter.Headers{}, Budgets: budgets, Paths: storePaths, Table: table, Logger: log, Metrics: metrics, GracePeriod: cfg.GracePeriod(),
 		FleetTable: instrumented, Placement: placements, Host: cfg.Host, Incarnation: incarnation,
-		Retries: retry.Limits{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window()},
+		BacklogBytes: cfg.Limits.MemoryMB << 20 / backlogDivisor,
+		Retries:      retry.Limits{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window()},
 	})
 	callers, err := net.Listen("tcp", cfg.Listen.Callers)
 	if err != nil {
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -49,7 +49,7 @@
 // resetOnClose makes the end of a caller's connection a reset. The end of the connection
 // is all that ends an answer without a length or chunks.
 func (g *Gateway) resetOnClose(ctx context.Context) {
-	conn, ok := ctx.Value(callerConnKey{}).(*net.TCPConn)
+	conn, ok := ctx.Value(callerConnKey{}).(interface{ SetLinger(seconds int) error })
 	if !ok {
 		return // not served by Serve
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/core/backlog"
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
@@ -91,12 +93,20 @@
 	Logger      *slog.Logger
 	Metrics     *Metrics
 	GracePeriod time.Duration // from the stop signal to the end of the process
+	// BacklogBytes bounds what is held for all callers that read slowly; 0 means
+	// DefaultBacklogBytes.
+	BacklogBytes int64
 }
 
+// DefaultBacklogBytes bounds what is held for callers that read slowly, unless the memory
+// of the process is known.
+const DefaultBacklogBytes = 64 << 20
+
 // Gateway serves callers. Create one with New.
 type Gateway struct {
 	opt        Options
 	pool       *upstream.Pool
+	backlogs   *backlog.Pool
 	config     atomic.Pointer[httproute.Config]
 	phase      atomic.Int32
 	inProgress atomic.Int64 // requests in progress
@@ -134,6 +144,7 @@
 	g := &Gateway{
 		opt:          o,
 		pool:         upstream.NewPool(upstream.Options{}),
+		backlogs:     backlog.NewPool(cmp.Or(o.BacklogBytes, DefaultBacklogBytes)),
 		targetView:   targets.NewView(rand.Uint64()),
 		retryBudgets: map[string]*retry.Budget{},
 		quarantine:   quarantine.NewTracker(),
@@ -269,7 +280,7 @@
 		ErrorLog:          slog.NewLogLogger(g.opt.Logger.Handler(), slog.LevelDebug),
 	}
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(listener) }()
+	go func() { done <- server.Serve(callerListener{listener, g}) }()
 	idleTicker := time.NewTicker(idleCloseInterval)
 	defer idleTicker.Stop()
 	for {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,8 @@
 	crashReports   *prometheus.CounterVec
 	continued      *prometheus.CounterVec
 	widened        prometheus.Counter
+	slowCallers    prometheus.Counter
+	heldUp         prometheus.Counter
 	hurried        *prometheus.CounterVec
 	duration       prometheus.Histogram
 	configVersion  prometheus.Gauge
@@ -63,6 +65,14 @@
 			Name: "tarragonridge_http_continued_streams_total",
 			Help: "Streams that continue at another target, by how the version that began them is known, and whether the target has it.",
 		}, []string{"origin", "version"}),
+		slowCallers: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tarragonridge_http_slow_callers_total",
+			Help: "Times that a caller did not take at once what was written to it, so that a backlog began.",
+		}),
+		heldUp: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tarragonridge_http_held_up_total",
+			Help: "Times that a target was held up, because there was no room for the backlog of a caller.",
+		}),
 		widened: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "tarragonridge_placement_widened_total",
 			Help: "Prompts for which further engines were asked, because they were likely to be late at the first ones.",
@@ -79,7 +89,7 @@
 			Name: "tarragonridge_http_config_version", Help: "Version of the routes in force here.",
 		}),
 	}
-	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.crashes, m.crashReports, m.continued, m.widened, m.hurried, m.duration, m.configVersion, collectors.NewGoCollector())
+	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.crashes, m.crashReports, m.continued, m.slowCallers, m.heldUp, m.widened, m.hurried, m.duration, m.configVersion, collectors.NewGoCollector())
 	return m
 }
 
@@ -103,6 +113,10 @@
 var limitShareDesc = prometheus.NewDesc("tarragonridge_http_limit_share",
 	"Requests per second that this gateway may send to all targets that name a request limit.", nil, nil)
 
+// backlogDesc describes the gauge of what is held for callers that read slowly.
+var backlogDesc = prometheus.NewDesc("tarragonridge_http_backlog_bytes",
+	"Bytes of answers that callers have not read yet.", nil, nil)
+
 // quarantinedPartsDesc describes the gauge of quarantined prompt parts.
 var quarantinedPartsDesc = prometheus.NewDesc("tarragonridge_http_quarantined_parts",
 	"Prompt parts that are refused because targets crashed that read them.", nil, nil)
@@ -113,6 +127,7 @@
 	ch <- limitedTargetsDesc
 	ch <- limitShareDesc
 	ch <- quarantinedPartsDesc
+	ch <- backlogDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -122,6 +137,7 @@
 	limited, share := g.targetView.Limits()
 	quarantinedParts := len(g.parts.Quarantined())
 	g.mu.Unlock()
+	ch <- prometheus.MustNewConstMetric(backlogDesc, prometheus.GaugeValue, float64(g.backlogs.Held()))
 	ch <- prometheus.MustNewConstMetric(quarantinedPartsDesc, prometheus.GaugeValue, float64(quarantinedParts))
 	ch <- prometheus.MustNewConstMetric(limitShareDesc, prometheus.GaugeValue, share)
 	ch <- prometheus.MustNewConstMetric(limitedTargetsDesc, prometheus.GaugeValue, float64(limited))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,10 +49,11 @@
 	placed      *placement.Request // the attempt in progress, at the relay of its engine
 	expected    expectation        // of the attempt in progress
 	hurry       *hurry             // likewise
-	targetStart int64              // of the attempt in progress: start of its target, Unix milliseconds
-	answeredIn  time.Duration      // from the start of the attempt in progress to the head of its answer
-	lastEvent   int64              // ID of the last event that the caller has; -1 if none
-	eventsSent  int64              // events that were sent to the caller
+	delivery    delivery
+	targetStart int64         // of the attempt in progress: start of its target, Unix milliseconds
+	answeredIn  time.Duration // from the start of the attempt in progress to the head of its answer
+	lastEvent   int64         // ID of the last event that the caller has; -1 if none
+	eventsSent  int64         // events that were sent to the caller
 	firstAt     time.Time
 	latestAt    time.Time     // of the events that were sent to the caller
 	longestGap  time.Duration // between two of them
@@ -76,6 +77,7 @@
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
 	req := &request{arrived: time.Now(), lastEvent: -1, ran: errkind.RanNo}
+	req.delivery.conn, _ = r.Context().Value(callerConnKey{}).(*callerConn)
 	req.deadline = req.arrived.Add(defaultDeadline)
 	defer func() { g.finishRequest(req) }()
 	if err := g.prepare(w, r, req); err != nil {
@@ -92,7 +94,7 @@
 		g.writeProblem(w, req, errkind.From(err))
 		return
 	}
-	err = g.forward(ctx, w, r, req)
+	err = g.awaitDelivery(req, g.forward(ctx, w, r, req))
 	reservation.Settle(req.chargedTokens())
 	if err == nil {
 		return
@@ -221,7 +223,7 @@
 	if req.ran == errkind.RanNo {
 		return 0
 	}
-	output := req.eventsSent * max(req.service.TokensPerEvent, 1)
+	output := (req.eventsSent - req.delivery.missed) * max(req.service.TokensPerEvent, 1)
 	return req.meta.PromptTokens + min(output, req.meta.OutputTokens)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -66,6 +66,7 @@
 	}
 	req.status = answer.StatusCode
 	req.recordSent(time.Now())
+	g.setWriteDeadline(http.NewResponseController(w), req)
 	w.WriteHeader(answer.StatusCode)
 	req.headSent, req.framed = true, answer.Framed()
 	if _, err := w.Write(body); err != nil {
@@ -206,10 +207,13 @@
 		g.recordEvents(req)
 	}
 	req.recordSent(time.Now())
-	if _, err := w.Write(out); err != nil {
-		return err
+	start := req.delivery.position()
+	_, err := w.Write(out)
+	if err == nil {
+		err = control.Flush()
 	}
-	return control.Flush()
+	req.delivery.sent(start, newEvents)
+	return err
 }
 
 // startStream sends the head of a stream to the caller.
@@ -217,10 +221,16 @@
 	g.setAnswerHeaders(w, req, answer)
 	req.status = answer.StatusCode
 	req.headSent, req.framed = true, answer.Framed()
+	g.setWriteDeadline(control, req)
+	w.WriteHeader(answer.StatusCode)
+}
+
+// setWriteDeadline bounds the writes of an answer. It costs nothing for a caller that keeps
+// up.
+func (g *Gateway) setWriteDeadline(control *http.ResponseController, req *request) {
 	if err := control.SetWriteDeadline(req.deadline.Add(writeMargin)); err != nil {
 		g.opt.Logger.Debug("failed to set the write deadline", "err", err)
 	}
-	w.WriteHeader(answer.StatusCode)
 }
 
 // endStream completes a stream and removes the write deadline. It sends the head if
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -331,3 +331,35 @@
 		}
 	})
 }
+
+// Guards against a request that is held for good because its target does not read it, and
+// against a connection that such a request leaves open.
+func TestTargetThatStopsReading(t *testing.T) {
+	closed := make(chan struct{})
+	address := startTarget(t, func(c net.Conn) {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(4 << 10)
+		}
+		for { // until the connection breaks, without reading
+			if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+				close(closed)
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	p := NewPool(Options{})
+	req := request(address, "a", strings.Repeat("x", 32<<20))
+	const limit = 250 * time.Millisecond
+	began := time.Now()
+	req.ResponseHeaderDeadline = began.Add(limit)
+	_, err := do(t, p, req)
+	f := asFailure(t, err)
+	assert.Assert(t, f.Sent && f.TimedOut, "%v", err)
+	assert.Assert(t, time.Since(began) < 2*limit, "%v", time.Since(began))
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the connection is still open")
+	}
+}
