Count paces that hardly differ as equal, and leave out pauses

Causes, found by trials of one change at a time: pauses of streams were taken for a property of the engine; what has been read of the oldest prompt did not count as waiting; single long prompts made an engine look slow; differences by chance moved prompts away from what was cached.

A pace within 1.3 of the median now counts as the median, the last moments weigh against two usual prompts, tokens read again weigh 3 in time, and further engines are asked only if it is the wait that makes a prompt late. Pauses are neither told nor used.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -8,11 +8,9 @@
 // Request is a request that is to be placed at an engine.
 type Request struct {
 	Prompt
-	Slots        int           // requests that an engine runs at once; 0 means no limit
-	Events       int64         // that its answer may have; 0 if unknown
-	Objective    time.Duration // of its route, for the first event; 0 if there is none
-	GapObjective time.Duration // of its route, for the longest pause between two events; 0 if there is none
-	Usual        Pace          // of an engine whose pace is unknown
+	Slots     int           // requests that an engine runs at once; 0 means no limit
+	Objective time.Duration // of its route, for the first event; 0 if there is none
+	Usual     Pace          // of an engine whose pace is unknown
 }
 
 // Choose returns the index of the engine that reads the prompt with the least delay to it
@@ -36,6 +34,9 @@
 	// rereadWeight is what a token costs that an engine reads although another one holds
 	// it, in tokens that wait: it delays this request and all that come after it.
 	rereadWeight = 2
+	// rereadTimeWeight is the same in time. It is more, because the expected times of equal
+	// engines differ by chance, and that is no reason to leave what one of them holds.
+	rereadTimeWeight = 3
 	// memoryMargin is the part of an engine's memory that is not planned for: what runs
 	// there may hold more than its router told.
 	memoryMargin = 0.1
@@ -68,16 +69,17 @@
 	return l.MemoryTokens == 0 || l.HeldTokens == 0 || float64(l.HeldTokens+own) <= (1-memoryMargin)*float64(l.MemoryTokens)
 }
 
-// pace returns the engine's pace, completed by the usual one.
+// alike is the factor by which the paces of engines differ by chance: prompts differ, and
+// engines read several of them at once.
+const alike = 1.3
+
+// pace returns the engine's pace, or the usual one if it is unknown or hardly differs.
 func (r Request) pace(l *Load) Pace {
-	p := l.Pace
-	if p.Read == 0 {
-		p.Read = r.Usual.Read
-	}
-	if p.Pause == 0 {
-		p.Pause = r.Usual.Pause
+	own, usual := float64(l.Pace.Read), float64(r.Usual.Read)
+	if own == 0 || own < alike*usual && usual < alike*own {
+		return r.Usual
 	}
-	return p
+	return l.Pace
 }
 
 // wait returns the time until the engine has read what waits there.
@@ -114,12 +116,21 @@
 // most. Noise may double it.
 const lateDivisor = 2
 
-// Late reports whether the first event is likely to be late, so that it is worth asking
-// for the loads of further engines.
+// Late reports whether the first event is likely to be late because of what waits at the
+// engine, so that it is worth asking for the loads of further engines.
 func (r Request) Late(l *Load) bool {
-	return l != nil && r.Objective > 0 && r.FirstEvent(l) > r.Objective/lateDivisor
+	if l == nil || r.Objective == 0 {
+		return false
+	}
+	first := r.FirstEvent(l)
+	return first > r.Objective/lateDivisor && r.wait(l) > first/2
 }
 
+// overdueMargin is what the expected wait of an engine exceeds that for the tokens that
+// wait by, beyond alike, if it is as fast as usual and overdue with the prompt that it
+// reads.
+const overdueMargin = 20 * time.Millisecond
+
 // minGain is what an engine with less affinity has to gain, as a part of the time to the
 // first event: prompts of the same kind will be read there again, too.
 const minGain = 0.25
@@ -135,20 +146,16 @@
 }
 
 // cost returns the time that the engine needs for what waits and, weighted, for the
-// prompt. A stream of several events is also delayed as far as pauses there are usually
-// longer than half of what its caller accepts: then noise makes one of them too long.
+// prompt. What it has already read of the oldest prompt counts too: the streams there have
+// paused meanwhile, and would go on to.
 func (r Request) cost(l *Load) float64 {
 	pace := r.pace(l)
 	if pace.Read == 0 { // of no engine
-		return float64(l.WaitingTokens + rereadWeight*r.uncached(l))
+		return float64(l.WaitingTokens) + rereadWeight*float64(r.uncached(l))
 	}
-	cost := float64(r.wait(l) + pace.readTime(rereadWeight*float64(r.uncached(l))+promptOverhead))
-	if r.GapObjective > 0 && r.Events >= minPauseEvents {
-		cost += pauseWeight * float64(max(pace.Pause-r.GapObjective/2, 0))
+	wait := pace.readTime(float64(l.WaitingTokens))
+	if pace == l.Pace || l.Wait > time.Duration(alike*float64(wait))+overdueMargin {
+		wait = max(wait, r.wait(l))
 	}
-	return cost
+	return float64(wait + pace.readTime(rereadTimeWeight*float64(r.uncached(l))+promptOverhead))
 }
-
-// pauseWeight is what usual pauses beyond half of the objective cost, as a multiple of
-// their excess.
-const pauseWeight = 2
--- a/internal/core/placement/known.go
+++ b/internal/core/placement/known.go
@@ -46,18 +46,15 @@
 		return k.median
 	}
 	k.computedAt = now
-	var reads, pauses []time.Duration
+	var reads []time.Duration
 	for engine, p := range k.paces {
 		if now.Sub(p.at) > knownPaceAge {
 			delete(k.paces, engine)
 			continue
 		}
 		reads = append(reads, p.Read)
-		if p.Pause > 0 {
-			pauses = append(pauses, p.Pause)
-		}
 	}
-	k.median = Pace{Read: middle(reads), Pause: middle(pauses)}
+	k.median = Pace{Read: middle(reads)}
 	return k.median
 }
 
--- a/internal/core/placement/pace.go
+++ b/internal/core/placement/pace.go
@@ -9,8 +9,7 @@
 
 // Pace is what an engine needs for its work. A zero field is unknown.
 type Pace struct {
-	Read  time.Duration // of a prompt, for each readUnit of uncached tokens
-	Pause time.Duration // usual length of the longest pause in a stream
+	Read time.Duration // of a prompt, for each readUnit of uncached tokens
 }
 
 const (
@@ -31,16 +30,14 @@
 	// recentTime is the time constant of the recent reading time. Noise lasts for some
 	// hundred milliseconds.
 	recentTime = 300 * time.Millisecond
-	// recentPrior is the work, in tokens, with which the lasting reading time counts
-	// against the recent one.
-	recentPrior = 1024
+	// recentPrior is the number of usual prompts whose work the lasting reading time counts
+	// as against the recent one. Engines read several prompts at once, not in the order in
+	// which they came: the time for one of them says little.
+	recentPrior = 2
 	// maxSlowdown bounds what a prompt counts in the recent reading time, as a multiple of
 	// the lasting one. More is a lost message or an engine that stands still, which the
 	// overdue prompt shows.
 	maxSlowdown = 4
-	// minPauseEvents is the number of events from which on a stream has a longest pause
-	// that says something.
-	minPauseEvents = 8
 )
 
 // work returns what the engine has to do for a prompt, in tokens.
@@ -54,7 +51,7 @@
 // paceMeter learns the pace of an engine from the first events and ends of its requests.
 type paceMeter struct {
 	lasting robust.Mean // seconds for each readUnit of tokens
-	pauses  robust.Mean // seconds
+	usual   robust.Mean // work of a prompt
 
 	busySince time.Time // when the work that is being read began; zero while there is none
 	spoiled   bool      // some of that work will not be read
@@ -67,7 +64,7 @@
 }
 
 func newPaceMeter() paceMeter {
-	return paceMeter{lasting: robust.NewMean(lastingSamples, maxSampleStep), pauses: robust.NewMean(lastingSamples, maxSampleStep)}
+	return paceMeter{lasting: robust.NewMean(lastingSamples, maxSampleStep), usual: robust.NewMean(lastingSamples, maxSampleStep)}
 }
 
 // begin records that there is work.
@@ -83,6 +80,7 @@
 		return
 	}
 	took := max(now.Sub(m.busySince), 0)
+	m.usual.Add(work)
 	if !m.spoiled {
 		m.decay(now)
 		m.recentWork += work
@@ -111,13 +109,6 @@
 	}
 }
 
-// end records a stream that has ended.
-func (m *paceMeter) end(events int64, longestPause time.Duration) {
-	if events >= minPauseEvents {
-		m.pauses.Add(longestPause.Seconds())
-	}
-}
-
 func (m *paceMeter) decay(now time.Time) {
 	if age := now.Sub(m.recentAt); age > 0 {
 		factor := math.Exp(-float64(age) / float64(recentTime))
@@ -129,15 +120,14 @@
 
 // pace returns the pace to be expected in the next moments.
 func (m *paceMeter) pace(now time.Time) Pace {
-	p := Pace{Pause: seconds(m.pauses.Value())}
 	if !m.lasting.Known() {
-		return p
+		return Pace{}
 	}
 	m.decay(now)
 	lasting := m.lasting.Value()
-	recent := (m.recentTime + recentPrior/readUnit*lasting) / (m.recentWork + recentPrior) * readUnit
-	p.Read = seconds(recent)
-	return p
+	prior := recentPrior * m.usual.Value()
+	recent := (m.recentTime + prior/readUnit*lasting) / (m.recentWork + prior) * readUnit
+	return Pace{Read: seconds(recent)}
 }
 
 // progress returns how long the engine has been reading since it last had read a prompt.
--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -144,11 +144,9 @@
 	q.meter.read(now, done, q.prompts == 0)
 }
 
-// End records that a request has ended, with a number of events and the longest pause
-// between two of them.
-func (q *Queue) End(id uint64, events int64, longestPause time.Duration) {
+// End records that a request has ended.
+func (q *Queue) End(id uint64) {
 	if at := q.requests[id]; at != nil {
-		q.meter.end(events, longestPause)
 		q.remove(at)
 	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -194,10 +194,9 @@
 // connections. But a rejection by another target that now uses the address counts as a
 // failure.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request, t *targets.Target) (outcome, error) {
-	sentBefore := req.eventsSent
 	req.placed = g.beginPlacement(req, t)
 	result, cause := g.exchange(ctx, w, r, req, t)
-	req.placed.End(req.eventsSent-sentBefore, req.longestGap)
+	req.placed.End()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.EndRequest()
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	coreplacement "tarragonridge.example/tarragonridge/internal/core/placement"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/placement"
@@ -83,14 +82,9 @@
 
 // placementRequest describes the request for the choice of an engine.
 func (g *Gateway) placementRequest(req *request) coreplacement.Request {
-	r := coreplacement.Request{
-		Prompt: req.prompt, Slots: req.service.Slots, Events: req.meta.OutputTokens / max(req.service.TokensPerEvent, 1),
-		Objective: req.route.LatencyObjective, Usual: g.opt.Placement.Usual(),
+	return coreplacement.Request{
+		Prompt: req.prompt, Slots: req.service.Slots, Objective: req.route.LatencyObjective, Usual: g.opt.Placement.Usual(),
 	}
-	if req.route.Kind == httproute.Streaming {
-		r.GapObjective = req.route.GapObjective
-	}
-	return r
 }
 
 // beginPlacement tells the relay of an engine that the request is sent there.
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -219,10 +219,9 @@
 	}
 }
 
-// End tells the relay that the request has ended, with a number of events and the longest
-// pause between two of them.
-func (r *Request) End(events int64, longestPause time.Duration) {
+// End tells the relay that the request has ended.
+func (r *Request) End() {
 	if r != nil {
-		r.client.send(r.relay, message{Kind: kindEnd, ID: r.id, Events: min(events, maxTokens), Pause: min(longestPause, maxDuration)})
+		r.client.send(r.relay, message{Kind: kindEnd, ID: r.id})
 	}
 }
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -50,11 +50,9 @@
 	Memory  int64       `cbor:"9,keyasint,omitempty"` // of the engine, in tokens
 
 	Output int64         `cbor:"10,keyasint,omitempty"` // most tokens of the answer
-	Events int64         `cbor:"11,keyasint,omitempty"` // of a stream that has ended
-	Pause  time.Duration `cbor:"12,keyasint,omitempty"` // longest one in it, or for an engine, the usual longest one
-	Held   int64         `cbor:"13,keyasint,omitempty"` // tokens of memory
-	Wait   time.Duration `cbor:"14,keyasint,omitempty"`
-	Read   time.Duration `cbor:"15,keyasint,omitempty"` // see placement.Pace
+	Held   int64         `cbor:"11,keyasint,omitempty"` // tokens of memory
+	Wait   time.Duration `cbor:"12,keyasint,omitempty"`
+	Read   time.Duration `cbor:"13,keyasint,omitempty"` // see placement.Pace
 }
 
 var decoding = func() cbor.DecMode {
@@ -88,7 +86,7 @@
 	}
 	inRange := func(tokens int64) bool { return tokens >= 0 && tokens <= maxTokens }
 	valid := func(d time.Duration) bool { return d >= 0 && d <= maxDuration }
-	if !inRange(m.Output) || !inRange(m.Events) || !inRange(m.Held) || !valid(m.Pause) || !valid(m.Wait) || !valid(m.Read) {
+	if !inRange(m.Output) || !inRange(m.Held) || !valid(m.Wait) || !valid(m.Read) {
 		return message{}, errkind.New(errkind.InvalidRequest, "message of kind %d with estimates out of range", m.Kind)
 	}
 	if m.Kind < kindQuery || m.Kind > kindEnd || !inRange(m.Tokens) || !inRange(m.Waiting) || !inRange(m.Cached) || !inRange(m.Memory) || m.Running < 0 || len(m.Parts) > maxParts {
@@ -116,13 +114,13 @@
 func (m *message) setLoad(l placement.Load) {
 	m.Waiting, m.Cached, m.Running = min(l.WaitingTokens, maxTokens), l.CachedTokens, l.Running
 	m.Held, m.Memory = min(l.HeldTokens, maxTokens), l.MemoryTokens
-	m.Wait, m.Read, m.Pause = min(l.Wait, maxDuration), min(l.Pace.Read, maxDuration), min(l.Pace.Pause, maxDuration)
+	m.Wait, m.Read = min(l.Wait, maxDuration), min(l.Pace.Read, maxDuration)
 }
 
 func (m message) load() placement.Load {
 	return placement.Load{
 		WaitingTokens: m.Waiting, CachedTokens: m.Cached, Running: m.Running, HeldTokens: m.Held, MemoryTokens: m.Memory,
-		Wait: m.Wait, Pace: placement.Pace{Read: m.Read, Pause: m.Pause},
+		Wait: m.Wait, Pace: placement.Pace{Read: m.Read},
 	}
 }
 
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -70,7 +70,7 @@
 	case kindFirstEvent:
 		s.Queue.FirstEvent(now, m.ID)
 	case kindEnd:
-		s.Queue.End(m.ID, m.Events, m.Pause)
+		s.Queue.End(m.ID)
 	case kindLoad: // gateways do not send it
 	}
 	return nil, false
