--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -14,6 +15,7 @@
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/admit"
+	"tarragonridge.example/tarragonridge/internal/core/backlog"
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
@@ -100,13 +102,21 @@
 	FailureDomain string
 	StoreBytes    *netcount.Counter // of the connections to the store; nil if not counted
 	GracePeriod   time.Duration     // from the stop signal to the end of the process
+	// BacklogBytes bounds what is held for all callers that read slowly; 0 means
+	// DefaultBacklogBytes.
+	BacklogBytes int64
 }
 
+// DefaultBacklogBytes bounds what is held for callers that read slowly, unless the memory
+// of the process is known.
+const DefaultBacklogBytes = 64 << 20
+
 // Gateway serves callers. Create one with New.
 type Gateway struct {
 	opt        Options
 	pool       *upstream.Pool
 	room       *hostRoom // nil if nothing is watched
+	backlogs   *backlog.Pool
 	config     atomic.Pointer[httproute.Config]
 	phase      atomic.Int32
 	inProgress atomic.Int64 // requests in progress
@@ -150,6 +160,7 @@
 		opt:          o,
 		pool:         upstream.NewPool(upstream.Options{Bytes: hostRoom.targetBytes(), Dialed: hostRoom.observeDial}),
 		room:         hostRoom,
+		backlogs:     backlog.NewPool(cmp.Or(o.BacklogBytes, DefaultBacklogBytes)),
 		targetView:   targets.NewView(rand.Uint64()),
 		turns:        newTurns(),
 		retryBudgets: map[string]*retry.Budget{},
@@ -296,7 +307,7 @@
 		ErrorLog:          slog.NewLogLogger(g.opt.Logger.Handler(), slog.LevelDebug),
 	}
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(g.room.listen(listener)) }()
+	go func() { done <- server.Serve(callerListener{g.room.listen(listener), g}) }()
 	idleTicker := time.NewTicker(idleCloseInterval)
 	defer idleTicker.Stop()
 	for {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,10 @@
 	crashes        prometheus.Counter
 	crashReports   *prometheus.CounterVec
 	continued      *prometheus.CounterVec
+	widened        prometheus.Counter
+	slowCallers    prometheus.Counter
+	heldUp         prometheus.Counter
+	hurried        *prometheus.CounterVec
 	duration       prometheus.Histogram
 	admission      admissionMetrics
 	configVersion  prometheus.Gauge
@@ -67,6 +71,22 @@
 			Name: "tarragonridge_http_continued_streams_total",
 			Help: "Streams that continue at another target, by how the version that began them is known, and whether the target has it.",
 		}, []string{"origin", "version"}),
+		slowCallers: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tarragonridge_http_slow_callers_total",
+			Help: "Times that a caller did not take at once what was written to it, so that a backlog began.",
+		}),
+		heldUp: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tarragonridge_http_held_up_total",
+			Help: "Times that a target was held up, because there was no room for the backlog of a caller.",
+		}),
+		widened: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tarragonridge_placement_widened_total",
+			Help: "Prompts for which further engines were asked, because they were likely to be late at the first ones.",
+		}),
+		hurried: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tarragonridge_http_overdue_first_events_total",
+			Help: "Attempts whose first event was overdue at their engine while another one could still bring it in time, by result: moved there, or no_retry, for which the retry budget had no room.",
+		}, []string{"result"}),
 		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "tarragonridge_http_request_seconds", Help: "Time from a request to the end of its answer.",
 			Buckets: []float64{.02, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4, 12.8},
@@ -76,8 +96,8 @@
 			Name: "tarragonridge_http_config_version", Help: "Version of the routes in force here.",
 		}),
 	}
-	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.invalidOrders, m.crashes, m.crashReports, m.continued, m.duration, m.configVersion,
-		m.admission.refused, m.admission.evicted, m.admission.wait, collectors.NewGoCollector())
+	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.invalidOrders, m.crashes, m.crashReports, m.continued,
+		m.slowCallers, m.heldUp, m.widened, m.hurried, m.duration, m.configVersion, m.admission.refused, m.admission.evicted, m.admission.wait, collectors.NewGoCollector())
 	return m
 }
 
@@ -109,6 +129,10 @@
 var evacuatedDomainsDesc = prometheus.NewDesc("tarragonridge_http_evacuated_domains",
 	"Failure domains whose targets are sent nothing by the operator's order, by whether targets are known there.", []string{"targets"}, nil)
 
+// backlogDesc describes the gauge of what is held for callers that read slowly.
+var backlogDesc = prometheus.NewDesc("tarragonridge_http_backlog_bytes",
+	"Bytes of answers that callers have not read yet.", nil, nil)
+
 // quarantinedPartsDesc describes the gauge of quarantined prompt parts.
 var quarantinedPartsDesc = prometheus.NewDesc("tarragonridge_http_quarantined_parts",
 	"Prompt parts that are refused because targets crashed that read them.", nil, nil)
@@ -122,6 +146,7 @@
 	ch <- evacuatedDomainsDesc
 	ch <- quarantinedPartsDesc
 	ch <- waitingDesc
+	ch <- backlogDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -136,6 +161,7 @@
 	quarantinedParts := len(g.parts.Quarantined())
 	waiting := g.turns.queue.Len()
 	g.mu.Unlock()
+	ch <- prometheus.MustNewConstMetric(backlogDesc, prometheus.GaugeValue, float64(g.backlogs.Held()))
 	ch <- prometheus.MustNewConstMetric(quarantinedPartsDesc, prometheus.GaugeValue, float64(quarantinedParts))
 	ch <- prometheus.MustNewConstMetric(coldTargetsDesc, prometheus.GaugeValue, float64(cold))
 	for label, known := range map[string]bool{"known": true, "none": false} {
--- a/internal/netcount/netcount.go
+++ b/internal/netcount/netcount.go
@@ -60,9 +60,17 @@
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.tcp.Write(p)
+	c.CountSent(n)
+	return n, err
+}
+
+// TCP returns the connection without the count.
+func (c *Conn) TCP() *net.TCPConn { return c.tcp }
+
+// CountSent counts bytes that were written to TCP.
+func (c *Conn) CountSent(n int) {
 	c.own.out.Add(int64(n))
 	c.total.out.Add(int64(n))
-	return n, err
 }
 
 // Close implements net.Conn.
