--- a/internal/core/budget/share.go
+++ b/internal/core/budget/share.go
@@ -122,4 +122,3 @@
 	}
 	return 0
 }
-
--- a/internal/core/budget/share_test.go
+++ b/internal/core/budget/share_test.go
@@ -9,6 +9,8 @@
 	"pgregory.net/rapid"
 )
 
+var pledgeKinds = rapid.SampledFrom([]PledgeKind{PledgeSteady, PledgeLow, PledgeSlow})
+
 // Guards against a write-off that returns tokens which the ended router had spent.
 // The router's view of the table's clock may lag, and its last operation may or
 // may not have been applied.
@@ -42,12 +44,12 @@
 				}
 			case "exchange":
 				demand := Demand{float64(rapid.IntRange(0, 50_000).Draw(t, "rate")), rapid.Int64Range(0, 20_000).Draw(t, "size")}
-				pledge := share.NewPledge(PledgeSteady, demand, math.MaxInt64, 0, knownMS)
+				pledge := share.NewPledge(pledgeKinds.Draw(t, "kind"), demand, math.MaxInt64, 0, knownMS)
 				g := share.BeginPledged(share.GrantChange(demand, ShareHorizon, 0, Pool{Left: total.Left(), Holders: 1}), share.Consumed()-share.Stored().Settled, pledge)
 				store(g)
 				share.Confirm()
 			case "lost":
-				pledge := share.NewPledge(PledgeSteady, Demand{1000, 100}, math.MaxInt64, 0, knownMS)
+				pledge := share.NewPledge(pledgeKinds.Draw(t, "kind"), Demand{1000, 100}, math.MaxInt64, 0, knownMS)
 				g := share.BeginPledged(0, share.Consumed()-share.Stored().Settled, pledge)
 				if rapid.Bool().Draw(t, "applied") {
 					store(g)
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -379,7 +379,8 @@
 		m.grantWaiters(t)
 		m.opt.Metrics.lostTokens.Add(float64(grant.Lost - op.predecessor.holding.Grants[name].Lost))
 		m.opt.Logger.Info("share of an ended process taken over", "team", name, "holding", op.predecessor.key,
-			"held", grant.Held(), "lost", grant.Lost, "pledged_ms", m.predecessorEndMS-op.predecessor.holding.Grants[name].Pledge.AtMS)
+			"held", grant.Held(), "lost", grant.Lost, "pledged_ms", m.predecessorEndMS-op.predecessor.holding.Grants[name].Pledge.AtMS,
+			"grows_after_ms", op.predecessor.holding.Grants[name].Pledge.GrowsAfterMS)
 	}
 	m.predecessors = slices.DeleteFunc(m.predecessors, func(p predecessor) bool { return p.key == op.predecessor.key })
 }
@@ -390,7 +391,8 @@
 		if _, remains := op.holding.Grants[name]; !remains {
 			m.opt.Metrics.lostTokens.Add(float64(grant.ForSuccessor(m.predecessorEndMS).Lost - grant.Lost))
 			m.opt.Logger.Info("share of an ended process written off", "team", name, "holding", op.predecessor.key,
-				"held", grant.Held(), "lost_in_all", m.teamTotal(m.team(name)).Lost, "pledged_ms", m.predecessorEndMS-grant.Pledge.AtMS)
+				"held", grant.Held(), "lost_in_all", m.teamTotal(m.team(name)).Lost, "pledged_ms", m.predecessorEndMS-grant.Pledge.AtMS,
+				"grows_after_ms", grant.Pledge.GrowsAfterMS)
 		}
 	}
 	if len(op.holding.Grants) == 0 {
