Tell scarce tokens from a stripe that one router has drained

A hot router took all of its home stripe, found it scarce and returned its own share. What counts is what is left in all stripes; a stripe that runs low only makes the router read the others again at once.

--- a/internal/prepaid/low_budget_test.go
+++ b/internal/prepaid/low_budget_test.go
@@ -1,11 +1,14 @@
 package prepaid
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/platform"
 )
 
 // Guards against a loss of power of all routers that writes off what the routers could
@@ -85,3 +88,30 @@
 	n := int64(len(f.waits))
 	return 500 + n*7919%5000, 80
 }
+
+// Guards against a router that returns its whole share when it begins to drain, while
+// callers still send requests and the table turns slow.
+func TestDrainingRouterKeepsASecondOfDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &slowTable{Table: platform.NewMemoryTable()}
+		f := startOneRouter(table)
+		defer f.stop()
+		f.managers[0].SetPrepaid(map[string]int64{"t": 10_000_000})
+		send := func(requests int) (served int) {
+			for range requests {
+				time.Sleep(50 * time.Millisecond)
+				r, err := f.managers[0].Reserve(context.Background(), "t", 1000)
+				if err == nil {
+					r.Settle(1000)
+					served++
+				}
+			}
+			return served
+		}
+		send(100)
+		f.managers[0].Drain()
+		send(2)
+		table.delay.Store(int64(10 * time.Second))
+		assert.Equal(t, send(10), 10)
+	})
+}
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -206,8 +206,7 @@
 // grantChange returns the tokens to add to a team's grant, negative for a return,
 // and the consumption to settle, both 0 if they do not justify a write. If the
 // budget can cover the first waiter but not all, the first one alone is considered.
-// A draining router returns all free tokens, or draws just what its waiters need if
-// the budget has that many tokens. m.mu is held.
+// m.mu is held.
 func (m *Manager) grantChange(t *team, now time.Time, tick bool) (delta, settle int64) {
 	if !tick && len(t.waiters) == 0 && !m.draining {
 		return 0, 0
@@ -222,15 +221,11 @@
 		need = max(need, 0)
 	}
 	switch {
-	case m.draining && need == 0:
-		delta = -max(t.share.Available(), 0)
-	case m.draining && need <= left:
-		delta = need
-	case tick || need > 0:
+	case tick || need > 0 || m.draining:
 		demand := t.demand.Demand(now)
-		horizon, scarce := m.horizon(t, now)
+		horizon, returnsRest := m.horizon(t, left, now)
 		delta = t.share.GrantChange(demand, horizon, need, m.pool(t, left, demand))
-		if idle := m.idleTokens(t, demand, horizon); scarce && need == 0 && idle > 0 {
+		if idle := m.idleTokens(t, demand, horizon); returnsRest && need == 0 && idle > 0 {
 			delta = -idle
 		}
 	}
--- a/internal/prepaid/pool.go
+++ b/internal/prepaid/pool.go
@@ -45,38 +45,53 @@
 }
 
 const (
-	// scarceDivisor gives the part of a stripe's prepaid tokens below which it is scarce.
-	scarceDivisor = 8
-	// scarceHorizon is how long shares cover the demand while the home stripe is scarce,
-	// in proportion to what it has left, and minScarceHorizon the least such period.
-	scarceHorizon    = 2 * time.Second
+	// scarceDivisor gives the part of the prepaid tokens below which what is left is scarce.
+	scarceDivisor = 6
+	// scarceHorizon is how long shares cover the demand while tokens are scarce, in
+	// proportion to what is left, and minScarceHorizon the least such period.
+	scarceHorizon    = 3 * time.Second
 	minScarceHorizon = 500 * time.Millisecond
-	// scarceFor is how long a stripe counts as scarce after it was. Otherwise routers would
-	// draw again what they have just returned to it.
+	// scarceFor is how long tokens count as scarce after they were. Otherwise routers would
+	// draw again what they have just returned.
 	scarceFor = 5 * time.Second
+	// drainHorizon is how long the shares of a draining router cover the demand.
+	drainHorizon = time.Second
 )
 
-// horizon returns how long a share should cover its demand, and whether few tokens of the
-// team were left in the home stripe lately. The totals of the other stripes may be ten
-// seconds old. The home stripe tells within a second that a budget runs out, because
-// routers of other stripes take from those that have most. m.mu is held.
-func (m *Manager) horizon(t *team, now time.Time) (horizon time.Duration, scarce bool) {
+// homeIsScarce reports whether few tokens of a team are left in the home stripe. The totals
+// of the other stripes may be ten seconds old. The home stripe tells within a second that a
+// budget may run out, because routers of other stripes take from those that have most.
+// m.mu is held.
+func (m *Manager) homeIsScarce(t *team) bool {
 	home := m.stripeTotal(t, m.home)
-	limit := home.ToppedUp / scarceDivisor
-	if home.Left() < limit {
+	return home.Left() < home.ToppedUp/scarceDivisor
+}
+
+// horizon returns how long a share should cover its demand, and whether more than that is
+// to be returned at once, because few tokens of the team were left in all stripes lately
+// or the router ends. left are the tokens that it can draw. m.mu is held.
+func (m *Manager) horizon(t *team, left int64, now time.Time) (horizon time.Duration, returnsRest bool) {
+	left, limit := left+max(t.share.Available(), 0), m.prepaidTotals[t.name]/scarceDivisor
+	if left < limit {
 		t.scarceAt = now
 	}
 	horizon = m.shareHorizon()
-	if now.Sub(t.scarceAt) >= scarceFor {
-		return horizon, false
+	if now.Sub(t.scarceAt) < scarceFor {
+		part := float64(min(left, limit)) / float64(max(limit, 1))
+		horizon, returnsRest = min(horizon, max(time.Duration(part*float64(scarceHorizon)), minScarceHorizon)), true
 	}
-	part := float64(min(home.Left(), limit)) / float64(max(limit, 1))
-	return min(horizon, max(time.Duration(part*float64(scarceHorizon)), minScarceHorizon)), true
+	if m.draining {
+		horizon, returnsRest = min(horizon, drainHorizon), true
+	}
+	return horizon, returnsRest
 }
 
 // idleTokens returns the tokens of a share beyond the demand in a horizon, 0 if they
 // would not cover a request of another router. m.mu is held.
 func (m *Manager) idleTokens(t *team, own budget.Demand, horizon time.Duration) int64 {
+	if own.TokensPerSecond == 0 {
+		return max(t.share.Available(), 0)
+	}
 	if idle := t.share.Available() - int64(own.TokensPerSecond*horizon.Seconds()); idle >= max(own.RequestSize, 1) {
 		return idle
 	}
--- a/internal/prepaid/reading.go
+++ b/internal/prepaid/reading.go
@@ -82,13 +82,14 @@
 }
 
 // stripesToRefresh returns the other stripes whose totals are due to be read
-// again. They are read more often if a request needs tokens that they may have. Apart from
+// again. They are read more often if a request needs tokens that they may have, or a budget seems
+// to run out. Apart from
 // the first time, it returns a few stripes, so that reads do not grow with their number.
 func (m *Manager) stripesToRefresh() []int {
 	age := m.maxTotalsAge()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.hasUncoveredWaiter() {
+	if !m.hasUncoveredWaiter() && !m.hasScarceHome() {
 		age = max(age, otherRefreshInterval*time.Duration(max(m.stripes/maxRefreshedStripes, 1)))
 	}
 	now := m.opt.Clock()
@@ -111,6 +112,17 @@
 	return false
 }
 
+// hasScarceHome reports whether the home stripe has few tokens left of a budget of which
+// this router holds a part. m.mu is held.
+func (m *Manager) hasScarceHome() bool {
+	for name := range m.holding.Grants {
+		if m.homeIsScarce(m.team(name)) {
+			return true
+		}
+	}
+	return false
+}
+
 // otherStripes returns all stripes except the home stripe.
 func (m *Manager) otherStripes() (stripes []int) {
 	for stripe := range m.stripes {
