Serve bursts through a slow table, and draw before a share runs dry

- An ample budget (400 s or more) pledges up to 3% of itself.
- A share of a team with many requests is drawn at a second of demand, also between timed rounds and from other stripes.
- A call after one that timed out gets a second; reading the own holding after a write has a time limit of its own.
- Whether a budget is low or ample is told by the average demand.

--- a/internal/core/budget/demand.go
+++ b/internal/core/budget/demand.go
@@ -59,16 +59,22 @@
 	a.requestSize += sizeWeight * (float64(tokens) - a.requestSize)
 }
 
-// Demand returns the averages. The rate grows from 0: after one request of a team that
-// sends a router few, a rate of one request a second would be many times too high. It
-// follows a second with many requests at once.
-func (a *DemandAverage) Demand(now time.Time) Demand {
+// Average returns the averages. The rate grows from 0: after one request of a team that
+// sends a router few, a rate of one request a second would be many times too high.
+func (a *DemandAverage) Average(now time.Time) Demand {
 	a.advance(now)
 	rate := a.tokensPerSecond
 	if rate == 0 {
 		rate = rateWeight * a.current.tokens
 	}
-	return Demand{max(rate, a.current.beyondChance(), a.previous.beyondChance()), int64(a.requestSize)}
+	return Demand{rate, int64(a.requestSize)}
+}
+
+// Demand is Average with a rate that follows a second with many requests at once.
+func (a *DemandAverage) Demand(now time.Time) Demand {
+	d := a.Average(now)
+	d.TokensPerSecond = max(d.TokensPerSecond, a.current.beyondChance(), a.previous.beyondChance())
+	return d
 }
 
 // advance adds the seconds that have ended to the average. If 60 or more have
--- a/internal/core/budget/pledge.go
+++ b/internal/core/budget/pledge.go
@@ -34,10 +34,11 @@
 	pledgeRateFactor = 1.2
 	// pledgeBurstPeriod is the period whose average demand may arrive at once.
 	pledgeBurstPeriod = 500 * time.Millisecond
-	// slowPledgeRateFactor and slowPledgeBurstPeriod replace the two while the table is
-	// slow. Pledges are renewed rarely then, and a burst is not known in advance.
-	slowPledgeRateFactor  = 2.0
-	slowPledgeBurstPeriod = 2 * time.Second
+	// widePledgeRateFactor and widePledgeBurstPeriod replace the two while the table is
+	// slow, when pledges are renewed rarely, and for an ample budget. A burst is not known
+	// in advance.
+	widePledgeRateFactor  = 2.0
+	widePledgeBurstPeriod = 3 * time.Second
 	// lowPledgeBurstPeriod is the period whose demand the pledge of a low budget covers
 	// until it grows. Exchanges follow each other in half a second.
 	lowPledgeBurstPeriod = 750 * time.Millisecond
@@ -55,6 +56,11 @@
 	sparsePledgeDivisor = 100
 )
 
+// SparsePledge returns the allowance for sparse requests of the given mean size.
+func SparsePledge(requestSize, limit int64) int64 {
+	return min(int64(sparsePledgeRequests*float64(requestSize)), limit)
+}
+
 // SparsePledgeLimit returns the most that each of the holders of a budget pledges
 // for requests that arrive less than once in pledgeBurstPeriod.
 func SparsePledgeLimit(prepaid int64, holders int) int64 {
@@ -67,22 +73,20 @@
 const (
 	PledgeSteady PledgeKind = iota // serves through an outage of the table
 	PledgeLow                      // for a low budget: little is written off if the holder ends
-	PledgeSlow                     // while the table is slow
+	PledgeWide                     // while the table is slow, and for an ample budget
 )
 
-// NewPledge returns the pledge for an operation, given the demand, the limit of
-// the allowance for sparse requests, the tokens that waiting requests need and
-// the time of the table's clock.
-func (s *LocalShare) NewPledge(kind PledgeKind, d Demand, sparseLimit, need, nowMS int64) Pledge {
+// NewPledge returns the pledge for an operation, given the demand, the allowance for sparse
+// requests, the tokens that waiting requests need and the time of the table's clock.
+func (s *LocalShare) NewPledge(kind PledgeKind, d Demand, sparse, need, nowMS int64) Pledge {
 	burst, factor := pledgeBurstPeriod, pledgeRateFactor
 	var growsAfter time.Duration
 	switch kind {
 	case PledgeLow:
 		burst, growsAfter = lowPledgeBurstPeriod, lowPledgeGrowsAfter
-	case PledgeSlow:
-		burst, factor = slowPledgeBurstPeriod, slowPledgeRateFactor
+	case PledgeWide:
+		burst, factor = widePledgeBurstPeriod, widePledgeRateFactor
 	}
-	sparse := min(int64(sparsePledgeRequests*float64(d.RequestSize)), sparseLimit)
 	return Pledge{
 		Base:         s.consumedTokens + s.reservedTokens + need + int64(d.TokensPerSecond*burst.Seconds()) + sparse,
 		PerSecond:    int64(d.TokensPerSecond * factor),
--- a/internal/core/budget/share.go
+++ b/internal/core/budget/share.go
@@ -60,6 +60,22 @@
 // Low reports whether the budget runs out soon at the present demand.
 func (p Pool) Low(own Demand) bool { return p.lasts(own) < lowBudgetPeriod }
 
+// ampleBudgetPeriod is the time from which a budget that lasts longer is ample. Of such a
+// budget, 3% may be written off at a loss of power: seven seconds of demand, and
+// Unspent/allowanceDivisor.
+const (
+	ampleBudgetPeriod = 400 * time.Second
+	allowanceDivisor  = 80
+)
+
+// Ample reports whether the budget lasts long at the present demand.
+func (p Pool) Ample(own Demand) bool { return p.lasts(own) >= ampleBudgetPeriod }
+
+// Allowance returns what each holder of an ample budget may pledge whatever its demand.
+func (p Pool) Allowance() int64 {
+	return (p.Left + p.Held) / allowanceDivisor / int64(max(p.Holders, 1))
+}
+
 // shareFractionOfLasts bounds the shares of a low budget: together they cover the demand
 // for this part of the time that the unspent tokens last.
 const shareFractionOfLasts = 0.5
--- a/internal/core/budget/share_test.go
+++ b/internal/core/budget/share_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-var pledgeKinds = rapid.SampledFrom([]PledgeKind{PledgeSteady, PledgeLow, PledgeSlow})
+var pledgeKinds = rapid.SampledFrom([]PledgeKind{PledgeSteady, PledgeLow, PledgeWide})
 
 // Guards against a write-off that returns tokens which the ended router had spent.
 // The router's view of the table's clock may lag, and its last operation may or
@@ -44,12 +44,12 @@
 				}
 			case "exchange":
 				demand := Demand{float64(rapid.IntRange(0, 50_000).Draw(t, "rate")), rapid.Int64Range(0, 20_000).Draw(t, "size")}
-				pledge := share.NewPledge(pledgeKinds.Draw(t, "kind"), demand, math.MaxInt64, 0, knownMS)
+				pledge := share.NewPledge(pledgeKinds.Draw(t, "kind"), demand, SparsePledge(demand.RequestSize, math.MaxInt64), 0, knownMS)
 				g := share.BeginPledged(share.GrantChange(demand, ShareHorizon, 0, Pool{Left: total.Left(), Holders: 1}), share.Consumed()-share.Stored().Settled, pledge)
 				store(g)
 				share.Confirm()
 			case "lost":
-				pledge := share.NewPledge(pledgeKinds.Draw(t, "kind"), Demand{1000, 100}, math.MaxInt64, 0, knownMS)
+				pledge := share.NewPledge(pledgeKinds.Draw(t, "kind"), Demand{1000, 100}, SparsePledge(100, math.MaxInt64), 0, knownMS)
 				g := share.BeginPledged(0, share.Consumed()-share.Stored().Settled, pledge)
 				if rapid.Bool().Draw(t, "applied") {
 					store(g)
@@ -80,7 +80,7 @@
 	demand := Demand{perSecond, 1000}
 	total := Total{}.RaisePrepaid(3_000_000)
 	share := &LocalShare{}
-	pledge := share.NewPledge(PledgeSteady, demand, math.MaxInt64, 0, 0)
+	pledge := share.NewPledge(PledgeSteady, demand, SparsePledge(demand.RequestSize, math.MaxInt64), 0, 0)
 	g := share.BeginPledged(share.GrantChange(demand, ShareHorizon, 0, Pool{Left: total.Left(), Holders: 1}), 0, pledge)
 	total, err := total.ChangeGrant(Grant{}, g)
 	assert.NilError(t, err)
@@ -98,7 +98,7 @@
 	const perSecond = 10_000
 	demand := Demand{perSecond, 1000}
 	share := &LocalShare{}
-	share.BeginPledged(share.GrantChange(demand, ShareHorizon, 0, Pool{Left: 10_000_000, Holders: 1}), 0, share.NewPledge(PledgeSteady, demand, math.MaxInt64, 0, 0))
+	share.BeginPledged(share.GrantChange(demand, ShareHorizon, 0, Pool{Left: 10_000_000, Holders: 1}), 0, share.NewPledge(PledgeSteady, demand, SparsePledge(demand.RequestSize, math.MaxInt64), 0, 0))
 	share.Confirm()
 	for ms := int64(0); ms < 10_000; ms += 500 {
 		assert.Assert(t, share.WithinPledges(perSecond/2, ms) && share.Reserve(perSecond/2), "refused at %d ms", ms)
@@ -128,7 +128,7 @@
 	var sum int64
 	for range holders {
 		var share LocalShare
-		sum += share.NewPledge(PledgeSteady, Demand{0, 5000}, SparsePledgeLimit(prepaid, holders), 0, 0).Base
+		sum += share.NewPledge(PledgeSteady, Demand{0, 5000}, SparsePledge(5000, SparsePledgeLimit(prepaid, holders)), 0, 0).Base
 	}
 	assert.Assert(t, sum <= prepaid/100, "%d pledged", sum)
 }
--- a/internal/prepaid/calls.go
+++ b/internal/prepaid/calls.go
@@ -19,10 +19,15 @@
 func (m *Manager) nextCallTimeout() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.consecutiveTimeouts >= 2 {
-		return maxCallTimeout
+	timeout := max(minCallTimeout, timeoutLatencyFactor*m.lastSuccessDuration)
+	switch m.consecutiveTimeouts {
+	case 0:
+	case 1:
+		timeout = max(timeout, secondCallTimeout)
+	default:
+		timeout = maxCallTimeout
 	}
-	return min(max(minCallTimeout, timeoutLatencyFactor*m.lastSuccessDuration), maxCallTimeout)
+	return min(timeout, maxCallTimeout)
 }
 
 // recordCall records the result and duration of a call to the table. m.mu is held.
--- a/internal/prepaid/low_budget_test.go
+++ b/internal/prepaid/low_budget_test.go
@@ -108,10 +108,35 @@
 			}
 			return served
 		}
-		send(100)
+		send(300)
 		f.managers[0].Drain()
 		send(2)
 		table.delay.Store(int64(10 * time.Second))
 		assert.Equal(t, send(10), 10)
 	})
 }
+
+// Guards against a slow table that stops teams whose budgets last for an hour: the table takes 45
+// times as long for four seconds, in which callers send twice as many requests. Shares cover
+// twelve seconds of the demand before, so nine of ten requests must be served.
+func TestBurstWhileTheTableIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(6, time.Hour)
+		time.Sleep(2 * time.Second)
+		f.sendRequests(12 * time.Second)
+		f.mu.Lock()
+		asked, refused := f.requests, f.wrongRefusals
+		f.load.perSecond *= 2
+		f.mu.Unlock()
+		f.table.setSlowness(45)
+		f.sendRequests(4 * time.Second)
+		f.mu.Lock()
+		asked, refused = f.requests-asked, f.wrongRefusals-refused
+		f.mu.Unlock()
+		f.table.setSlowness(1)
+		f.stop()
+		t.Logf("%d asked, %d refused: %v", asked, refused, f.lastRefusal)
+		assert.Assert(t, refused <= asked/10, "%d of %d refused", refused, asked)
+		f.checkTotals(t)
+	})
+}
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -37,6 +37,10 @@
 	// about 10 ms. A call on a path that gives no answer must end before waiting
 	// requests are refused (MinMaxWait).
 	minCallTimeout = 250 * time.Millisecond
+	// secondCallTimeout is the least timeout after a call that has timed out. Requests that
+	// wait leave by their own time limits; a table that has turned slow must answer some
+	// call, or the pledges run out.
+	secondCallTimeout = time.Second
 	// refreshLatencyFactor is the least age at which totals are read again, in
 	// multiples of the duration of the last successful call: a slow table should
 	// spend its capacity on new pledges rather than on reads.
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -123,8 +122,8 @@
 	if shortfall = delta - total.Left(); delta > 0 && shortfall > 0 {
 		delta = max(total.Left(), 0)
 	}
-	if len(t.waiters) == 0 && t.share.Available()+delta >= t.demand.Demand(now).RequestSize {
-		shortfall = 0 // a share that covers the next request is not worth a transfer
+	if len(t.waiters) == 0 && t.share.Available()+delta >= m.minCover(t, now) {
+		shortfall = 0 // not worth a transfer
 	}
 	// A new pledge is due if the share covers the first waiter, so that only the old
 	// pledge makes it wait, or if the old pledge is nearly used up.
@@ -139,7 +138,7 @@
 	}
 	next := m.beginGrant(t, old, delta, settle, fromReserve)
 	if delta != 0 || report {
-		next.Demand = int64(t.demand.Demand(now).TokensPerSecond)
+		next.Demand = int64(t.demand.Average(now).TokensPerSecond)
 		updated, err := total.ChangeGrant(old, next)
 		if err != nil {
 			return false, 0, err
@@ -176,18 +175,6 @@
 	return next
 }
 
-// newPledge returns the pledge for an operation. The part of the pledge for sparse
-// requests, those that arrive rarely, is not limited while the table is slow: each
-// request beyond the pledge would wait for the table. m.mu is held.
-func (m *Manager) newPledge(t *team, now time.Time) budget.Pledge {
-	demand := t.demand.Demand(now)
-	kind, sparseLimit := m.pledgeKind(t, demand), int64(math.MaxInt64)
-	if kind != budget.PledgeSlow {
-		sparseLimit = budget.SparsePledgeLimit(m.prepaidTotals[t.name], t.holderCount())
-	}
-	return t.share.NewPledge(kind, demand, sparseLimit, t.waitingTokens(), m.tableNowMS())
-}
-
 // renewOtherPledges settles the teams that the operation does not change yet and
 // renews their pledges. The row of the holding is written anyway, and an old pledge
 // causes a large loss if this router dies: the limit of a pledge grows with time.
@@ -208,7 +195,8 @@
 // budget can cover the first waiter but not all, the first one alone is considered.
 // m.mu is held.
 func (m *Manager) grantChange(t *team, now time.Time, tick bool) (delta, settle int64) {
-	if !tick && len(t.waiters) == 0 && !m.draining {
+	runsDry := m.runsDry(t, now)
+	if !tick && len(t.waiters) == 0 && !m.draining && !runsDry {
 		return 0, 0
 	}
 	var need int64
@@ -221,7 +209,7 @@
 		need = max(need, 0)
 	}
 	switch {
-	case tick || need > 0 || m.draining:
+	case tick || need > 0 || m.draining || runsDry:
 		demand := t.demand.Demand(now)
 		horizon, returnsRest := m.horizon(t, left, now)
 		delta = t.share.GrantChange(demand, horizon, need, m.pool(t, left, demand))
@@ -295,15 +283,17 @@
 }
 
 // commit sends an operation to the table and records the result.
-func (m *Manager) commit(ctx context.Context, op *operation) exchangeResult {
-	ctx, cancel := context.WithTimeout(ctx, m.nextCallTimeout())
+func (m *Manager) commit(parent context.Context, op *operation) exchangeResult {
+	ctx, cancel := context.WithTimeout(parent, m.nextCallTimeout())
 	defer cancel()
 	start := m.startCall()
 	res, err := m.opt.Table.Commit(ctx, op.txn)
 	var ownRow *platform.Row
 	if err == nil && !res.Committed && (op.predecessor == nil || op.takesOver) && (op.uncertain || len(res.Current) == 0) {
 		// Only this router's holding shows whether an earlier attempt was applied.
-		ownRow, err = m.readOwnHolding(ctx)
+		readCtx, cancelRead := context.WithTimeout(parent, m.nextCallTimeout())
+		defer cancelRead()
+		ownRow, err = m.readOwnHolding(readCtx)
 		op.uncertain = true
 	}
 	m.mu.Lock()
--- a/internal/prepaid/pool.go
+++ b/internal/prepaid/pool.go
@@ -1,6 +1,7 @@
 package prepaid
 
 import (
+	"math"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/budget"
@@ -33,15 +34,24 @@
 	return budget.Pool{Left: left, Held: max(m.unspentTokens(t)-left, 0), Holders: t.holderCount(), Demand: m.demandOfAll(t, own)}
 }
 
-// pledgeKind returns the kind of the next pledge of a team. m.mu is held.
-func (m *Manager) pledgeKind(t *team, own budget.Demand) budget.PledgeKind {
+// newPledge returns the pledge for an operation. A burst alone does not make a budget low,
+// so the demand that tells is the average one. The part of the pledge for sparse requests,
+// those that arrive rarely, is not limited while the table is slow: each request beyond the
+// pledge would wait for the table. m.mu is held.
+func (m *Manager) newPledge(t *team, now time.Time) budget.Pledge {
+	average, demand := t.demand.Average(now), t.demand.Demand(now)
+	pool := m.pool(t, 0, average)
+	kind := budget.PledgeSteady
+	sparse := budget.SparsePledge(demand.RequestSize, budget.SparsePledgeLimit(m.prepaidTotals[t.name], pool.Holders))
 	switch {
+	case pool.Ample(average):
+		kind, sparse = budget.PledgeWide, max(sparse, pool.Allowance())
 	case m.lastCallDuration > maxNormalLatency:
-		return budget.PledgeSlow
-	case m.pool(t, 0, own).Low(own):
-		return budget.PledgeLow
+		kind, sparse = budget.PledgeWide, budget.SparsePledge(demand.RequestSize, math.MaxInt64)
+	case pool.Low(average):
+		kind = budget.PledgeLow
 	}
-	return budget.PledgeSteady
+	return t.share.NewPledge(kind, demand, sparse, t.waitingTokens(), m.tableNowMS())
 }
 
 const (
@@ -54,6 +64,11 @@
 	// scarceFor is how long tokens count as scarce after they were. Otherwise routers would
 	// draw again what they have just returned.
 	scarceFor = 5 * time.Second
+	// minCoverHorizon is how long a share covers the demand before tokens of other stripes
+	// are transferred for it, and half of which it covers before it is drawn ahead of time.
+	minCoverHorizon = 2 * time.Second
+	// drawAheadPause is the least pause between two rounds that draw ahead of time.
+	drawAheadPause = 100 * time.Millisecond
 	// drainHorizon is how long the shares of a draining router cover the demand.
 	drainHorizon = time.Second
 )
@@ -98,10 +113,38 @@
 	return 0
 }
 
+// minCover returns the tokens that a share must cover not to need tokens of another stripe.
+// m.mu is held.
+func (m *Manager) minCover(t *team, now time.Time) int64 {
+	own := t.demand.Demand(now)
+	return max(own.RequestSize, int64(own.TokensPerSecond*minCoverHorizon.Seconds()))
+}
+
+// runsDry reports whether a share of a team with many requests covers less than half of
+// minCoverHorizon. Such a share is drawn before a request has to wait: if the table
+// turned slow, it would be used up at once. m.mu is held.
+func (m *Manager) runsDry(t *team, now time.Time) bool {
+	own := t.demand.Demand(now)
+	covers := int64(own.TokensPerSecond * minCoverHorizon.Seconds() / 2)
+	return covers >= minDryRequests*own.RequestSize && own.RequestSize > 0 && t.share.Available() < covers && m.drawableTokens(t) >= own.RequestSize
+}
+
+// minDryRequests is the number of requests a second from which a share is drawn ahead of
+// time.
+const minDryRequests = 4
+
+// drawAhead starts a round if the share runs dry. m.mu is held.
+func (m *Manager) drawAhead(t *team, now time.Time) {
+	if now.Sub(t.drawnAheadAt) >= drawAheadPause && m.tableReachable && m.runsDry(t, now) {
+		t.drawnAheadAt = now
+		m.wake()
+	}
+}
+
 // reportsEnd reports whether the total is to learn what this router has consumed although
 // it draws nothing: the budget is low and its share does not cover another request.
 // Otherwise no router could tell that the budget is spent. m.mu is held.
 func (m *Manager) reportsEnd(t *team, old budget.Grant, now time.Time) bool {
-	own := t.demand.Demand(now)
+	own := t.demand.Average(now)
 	return t.share.Consumed() > old.Reported && old.Seq > 0 && t.share.Available() < own.RequestSize && m.pool(t, 0, own).Low(own)
 }
--- a/internal/prepaid/reading.go
+++ b/internal/prepaid/reading.go
@@ -152,6 +152,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.callStart = time.Time{}
+	if ctx.Err() != nil {
+		m.consecutiveTimeouts++
+	}
 	m.beginEra()
 	for i, stripe := range stripes {
 		m.others[stripe] = otherStripe{start, errs[i] == nil && !slices.ContainsFunc(rows[i], m.isOutdated)}
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -63,8 +63,10 @@
 		return &Reservation{manager: m}, nil
 	}
 	t := m.team(name)
-	t.demand.Add(m.opt.Clock(), tokens)
+	now := m.opt.Clock()
+	t.demand.Add(now, tokens)
 	if len(t.waiters) == 0 && m.tryReserve(t, tokens) {
+		m.drawAhead(t, now)
 		m.mu.Unlock()
 		return &Reservation{manager: m, team: t, tokens: tokens}, nil
 	}
--- a/internal/prepaid/simulated_table_test.go
+++ b/internal/prepaid/simulated_table_test.go
@@ -20,6 +20,19 @@
 	commits   int
 	conflicts int
 	reads     int
+	slowness  int // factor of all durations; 0 counts as 1
+}
+
+// times returns a duration, multiplied while the table is slow. s.mu is held.
+func (s *simulatedTable) times(d time.Duration) time.Duration {
+	return d * time.Duration(max(s.slowness, 1))
+}
+
+// setSlowness changes the factor of all durations.
+func (s *simulatedTable) setSlowness(factor int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slowness = factor
 }
 
 // tableClient is one router's access to the simulated table.
@@ -66,12 +79,13 @@
 	if err := c.checkRunning(); err != nil {
 		return err
 	}
-	if err := wait(ctx, tableLatency+partReadTime); err != nil {
-		return errkind.Wrap(err, errkind.PlatformUnavailable, "read")
-	}
 	c.shared.mu.Lock()
 	c.shared.reads++
+	duration := c.shared.times(tableLatency + partReadTime)
 	c.shared.mu.Unlock()
+	if err := wait(ctx, duration); err != nil {
+		return errkind.Wrap(err, errkind.PlatformUnavailable, "read")
+	}
 	return nil
 }
 
@@ -115,7 +129,8 @@
 		sharedTable.mu.Unlock()
 		return platform.TxnResult{}, errkind.New(errkind.PlatformUnavailable, "queue of the part is full")
 	}
-	sharedTable.busyUntil[part] = now.Add(queue + partTxnTime)
+	duration := sharedTable.times(partTxnTime)
+	sharedTable.busyUntil[part] = now.Add(queue + duration)
 	sharedTable.commits++
 	sharedTable.mu.Unlock()
 	// The write takes effect even if the caller no longer waits.
@@ -124,7 +139,7 @@
 		err error
 	}
 	done := make(chan outcome, 1)
-	time.AfterFunc(tableLatency+queue+partTxnTime, func() {
+	time.AfterFunc(tableLatency+queue+duration, func() {
 		res, err := sharedTable.inner.Commit(context.Background(), txn)
 		sharedTable.mu.Lock()
 		if err == nil && !res.Committed {
--- a/internal/prepaid/team.go
+++ b/internal/prepaid/team.go
@@ -22,7 +22,8 @@
 	shortOf int64
 	shortAt time.Time
 
-	scarceAt time.Time // when few tokens were last left in the home stripe
+	scarceAt     time.Time // when few tokens were last left
+	drawnAheadAt time.Time // when a round was last started because the share runs dry
 }
 
 // isShort reports whether a round has just failed to get that many tokens.
