Let a request wait for tokens by its objective, and the urgent first

Requests waited up to 0.4 s whatever their objective, first come, first served; one that did not fit held up those behind it.

- The wait is half of the route's latency objective.
Waiters are ordered by rank, end of the wait and tokens; the budget's rest goes to those that it covers.
- The first call to a silent path ends after 0.15 s, and requests that come meanwhile wait for the second path.
- A table whose reads take over 15 ms got no draw at all: every total was older than a write allowed.
The age follows the duration of calls.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -200,16 +200,19 @@
 }
 
 // budgetWaitDivisor gives the longest time that a request waits for tokens, as a fraction
-// of its route's latency objective, but at least prepaid.MinMaxWait.
-const budgetWaitDivisor = 4
+// of its route's latency objective. The rest is left for its target.
+const budgetWaitDivisor = 2
 
 // reserveTokens reserves the largest number of tokens that the request may consume.
 func (g *Gateway) reserveTokens(ctx context.Context, req *request) (*prepaid.Reservation, error) {
-	if req.meta.PromptTokens+req.meta.OutputTokens == 0 {
+	need := prepaid.Need{Tokens: req.meta.PromptTokens + req.meta.OutputTokens, Rank: req.route.Priority, Wait: prepaid.MinMaxWait}
+	if need.Tokens == 0 {
 		return g.opt.Budgets.Reserve(ctx, "", 0)
 	}
-	maxWait := max(req.route.LatencyObjective/budgetWaitDivisor, prepaid.MinMaxWait)
-	return g.opt.Budgets.ReserveWithin(ctx, req.team.Name, req.meta.PromptTokens+req.meta.OutputTokens, maxWait)
+	if req.route.LatencyObjective > 0 {
+		need.Wait = req.route.LatencyObjective / budgetWaitDivisor
+	}
+	return g.opt.Budgets.ReserveWithin(ctx, req.team.Name, need)
 }
 
 // chargedTokens returns the tokens that the request is charged: those of its prompt
--- a/internal/prepaid/calls.go
+++ b/internal/prepaid/calls.go
@@ -19,6 +19,11 @@
 func (m *Manager) nextCallTimeout() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.callTimeout()
+}
+
+// callTimeout is nextCallTimeout with m.mu held.
+func (m *Manager) callTimeout() time.Duration {
 	timeout := max(minCallTimeout, timeoutLatencyFactor*m.lastSuccessDuration)
 	switch m.consecutiveTimeouts {
 	case 0:
@@ -60,7 +65,9 @@
 		d = m.lastCallDuration
 	}
 	if !m.callStart.IsZero() {
-		d = max(d, now.Sub(m.callStart))
+		// The call ends by its timeout. The next one may take another path.
+		took := now.Sub(m.callStart)
+		d = max(d, min(took, max(m.callTimeout()-took, 0)))
 	}
 	return d
 }
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -17,6 +17,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,9 +35,9 @@
 	// unreachable.
 	outageProbeInterval = 300 * time.Millisecond
 	// minCallTimeout is the least timeout of a call to the table. Calls usually take
-	// about 10 ms. A call on a path that gives no answer must end before waiting
-	// requests are refused (MinMaxWait).
-	minCallTimeout = 250 * time.Millisecond
+	// about 10 ms, more if a host gets no processor time for a tenth of a second. A call
+	// on a path that gives no answer must end before waiting requests are refused.
+	minCallTimeout = 150 * time.Millisecond
 	// secondCallTimeout is the least timeout after a call that has timed out. Requests that
 	// wait leave by their own time limits; a table that has turned slow must answer some
 	// call, or the pledges run out.
@@ -101,6 +102,9 @@
 	// call takes about 10 ms. With older totals nearly every transaction of two dozen
 	// routers would conflict, and the conflicts would use up the capacity of the stripe.
 	maxAgeForWrite = 15 * time.Millisecond
+	// slowWriteAgeFactor is that age in multiples of the duration of the last successful
+	// call. A slow table answers each read later than maxAgeForWrite.
+	slowWriteAgeFactor = 2
 	// holdingsScanInterval is the pause between two scans for holdings of earlier
 	// processes of this host. Their last writes may take effect seconds late.
 	holdingsScanInterval = 15 * time.Second
@@ -187,6 +191,7 @@
 	eraConfirmedAt      time.Time     // start of the last call that was answered in confirmedEra
 	confirmedEra        int64         // last era of which this router has read its own holding
 	tableReachable      bool          // the last call to the table succeeded
+	triesAgain          bool          // after a failed call, on another path if there is one
 	consecutiveTimeouts int           // of calls to the table
 	lastCallDuration    time.Duration
 	lastSuccessDuration time.Duration // of the last call that succeeded
@@ -320,14 +325,24 @@
 		m.opt.Metrics.exchanges.WithLabelValues(result.String()).Inc()
 		if result == exchangeFailed {
 			failures++
+			m.setTriesAgain(failures <= maxRoundFailures)
 		}
 		if result == exchangeDone && !m.hasCoverableWaiter() || failures > maxRoundFailures {
 			break
 		}
 	}
+	m.setTriesAgain(false)
 	m.resolveWaiters()
 }
 
+// setTriesAgain records whether a round goes on after a failed call, so that requests that
+// arrive wait for it.
+func (m *Manager) setTriesAgain(again bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.triesAgain = again
+}
+
 // hasCoverableWaiter reports whether a waiting request of this round could still
 // get its tokens, for instance because a transfer from another stripe failed with a
 // write conflict.
@@ -335,7 +350,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, t := range m.teams {
-		if len(t.waiters) > 0 && t.waiters[0].inRound && t.waiters[0].tokens <= min(m.coverableTokens(t), m.spendableSoon(t)) {
+		first := slices.IndexFunc(t.waiters, func(w *waiter) bool { return w.inRound })
+		if first >= 0 && t.waiters[first].tokens <= min(m.coverableTokens(t), m.spendableSoon(t)) {
 			return true
 		}
 	}
@@ -357,7 +373,7 @@
 		op, _, stale = m.nextOperation(tick, true)
 	}
 	if stale {
-		if !m.refreshHome(ctx, maxAgeForWrite) {
+		if !m.refreshHome(ctx, 0) {
 			return exchangeFailed
 		}
 		if op, _, stale = m.nextOperation(tick, true); stale {
@@ -382,7 +398,7 @@
 		return m.pendingOp, nil, false
 	}
 	op, shortfalls = m.planOperation(tick)
-	stale = op != nil && len(op.totals) > 0 && m.opt.Clock().Sub(m.homeReadAt) > maxAgeForWrite
+	stale = op != nil && len(op.totals) > 0 && m.opt.Clock().Sub(m.homeReadAt) > m.maxWriteAge()
 	if transferred {
 		shortfalls = nil
 	}
@@ -396,6 +412,12 @@
 	return op, nil, false
 }
 
+// maxWriteAge returns the largest age of totals on which a write may be based, counted from
+// the start of their read. m.mu is held.
+func (m *Manager) maxWriteAge() time.Duration {
+	return max(maxAgeForWrite, slowWriteAgeFactor*m.lastSuccessDuration)
+}
+
 // holdingKey returns the key of the row of this router's holding.
 func (m *Manager) holdingKey() string { return stripePrefix(m.home) + holdingPrefix + m.holdingID }
 
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -191,8 +191,8 @@
 }
 
 // grantChange returns the tokens to add to a team's grant, negative for a return,
-// and the consumption to settle, both 0 if they do not justify a write. If the
-// budget can cover the first waiter but not all, the first one alone is considered.
+// and the consumption to settle, both 0 if they do not justify a write. Only those of
+// the waiters are considered that the budget can cover.
 // m.mu is held.
 func (m *Manager) grantChange(t *team, now time.Time, tick bool) (delta, settle int64) {
 	runsDry := m.runsDry(t, now)
@@ -202,11 +202,8 @@
 	var need int64
 	left := m.drawableTokens(t)
 	if len(t.waiters) > 0 {
-		need = t.waitingTokens() - max(t.share.Available(), 0)
-		if first := t.waiters[0].tokens - t.share.Available(); need > left && first <= left {
-			need = first
-		}
-		need = max(need, 0)
+		available := max(t.share.Available(), 0)
+		need = max(t.coveredWaiters(available+left)-available, 0)
 	}
 	switch {
 	case tick || need > 0 || m.draining || runsDry:
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -12,8 +12,8 @@
 // maxWaiters bounds the requests that wait for one team's share.
 const maxWaiters = 200
 
-// MinMaxWait is the least bound of the wait of a request for an exchange with the table.
-// A router that has just started needs several calls for its first share.
+// MinMaxWait bounds the wait of a request that states no other bound, and is the least
+// bound at a router that has just started, which needs several calls for its first share.
 const MinMaxWait = 400 * time.Millisecond
 
 // shortageValidFor is how long requests are refused at once after a read showed
@@ -45,18 +45,27 @@
 // PlatformUnavailable if the table or a stripe cannot be reached, the table is too
 // slow, or another process has closed the holding; Canceled if ctx ends first.
 func (m *Manager) Reserve(ctx context.Context, name string, tokens int64) (*Reservation, error) {
-	return m.ReserveWithin(ctx, name, tokens, MinMaxWait)
+	return m.ReserveWithin(ctx, name, Need{Tokens: tokens, Wait: MinMaxWait})
 }
 
-// ReserveWithin is Reserve with another longest wait.
-func (m *Manager) ReserveWithin(ctx context.Context, name string, tokens int64, maxWait time.Duration) (*Reservation, error) {
-	r, err := m.reserveOrWait(ctx, name, tokens, maxWait)
+// Need is what a request needs of its team's budget.
+type Need struct {
+	Tokens int64         // the most that it may consume
+	Rank   int           // requests of a lower rank get tokens first
+	Wait   time.Duration // the longest wait
+}
+
+// ReserveWithin is Reserve with an order among the requests that wait: by rank, then by the
+// end of the wait, then by tokens.
+func (m *Manager) ReserveWithin(ctx context.Context, name string, need Need) (*Reservation, error) {
+	r, err := m.reserveOrWait(ctx, name, need)
 	m.opt.Metrics.countReservation(err)
 	return r, err
 }
 
 // reserveOrWait implements ReserveWithin without its metrics.
-func (m *Manager) reserveOrWait(ctx context.Context, name string, tokens int64, maxWait time.Duration) (*Reservation, error) {
+func (m *Manager) reserveOrWait(ctx context.Context, name string, need Need) (*Reservation, error) {
+	tokens, maxWait := need.Tokens, need.Wait
 	m.mu.Lock()
 	if _, limited := m.prepaidTotals[name]; !limited {
 		m.mu.Unlock()
@@ -70,11 +79,15 @@
 		m.mu.Unlock()
 		return &Reservation{manager: m, team: t, tokens: tokens}, nil
 	}
-	if len(t.waiters) >= maxWaiters {
+	if m.holdingsReadAt.IsZero() {
+		maxWait = max(maxWait, MinMaxWait)
+	}
+	w := &waiter{tokens: tokens, rank: need.Rank, until: now.Add(maxWait), done: make(chan error, 1)}
+	if len(t.waiters) >= maxWaiters && w.compare(t.waiters[len(t.waiters)-1]) >= 0 {
 		m.mu.Unlock()
 		return nil, busyError("too many requests wait for the budget")
 	}
-	if !m.holdingsReadAt.IsZero() && !m.tableReachable {
+	if !m.holdingsReadAt.IsZero() && !m.tableReachable && !m.triesAgain {
 		// The next call may take its whole timeout, and the refusal is already known.
 		err := m.refusalError(t, tokens)
 		m.mu.Unlock()
@@ -96,15 +109,20 @@
 		m.mu.Unlock()
 		return nil, err
 	}
-	if delay := m.expectedDelay(); float64(delay) >= maxDelayFraction*float64(maxWait) && !m.holdingsReadAt.IsZero() {
+	if delay := m.expectedDelay(); !m.triesAgain && float64(delay) >= maxDelayFraction*float64(maxWait) && !m.holdingsReadAt.IsZero() {
 		m.wake()
 		err := m.unavailableError(t, tokens)
 		err.RetryAfter = max(err.RetryAfter, delay)
 		m.mu.Unlock()
 		return nil, err
 	}
-	w := &waiter{tokens: tokens, done: make(chan error, 1)}
-	t.waiters = append(t.waiters, w)
+	if len(t.waiters) >= maxWaiters {
+		last := t.waiters[len(t.waiters)-1]
+		t.waiters = t.waiters[:len(t.waiters)-1]
+		last.done <- busyError("more urgent requests wait for the budget")
+	}
+	at, _ := slices.BinarySearchFunc(t.waiters, w, (*waiter).compare)
+	t.waiters = slices.Insert(t.waiters, at, w)
 	m.wake()
 	m.mu.Unlock()
 	timeout := time.NewTimer(maxWait)
@@ -167,6 +185,14 @@
 				remaining = append(remaining, w)
 				continue
 			}
+			switch {
+			case len(remaining) > 0 && m.coverableTokens(t) >= w.tokens:
+				remaining = append(remaining, w) // behind more urgent requests of the next round
+				continue
+			case len(remaining) == 0 && m.tryReserve(t, w.tokens):
+				w.done <- nil // those before it did not fit and are refused
+				continue
+			}
 			if m.tableReachable && m.coverableTokens(t) < w.tokens {
 				t.recordShortage(m.opt.Clock(), w.tokens)
 			}
--- a/internal/prepaid/team.go
+++ b/internal/prepaid/team.go
@@ -1,6 +1,7 @@
 package prepaid
 
 import (
+	"cmp"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/budget"
@@ -15,7 +16,7 @@
 	demand  budget.DemandAverage
 	stripes []stripeRow
 	sent    []budget.GrantHistory // tokens sent to the home stripe by each stripe, in a table that reports eras
-	waiters []*waiter             // in order of arrival
+	waiters []*waiter             // in the order of waiter.compare
 
 	// shortOf is the least number of tokens that a round found neither here nor in the
 	// stripes, at shortAt.
@@ -70,10 +71,21 @@
 // waiter is a request that waits for tokens.
 type waiter struct {
 	tokens  int64
+	rank    int
+	until   time.Time  // end of the longest wait
 	done    chan error // receives nil once the tokens are reserved, or the refusal
 	inRound bool       // the round in progress answers this waiter when it ends
 }
 
+// compare orders waiters: what costs callers most to lose gets tokens first. Among equals
+// it returns 1, so that the later one follows.
+func (w *waiter) compare(o *waiter) int {
+	if c := cmp.Or(cmp.Compare(w.rank, o.rank), w.until.Compare(o.until), cmp.Compare(w.tokens, o.tokens)); c != 0 {
+		return c
+	}
+	return 1
+}
+
 // waitingTokens returns the tokens that all waiters together ask for.
 func (t *team) waitingTokens() int64 {
 	var sum int64
@@ -82,3 +94,17 @@
 	}
 	return sum
 }
+
+// coveredWaiters returns the tokens of the waiters that the given tokens cover, in order. If
+// they do not cover the first one, it returns what that one asks for.
+func (t *team) coveredWaiters(tokens int64) (sum int64) {
+	for _, w := range t.waiters {
+		if sum+w.tokens <= tokens {
+			sum += w.tokens
+		}
+	}
+	if sum == 0 && len(t.waiters) > 0 {
+		return t.waiters[0].tokens
+	}
+	return sum
+}
