--- a/internal/core/budget/pledge.go
+++ b/internal/core/budget/pledge.go
@@ -40,8 +40,11 @@
 	widePledgeRateFactor  = 2.0
 	widePledgeBurstPeriod = 3 * time.Second
 	// lowPledgeBurstPeriod is the period whose demand the pledge of a low budget covers
-	// until it grows. Exchanges follow each other in half a second.
-	lowPledgeBurstPeriod = 750 * time.Millisecond
+	// until it grows. It is renewed before it is used up (PledgeRunsDry).
+	lowPledgeBurstPeriod = 400 * time.Millisecond
+	// pledgeDryPeriod is the period whose demand a pledge must still cover. An exchange
+	// takes 10 to 30 ms, and another one may be under way.
+	pledgeDryPeriod = 150 * time.Millisecond
 	// lowPledgeGrowsAfter is how long the pledge of a low budget does not grow. After a
 	// loss of power the next process of a host starts within that time.
 	lowPledgeGrowsAfter = 2500 * time.Millisecond
@@ -101,6 +104,12 @@
 	return d.TokensPerSecond > 0 && !s.WithinPledges(2*d.RequestSize, nowMS)
 }
 
+// PledgeRunsDry reports whether the pledge covers less than pledgeDryPeriod of the demand,
+// or less than a request.
+func (s *LocalShare) PledgeRunsDry(d Demand, nowMS int64) bool {
+	return !s.WithinPledges(max(d.RequestSize, int64(d.TokensPerSecond*pledgeDryPeriod.Seconds())), nowMS)
+}
+
 // WithinPledges reports whether a reservation of tokens fits within both the
 // stored pledge and that of an operation in flight. An absent pledge sets no
 // limit.
--- a/internal/prepaid/low_budget_test.go
+++ b/internal/prepaid/low_budget_test.go
@@ -13,7 +13,7 @@
 
 // Guards against a loss of power of all routers that writes off what the routers could
 // have spent while they had no power. A budget with 25 s of demand left may lose what was
-// reserved, what the pledges cover between two exchanges (0.75 s of demand), and 1% for
+// reserved, what the pledges cover between two exchanges (0.4 s of demand), and 1% for
 // sparse teams.
 func TestPowerLossCostsLittleOfALowBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -36,7 +36,7 @@
 		time.Sleep(time.Second)
 		sum := f.checkTotals(t)
 		f.stop()
-		lost, bound := float64(sum.Lost)/float64(prepaid), float64(reserved)/float64(prepaid)+0.75/budgetTime.Seconds()+0.01
+		lost, bound := float64(sum.Lost)/float64(prepaid), float64(reserved)/float64(prepaid)+0.4/budgetTime.Seconds()+0.01
 		t.Logf("lost %.4f, bound %.4f, reserved %.4f", lost, bound, float64(reserved)/float64(prepaid))
 		assert.Assert(t, lost <= bound, "%.4f of the budgets is lost, bound %.4f", lost, bound)
 	})
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -128,7 +128,7 @@
 	// A new pledge is due if the share covers the first waiter, so that only the old
 	// pledge makes it wait, or if the old pledge is nearly used up.
 	renew := len(t.waiters) > 0 && t.waiters[0].tokens <= t.share.Available() ||
-		tick && t.share.PledgeNeedsRenewal(t.demand.Demand(now), m.tableNowMS())
+		tick && t.share.PledgeNeedsRenewal(t.demand.Demand(now), m.tableNowMS()) || m.pledgeRunsDry(t, now)
 	report := tick && delta == 0 && m.reportsEnd(t, old, now)
 	if delta == 0 && settle == 0 && !renew && !report {
 		return false, shortfall, nil
--- a/internal/prepaid/pool.go
+++ b/internal/prepaid/pool.go
@@ -126,16 +126,28 @@
 func (m *Manager) runsDry(t *team, now time.Time) bool {
 	own := t.demand.Demand(now)
 	covers := int64(own.TokensPerSecond * minCoverHorizon.Seconds() / 2)
-	return covers >= minDryRequests*own.RequestSize && own.RequestSize > 0 && t.share.Available() < covers && m.drawableTokens(t) >= own.RequestSize
+	return isBusy(own) && t.share.Available() < covers && m.drawableTokens(t) >= own.RequestSize
+}
+
+// pledgeRunsDry reports whether the pledge for a team with many requests is to be renewed
+// before a request has to wait. m.mu is held.
+func (m *Manager) pledgeRunsDry(t *team, now time.Time) bool {
+	own := t.demand.Demand(now)
+	return isBusy(own) && t.share.Available() >= own.RequestSize && t.share.PledgeRunsDry(own, m.tableNowMS())
 }
 
 // minDryRequests is the number of requests a second from which a share is drawn ahead of
 // time.
 const minDryRequests = 4
 
-// drawAhead starts a round if the share runs dry. m.mu is held.
+// isBusy reports whether a team sends minDryRequests or more a second.
+func isBusy(d budget.Demand) bool {
+	return d.RequestSize > 0 && d.TokensPerSecond >= float64(minDryRequests*d.RequestSize)
+}
+
+// drawAhead starts a round if the share or its pledge runs dry. m.mu is held.
 func (m *Manager) drawAhead(t *team, now time.Time) {
-	if now.Sub(t.drawnAheadAt) >= drawAheadPause && m.tableReachable && m.runsDry(t, now) {
+	if now.Sub(t.drawnAheadAt) >= drawAheadPause && m.tableReachable && (m.pledgeRunsDry(t, now) || m.runsDry(t, now)) {
 		t.drawnAheadAt = now
 		m.wake()
 	}
