--- a/internal/prepaid/metrics.go
+++ b/internal/prepaid/metrics.go
@@ -60,9 +60,39 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "tarragonridge_budget_holders", Help: "Routers that hold a share of the most widely held budget.",
 		}, func() float64 { return float64(m.Holders()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "tarragonridge_budget_low_teams", Help: "Teams with a share here whose budget lasts less than a minute at the present demand of all routers.",
+		}, func() float64 { return float64(m.lowTeams()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "tarragonridge_budget_waiting", Help: "Requests that wait for tokens.",
+		}, func() float64 { return float64(m.waitingRequests()) }),
 	)
 }
 
+// lowTeams returns the number of teams with a share here whose budget is low.
+func (m *Manager) lowTeams() (n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.opt.Clock()
+	for name := range m.holding.Grants {
+		t := m.team(name)
+		average := t.demand.Average(now)
+		if m.pool(t, 0, average).Low(average) {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Manager) waitingRequests() (n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, t := range m.teams {
+		n += len(t.waiters)
+	}
+	return n
+}
+
 // heldTokens returns the unspent tokens of all shares.
 func (m *Manager) heldTokens() (sum int64) {
 	m.mu.Lock()
