--- a/internal/core/budget/demand.go
+++ b/internal/core/budget/demand.go
@@ -59,6 +59,14 @@
 	a.requestSize += sizeWeight * (float64(tokens) - a.requestSize)
 }
 
+// Inherit begins with the rate that a predecessor has stated, if nothing is known yet.
+func (a *DemandAverage) Inherit(now time.Time, tokensPerSecond float64) {
+	a.advance(now)
+	if a.tokensPerSecond == 0 {
+		a.tokensPerSecond = tokensPerSecond
+	}
+}
+
 // Average returns the averages. The rate grows from 0: after one request of a team that
 // sends a router few, a rate of one request a second would be many times too high.
 func (a *DemandAverage) Average(now time.Time) Demand {
--- a/internal/core/budget/pledge.go
+++ b/internal/core/budget/pledge.go
@@ -59,6 +59,14 @@
 	sparsePledgeDivisor = 100
 )
 
+// PledgeOfSuccessor returns the pledge with which the successor of a holder begins: the
+// demand that the holder has stated, as nothing else is known of what callers will send,
+// and the tokens that waiting requests need.
+func (g Grant) PledgeOfSuccessor(need, nowMS int64) Pledge {
+	burst := int64(float64(g.Demand) * pledgeBurstPeriod.Seconds())
+	return Pledge{Base: g.Settled + need + burst, PerSecond: int64(float64(g.Demand) * pledgeRateFactor), AtMS: nowMS}
+}
+
 // SparsePledge returns the allowance for sparse requests of the given mean size.
 func SparsePledge(requestSize, limit int64) int64 {
 	return min(int64(sparsePledgeRequests*float64(requestSize)), limit)
--- a/internal/prepaid/low_budget_test.go
+++ b/internal/prepaid/low_budget_test.go
@@ -140,3 +140,35 @@
 		f.checkTotals(t)
 	})
 }
+
+// Guards against a successor that refuses requests although it has taken over the share of
+// its predecessor, because its first pledge covers none and the table has turned slow. Half
+// a second of the predecessor's 20 requests a second must be served.
+func TestSuccessorPledgesTheDemandOfItsPredecessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &slowTable{Table: platform.NewMemoryTable()}
+		f := startOneRouter(table)
+		f.prepaid["t"] = 1_000_000
+		f.managers[0].SetPrepaid(f.prepaid)
+		send := func(requests int) (served int) {
+			for range requests {
+				time.Sleep(50 * time.Millisecond)
+				if r, err := f.managers[0].Reserve(context.Background(), "t", 1000); err == nil {
+					r.Settle(1000)
+					served++
+				}
+			}
+			return served
+		}
+		send(300)
+		f.cancels[0]()
+		time.Sleep(time.Second)
+		var routerCtx context.Context
+		routerCtx, f.cancels[0] = context.WithCancel(context.Background())
+		f.startWithTable(routerCtx, 0, table, newClock())
+		defer f.stop()
+		time.Sleep(600 * time.Millisecond)
+		table.delay.Store(int64(10 * time.Second))
+		assert.Equal(t, send(8), 8)
+	})
+}
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -230,7 +230,7 @@
 	}}
 	for name, old := range p.holding.Grants {
 		grant := old.ForSuccessor(m.predecessorEndMS)
-		grant.Pledge = budget.Pledge{Base: grant.Settled + m.team(name).waitingTokens(), AtMS: m.tableNowMS()}
+		grant.Pledge = grant.PledgeOfSuccessor(m.team(name).waitingTokens(), m.tableNowMS())
 		op.holding.Grants[name] = grant
 	}
 	if err := op.addHolding(m.holdingKey(), platform.Version{}); err != nil {
@@ -357,6 +357,7 @@
 	for name, grant := range op.holding.Grants {
 		t := m.team(name)
 		t.share.Restore(grant)
+		t.demand.Inherit(m.opt.Clock(), float64(grant.Demand))
 		t.history.RecordInherited(m.inheritedAt(grant), grant)
 		m.grantWaiters(t)
 		m.opt.Metrics.lostTokens.Add(float64(grant.Lost - op.predecessor.holding.Grants[name].Lost))
