--- a/internal/prepaid/pool.go
+++ b/internal/prepaid/pool.go
@@ -47,7 +47,10 @@
 	case pool.Ample(average):
 		kind, sparse = budget.PledgeWide, max(sparse, pool.Allowance())
 	case m.lastCallDuration > maxNormalLatency:
-		kind, sparse = budget.PledgeWide, budget.SparsePledge(demand.RequestSize, math.MaxInt64)
+		sparse = budget.SparsePledge(demand.RequestSize, math.MaxInt64)
+		if !pool.Low(average) {
+			kind = budget.PledgeWide
+		}
 	case pool.Low(average):
 		kind = budget.PledgeLow
 	}
