--- a/internal/prepaid/calls.go
+++ b/internal/prepaid/calls.go
@@ -24,7 +24,7 @@
 
 // callTimeout is nextCallTimeout with m.mu held.
 func (m *Manager) callTimeout() time.Duration {
-	timeout := max(minCallTimeout, timeoutLatencyFactor*m.lastSuccessDuration)
+	timeout := max(minCallTimeout, timeoutLatencyFactor*m.lastSuccessDuration, recentLatencyFactor*m.recentDuration)
 	switch m.consecutiveTimeouts {
 	case 0:
 	case 1:
@@ -47,6 +47,7 @@
 	}
 	m.lastCallEnd = m.opt.Clock()
 	m.lastCallDuration, m.callStart = m.lastCallEnd.Sub(start), time.Time{}
+	m.recentDuration = max(m.lastCallDuration, time.Duration(recentDurationDecay*float64(m.recentDuration)))
 }
 
 // startCall records and returns the start of a call to the table.
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -38,6 +38,11 @@
 	// about 10 ms, more if a host gets no processor time for a tenth of a second. A call
 	// on a path that gives no answer must end before waiting requests are refused.
 	minCallTimeout = 150 * time.Millisecond
+	// recentLatencyFactor is the least timeout in multiples of the longest call lately,
+	// which loses its weight by recentDurationDecay with each call. Calls of a host whose
+	// link or processor is full take much longer now and then.
+	recentLatencyFactor = 3
+	recentDurationDecay = 0.95
 	// secondCallTimeout is the least timeout after a call that has timed out. Requests that
 	// wait leave by their own time limits; a table that has turned slow must answer some
 	// call, or the pledges run out.
@@ -195,6 +200,7 @@
 	consecutiveTimeouts int           // of calls to the table
 	lastCallDuration    time.Duration
 	lastSuccessDuration time.Duration // of the last call that succeeded
+	recentDuration      time.Duration // of the longest call lately
 	lastCallEnd         time.Time
 	callStart           time.Time  // start of the call in flight; zero if there is none
 	draining            bool       // tokens that no request needs are returned at once
