--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -49,10 +49,10 @@
 // writes. Callers that keep up cost neither a goroutine nor a copy.
 type callerConn struct {
 	net.Conn // counted if the bytes are counted, else tcp
-	tcp     *net.TCPConn
-	counted *netcount.Conn
-	raw     syscall.RawConn
-	metrics *Metrics
+	tcp      *net.TCPConn
+	counted  *netcount.Conn
+	raw      syscall.RawConn
+	metrics  *Metrics
 
 	mu            sync.Mutex
 	changed       sync.Cond // the backlog shrank, or err is set
--- a/internal/prepaid/calls.go
+++ b/internal/prepaid/calls.go
@@ -19,10 +19,20 @@
 func (m *Manager) nextCallTimeout() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.consecutiveTimeouts >= 2 {
-		return maxCallTimeout
+	return m.callTimeout()
+}
+
+// callTimeout is nextCallTimeout with m.mu held.
+func (m *Manager) callTimeout() time.Duration {
+	timeout := max(minCallTimeout, timeoutLatencyFactor*m.lastSuccessDuration, recentLatencyFactor*m.recentDuration)
+	switch m.consecutiveTimeouts {
+	case 0:
+	case 1:
+		timeout = max(timeout, secondCallTimeout)
+	default:
+		timeout = maxCallTimeout
 	}
-	return min(max(minCallTimeout, timeoutLatencyFactor*m.lastSuccessDuration), maxCallTimeout)
+	return min(timeout, maxCallTimeout)
 }
 
 // recordCall records the result and duration of a call to the table. m.mu is held.
@@ -37,6 +47,7 @@
 	}
 	m.lastCallEnd = m.opt.Clock()
 	m.lastCallDuration, m.callStart = m.lastCallEnd.Sub(start), time.Time{}
+	m.recentDuration = max(m.lastCallDuration, time.Duration(recentDurationDecay*float64(m.recentDuration)))
 }
 
 // startCall records and returns the start of a call to the table.
@@ -55,7 +66,9 @@
 		d = m.lastCallDuration
 	}
 	if !m.callStart.IsZero() {
-		d = max(d, now.Sub(m.callStart))
+		// The call ends by its timeout. The next one may take another path.
+		took := now.Sub(m.callStart)
+		d = max(d, min(took, max(m.callTimeout()-took, 0)))
 	}
 	return d
 }
--- a/internal/prepaid/manager_test.go
+++ b/internal/prepaid/manager_test.go
@@ -246,6 +246,7 @@
 	r.Settle(0)
 
 	table.SetDown(true)
+	c.advance(2 * time.Second)
 	a.round(ctx, true)
 	_, err = a.Reserve(ctx, "t", 150_000)
 	assert.Assert(t, errkind.Is(err, errkind.PlatformUnavailable), "%v", err)
@@ -303,7 +304,8 @@
 	r.Settle(3000)
 	assert.Equal(t, checkStored(t, table).Holders, 1)
 	assert.Equal(t, checkStored(t, table).ClosedSpent, int64(0), "nothing went back to the total")
-	predecessor.round(ctx, true)
+	_, err = predecessor.reserveInRound(ctx, 12_000)
+	assert.Assert(t, err != nil, "the predecessor's holding is gone")
 	assert.Assert(t, predecessor.reserveLocal(1) == nil, "the predecessor has nothing left")
 	successor.Close(ctx)
 	total := checkStored(t, table)
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -123,21 +122,23 @@
 	if shortfall = delta - total.Left(); delta > 0 && shortfall > 0 {
 		delta = max(total.Left(), 0)
 	}
-	if len(t.waiters) == 0 && t.share.Available()+delta >= t.demand.Demand(now).RequestSize {
-		shortfall = 0 // a share that covers the next request is not worth a transfer
+	if len(t.waiters) == 0 && t.share.Available()+delta >= m.minCover(t, now) {
+		shortfall = 0 // not worth a transfer
 	}
 	// A new pledge is due if the share covers the first waiter, so that only the old
 	// pledge makes it wait, or if the old pledge is nearly used up.
 	renew := len(t.waiters) > 0 && t.waiters[0].tokens <= t.share.Available() ||
-		tick && t.share.PledgeNeedsRenewal(t.demand.Demand(now), m.tableNowMS())
-	if delta == 0 && settle == 0 && !renew {
+		tick && t.share.PledgeNeedsRenewal(t.demand.Demand(now), m.tableNowMS()) || m.pledgeRunsDry(t, now)
+	report := tick && delta == 0 && m.reportsEnd(t, old, now)
+	if delta == 0 && settle == 0 && !renew && !report {
 		return false, shortfall, nil
 	}
 	if settle == 0 {
 		settle = t.share.Consumed() - t.share.Stored().Settled
 	}
 	next := m.beginGrant(t, old, delta, settle, fromReserve)
-	if delta != 0 {
+	if delta != 0 || report {
+		next.Demand = int64(t.demand.Average(now).TokensPerSecond)
 		updated, err := total.ChangeGrant(old, next)
 		if err != nil {
 			return false, 0, err
@@ -169,22 +170,11 @@
 // store, which follows old. m.mu is held.
 func (m *Manager) beginGrant(t *team, old budget.Grant, delta, settle, fromReserve int64) budget.Grant {
 	next := t.share.BeginPledged(delta, settle, m.newPledge(t, m.opt.Clock()))
-	next.Reported, next.Lost = old.Reported, old.Lost
+	next.Reported, next.Lost, next.Demand = old.Reported, old.Lost, old.Demand
 	next.Young, next.YoungAtMS = m.youngAfter(old, delta, fromReserve)
 	return next
 }
 
-// newPledge returns the pledge for an operation. The part of the pledge for sparse
-// requests, those that arrive rarely, is not limited while the table is slow: each
-// request beyond the pledge would wait for the table. m.mu is held.
-func (m *Manager) newPledge(t *team, now time.Time) budget.Pledge {
-	sparseLimit := int64(math.MaxInt64)
-	if m.lastCallDuration <= maxNormalLatency {
-		sparseLimit = budget.SparsePledgeLimit(m.prepaidTotals[t.name], t.holderCount())
-	}
-	return t.share.NewPledge(t.demand.Demand(now), sparseLimit, t.waitingTokens(), m.tableNowMS())
-}
-
 // renewOtherPledges settles the teams that the operation does not change yet and
 // renews their pledges. The row of the holding is written anyway, and an old pledge
 // causes a large loss if this router dies: the limit of a pledge grows with time.
@@ -201,31 +191,28 @@
 }
 
 // grantChange returns the tokens to add to a team's grant, negative for a return,
-// and the consumption to settle, both 0 if they do not justify a write. If the
-// budget can cover the first waiter but not all, the first one alone is considered.
-// A draining router returns all free tokens, or draws just what its waiters need if
-// the budget has that many tokens. m.mu is held.
+// and the consumption to settle, both 0 if they do not justify a write. Only those of
+// the waiters are considered that the budget can cover.
+// m.mu is held.
 func (m *Manager) grantChange(t *team, now time.Time, tick bool) (delta, settle int64) {
-	if !tick && len(t.waiters) == 0 && !m.draining {
+	runsDry := m.runsDry(t, now)
+	if !tick && len(t.waiters) == 0 && !m.draining && !runsDry {
 		return 0, 0
 	}
 	var need int64
 	left := m.drawableTokens(t)
 	if len(t.waiters) > 0 {
-		need = t.waitingTokens() - max(t.share.Available(), 0)
-		if first := t.waiters[0].tokens - t.share.Available(); need > left && first <= left {
-			need = first
-		}
-		need = max(need, 0)
+		available := max(t.share.Available(), 0)
+		need = max(t.coveredWaiters(available+left)-available, 0)
 	}
 	switch {
-	case m.draining && need == 0:
-		delta = -max(t.share.Available(), 0)
-	case m.draining && need <= left:
-		delta = need
-	case tick || need > 0:
-		pool := budget.Pool{Left: left, Held: t.heldByAll(), Holders: t.holderCount()}
-		delta = t.share.GrantChange(t.demand.Demand(now), m.shareHorizon(), need, pool)
+	case tick || need > 0 || m.draining || runsDry:
+		demand := t.demand.Demand(now)
+		horizon, returnsRest := m.horizon(t, left, now)
+		delta = t.share.GrantChange(demand, horizon, need, m.pool(t, left, demand))
+		if idle := m.idleTokens(t, demand, horizon); returnsRest && need == 0 && idle > 0 {
+			delta = -idle
+		}
 	}
 	settle = t.share.Consumed() - t.share.Stored().Settled
 	if delta == 0 && (!tick || settle < minSettleTokens) {
@@ -243,7 +230,7 @@
 	}}
 	for name, old := range p.holding.Grants {
 		grant := old.ForSuccessor(m.predecessorEndMS)
-		grant.Pledge = budget.Pledge{Base: grant.Settled + m.team(name).waitingTokens(), AtMS: m.tableNowMS()}
+		grant.Pledge = grant.PledgeOfSuccessor(m.team(name).waitingTokens(), m.tableNowMS())
 		op.holding.Grants[name] = grant
 	}
 	if err := op.addHolding(m.holdingKey(), platform.Version{}); err != nil {
@@ -293,15 +280,17 @@
 }
 
 // commit sends an operation to the table and records the result.
-func (m *Manager) commit(ctx context.Context, op *operation) exchangeResult {
-	ctx, cancel := context.WithTimeout(ctx, m.nextCallTimeout())
+func (m *Manager) commit(parent context.Context, op *operation) exchangeResult {
+	ctx, cancel := context.WithTimeout(parent, m.nextCallTimeout())
 	defer cancel()
 	start := m.startCall()
 	res, err := m.opt.Table.Commit(ctx, op.txn)
 	var ownRow *platform.Row
 	if err == nil && !res.Committed && (op.predecessor == nil || op.takesOver) && (op.uncertain || len(res.Current) == 0) {
 		// Only this router's holding shows whether an earlier attempt was applied.
-		ownRow, err = m.readOwnHolding(ctx)
+		readCtx, cancelRead := context.WithTimeout(parent, m.nextCallTimeout())
+		defer cancelRead()
+		ownRow, err = m.readOwnHolding(readCtx)
 		op.uncertain = true
 	}
 	m.mu.Lock()
@@ -368,11 +357,13 @@
 	for name, grant := range op.holding.Grants {
 		t := m.team(name)
 		t.share.Restore(grant)
+		t.demand.Inherit(m.opt.Clock(), float64(grant.Demand))
 		t.history.RecordInherited(m.inheritedAt(grant), grant)
 		m.grantWaiters(t)
 		m.opt.Metrics.lostTokens.Add(float64(grant.Lost - op.predecessor.holding.Grants[name].Lost))
 		m.opt.Logger.Info("share of an ended process taken over", "team", name, "holding", op.predecessor.key,
-			"held", grant.Held(), "lost", grant.Lost, "pledged_ms", m.predecessorEndMS-op.predecessor.holding.Grants[name].Pledge.AtMS)
+			"held", grant.Held(), "lost", grant.Lost, "pledged_ms", m.predecessorEndMS-op.predecessor.holding.Grants[name].Pledge.AtMS,
+			"grows_after_ms", op.predecessor.holding.Grants[name].Pledge.GrowsAfterMS)
 	}
 	m.predecessors = slices.DeleteFunc(m.predecessors, func(p predecessor) bool { return p.key == op.predecessor.key })
 }
@@ -383,7 +374,8 @@
 		if _, remains := op.holding.Grants[name]; !remains {
 			m.opt.Metrics.lostTokens.Add(float64(grant.ForSuccessor(m.predecessorEndMS).Lost - grant.Lost))
 			m.opt.Logger.Info("share of an ended process written off", "team", name, "holding", op.predecessor.key,
-				"held", grant.Held(), "lost_in_all", m.teamTotal(m.team(name)).Lost, "pledged_ms", m.predecessorEndMS-grant.Pledge.AtMS)
+				"held", grant.Held(), "lost_in_all", m.teamTotal(m.team(name)).Lost, "pledged_ms", m.predecessorEndMS-grant.Pledge.AtMS,
+				"grows_after_ms", grant.Pledge.GrowsAfterMS)
 		}
 	}
 	if len(op.holding.Grants) == 0 {
