Tell where a gateway would send a request now, and why, without sending it

Cause: operators had logs of what became of requests, and nothing that tells beforehand. The path of a request up to its body is split into identify and classify, which the question and the request share; the targets and the budget are looked at and not taken.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,6 +33,7 @@
 	Relay   relayCmd   `cmd:"" help:"Run a relay to the platform's store beside a target."`
 	Explain explainCmd `cmd:"" help:"Tell from log lines what became of a request."`
 	Losses  lossesCmd  `cmd:"" help:"Count from log lines the requests that were not served in time, by cause."`
+	Where   whereCmd   `cmd:"" help:"Tell where a gateway would send a request now, and why, without sending it."`
 	Dev     devCmd     `cmd:"" help:"Run everything in one process on loopback, with stand-ins."`
 	Standin standinCmd `cmd:"" help:"Run a stand-in of an outside system."`
 	Load    loadCmd    `cmd:"" help:"Generate load and compare results."`
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -149,7 +149,10 @@
 	}
 	auxiliaryListeners := []auxiliaryListener{{cfg.Listen.Ready, http.HandlerFunc(g.ServeReady)}}
 	if cfg.Listen.Metrics != "" {
-		auxiliaryListeners = append(auxiliaryListeners, auxiliaryListener{cfg.Listen.Metrics, promhttp.HandlerFor(metrics.Registry, promhttp.HandlerOpts{})})
+		operators := http.NewServeMux()
+		operators.Handle("/", promhttp.HandlerFor(metrics.Registry, promhttp.HandlerOpts{}))
+		operators.Handle(gateway.WherePath, g.WhereHandler())
+		auxiliaryListeners = append(auxiliaryListeners, auxiliaryListener{cfg.Listen.Metrics, operators})
 	}
 	for _, l := range auxiliaryListeners {
 		if err := l.serve(log); err != nil {
--- a/internal/core/targets/availability.go
+++ b/internal/core/targets/availability.go
@@ -28,6 +28,9 @@
 // lastResort reports whether a target with the reason is chosen if there is no other.
 func (r Reason) lastResort() bool { return r == ReasonMissing || r == ReasonAvoided }
 
+// Choosable reports whether a target with the reason may be chosen.
+func (r Reason) Choosable() bool { return r == ReasonNone || r.lastResort() }
+
 // endsByItself reports whether the reason ends at a time that the router knows.
 func (r Reason) endsByItself() bool { return r == ReasonTurnedAway || r == ReasonLimited }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -24,6 +24,7 @@
 // request is a request of a caller and the state of its attempts.
 type request struct {
 	meta     RequestMeta
+	config   *httproute.Config
 	route    *httproute.Route
 	team     httproute.Team
 	service  httproute.Service
@@ -68,12 +69,15 @@
 // matches it.
 const defaultDeadline = 2 * time.Second
 
+func newRequest(arrived time.Time) *request {
+	return &request{arrived: arrived, deadline: arrived.Add(defaultDeadline), lastEvent: -1, ran: errkind.RanNo}
+}
+
 // ServeHTTP forwards a request to a target of its route's service.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
-	req := &request{arrived: time.Now(), lastEvent: -1, ran: errkind.RanNo}
-	req.deadline = req.arrived.Add(defaultDeadline)
+	req := newRequest(time.Now())
 	defer func() { g.finishRequest(req) }()
 	if err := g.prepare(w, r, req); err != nil {
 		if errors.Is(err, errCallerGone) {
@@ -105,10 +109,23 @@
 	g.writeProblem(w, req, req.err)
 }
 
-// prepare decodes the headers, finds the route and the team, reads the body and
-// picks the service. It fails with errCallerGone if the caller leaves before it has
-// sent the whole body, or takes longer than bodyTimeout.
+// prepare finds the route, the team and the service of a request and reads its body. It
+// fails with errCallerGone if the caller leaves before it has sent the whole body, or
+// takes longer than bodyTimeout.
 func (g *Gateway) prepare(w http.ResponseWriter, r *http.Request, req *request) error {
+	err := g.identify(r, req)
+	if err != nil {
+		return err
+	}
+	if req.body, err = readBody(w, r, req.config.Limits.MaxBodyBytes); err != nil {
+		return err
+	}
+	g.classify(r, req)
+	return g.checkQuarantine(req)
+}
+
+// identify decodes the headers and finds the route and the team.
+func (g *Gateway) identify(r *http.Request, req *request) error {
 	var err error
 	if req.meta, err = g.opt.Codec.ParseRequest(r.Header); err != nil {
 		return err
@@ -118,12 +135,11 @@
 	if req.meta.Deadline > 0 {
 		req.deadline = req.arrived.Add(req.meta.Deadline)
 	}
-	config := g.config.Load()
-	if config == nil {
+	if req.config = g.config.Load(); req.config == nil {
 		return errkind.New(errkind.PlatformUnavailable, "no configuration yet")
 	}
 	req.path, _, _ = strings.Cut(r.RequestURI, "?")
-	if req.route = config.Match(r.Host, req.path); req.route == nil {
+	if req.route = req.config.Match(r.Host, req.path); req.route == nil {
 		return errkind.New(errkind.NotFound, "no route")
 	}
 	req.deadline = req.arrived.Add(req.route.Timeout)
@@ -131,7 +147,7 @@
 		req.deadline = req.arrived.Add(min(req.meta.Deadline, req.route.Timeout))
 	}
 	var ok bool
-	if req.team, ok = config.Authenticate(req.route, req.meta.TeamKey); !ok {
+	if req.team, ok = req.config.Authenticate(req.route, req.meta.TeamKey); !ok {
 		return errkind.New(errkind.Unauthenticated, "unknown key")
 	}
 	if g.cannotFinish(req.route, req.arrived) {
@@ -139,20 +155,19 @@
 		e.RetryAfter = minRetryAfter
 		return e
 	}
-	if req.body, err = readBody(w, r, config.Limits.MaxBodyBytes); err != nil {
-		return err
-	}
+	return nil
+}
+
+// classify derives from an identified request and its body what the quarantine knows it
+// by, and picks the service.
+func (g *Gateway) classify(r *http.Request, req *request) {
 	hash := xxhash.New()
 	_, _ = hash.WriteString(r.RequestURI) // never fails
 	_, _ = hash.Write(req.body)
 	req.crashKey = quarantine.Key{Team: req.team.Name, ContentHash: strconv.FormatUint(hash.Sum64(), 16)}
 	req.parts = promptParts(req.meta)
-	if err := g.checkQuarantine(req); err != nil {
-		return err
-	}
 	point := float64(xxhash.Sum64String(req.meta.RequestID)>>11) / (1 << 53) // from 0 to less than 1
-	req.service = config.Services[req.route.PickService(point)]
-	return nil
+	req.service = req.config.Services[req.route.PickService(point)]
 }
 
 // readBody reads the body of a request. limit is its largest size in bytes; 0 means
@@ -205,13 +220,16 @@
 
 // reserveTokens reserves the largest number of tokens that the request may consume.
 func (g *Gateway) reserveTokens(ctx context.Context, req *request) (*prepaid.Reservation, error) {
-	if req.meta.PromptTokens+req.meta.OutputTokens == 0 {
+	if req.reservedTokens() == 0 {
 		return g.opt.Budgets.Reserve(ctx, "", 0)
 	}
 	maxWait := max(req.route.LatencyObjective/budgetWaitDivisor, prepaid.MinMaxWait)
-	return g.opt.Budgets.ReserveWithin(ctx, req.team.Name, req.meta.PromptTokens+req.meta.OutputTokens, maxWait)
+	return g.opt.Budgets.ReserveWithin(ctx, req.team.Name, req.reservedTokens(), maxWait)
 }
 
+// reservedTokens returns the largest number of tokens that the request may consume.
+func (req *request) reservedTokens() int64 { return req.meta.PromptTokens + req.meta.OutputTokens }
+
 // chargedTokens returns the tokens that the request is charged: those of its prompt
 // once if any attempt may have run, and those of the output sent to the caller.
 func (req *request) chargedTokens() int64 {
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -409,7 +409,12 @@
 // tryReserve reserves tokens of a share if its spendable tokens and its pledge cover
 // them and no other process has closed the holding. m.mu is held.
 func (m *Manager) tryReserve(t *team, tokens int64) bool {
-	return !m.fenced && tokens <= m.spendable(t) && t.share.WithinPledges(tokens, m.tableNowMS()) && t.share.Reserve(tokens)
+	return m.covers(t, tokens) && t.share.Reserve(tokens)
+}
+
+// covers reports whether tryReserve would succeed. m.mu is held.
+func (m *Manager) covers(t *team, tokens int64) bool {
+	return !m.fenced && tokens <= m.spendable(t) && t.share.WithinPledges(tokens, m.tableNowMS()) && tokens <= t.share.Available()
 }
 
 // team returns the state of a team's budget, which is created if needed. m.mu is
