--- a/internal/core/targets/availability.go
+++ b/internal/core/targets/availability.go
@@ -33,6 +33,9 @@
 	return r == ReasonReplaced || r == ReasonMissing || r == ReasonAvoided
 }
 
+// Choosable reports whether a target with the reason may be chosen.
+func (r Reason) Choosable() bool { return r == ReasonNone || r.lastResort() }
+
 // endsByItself reports whether the reason ends at a time that the router knows.
 func (r Reason) endsByItself() bool { return r == ReasonTurnedAway || r.limited() }
 
