--- a/internal/core/budget/share.go
+++ b/internal/core/budget/share.go
@@ -82,7 +82,7 @@
 
 // maxLowShareDivisor gives the largest share of a low budget, as a part of the free
 // tokens. Its shares follow the demand of their holders, and all demand may be at one.
-const maxLowShareDivisor = 2
+const maxLowShareDivisor = 4
 
 // shareScale returns the factor of the shares at which holders together hold at most
 // maxHeldFraction of the unspent tokens. Demand moves between routers; what the others hold, a router
