Order the requests that wait for the link by what a refusal costs callers

Cause: the two parts were built side by side, and the entry had a queue of its own in the order of arrival. It now uses admit.Queue, with the bytes of a request as its work; the pace's rate tells who would start too late. 'where' tells whether the host has room.

--- a/internal/core/room/pace.go
+++ b/internal/core/room/pace.go
@@ -42,20 +42,20 @@
 	return min(max(bound/(bound+halfRequest), minUsable), maxUsable)
 }
 
-// bytesPerS returns the rate that callers' bytes may use.
-func (p *Pace) bytesPerS() float64 { return p.Usable() * p.rate }
+// BytesPerS returns the rate that callers' bytes may use.
+func (p *Pace) BytesPerS() float64 { return p.Usable() * p.rate }
 
 func (p *Pace) advance(now time.Time) {
 	if elapsed := now.Sub(p.at); elapsed > 0 {
 		if !p.at.IsZero() {
-			p.backlog = max(p.backlog-elapsed.Seconds()*p.bytesPerS(), 0)
+			p.backlog = max(p.backlog-elapsed.Seconds()*p.BytesPerS(), 0)
 		}
 		p.at = now
 	}
 }
 
 func (p *Pace) add(bytes float64) {
-	p.backlog = min(max(p.backlog+bytes, 0), maxBacklog.Seconds()*p.bytesPerS())
+	p.backlog = min(max(p.backlog+bytes, 0), maxBacklog.Seconds()*p.BytesPerS())
 }
 
 // Sent records the bytes that were sent to callers and to targets since the last call.
@@ -70,8 +70,8 @@
 // Wait returns how long a request must wait if others with the given bytes are before it.
 func (p *Pace) Wait(now time.Time, ahead int64) time.Duration {
 	p.advance(now)
-	allowed := p.bound.Seconds() * p.bytesPerS()
-	seconds := (p.backlog + float64(ahead) - allowed) / p.bytesPerS()
+	allowed := p.bound.Seconds() * p.BytesPerS()
+	seconds := (p.backlog + float64(ahead) - allowed) / p.BytesPerS()
 	return time.Duration(math.Ceil(max(seconds, 0) * float64(time.Second)))
 }
 
--- a/internal/core/room/room.go
+++ b/internal/core/room/room.go
@@ -192,7 +192,7 @@
 	h.flow.in += weight * (perSecond(s.In, h.last.In) - h.flow.in)
 	h.flow.out += weight * (perSecond(s.Out+s.Refused, h.last.Out+h.last.Refused) - h.flow.out)
 	if h.limits.LinkBytesPerS > 0 {
-		h.linkLoad = min(max(h.flow.in, h.flow.out)/h.pace.bytesPerS(), maxLoad)
+		h.linkLoad = min(max(h.flow.in, h.flow.out)/h.pace.BytesPerS(), maxLoad)
 		h.setLoad(Link, h.linkLoad)
 		if h.linkLoad >= hysteresis*busyPart {
 			// Bursts may delay small calls at a load that would do on average.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -41,7 +41,7 @@
 	switch err.Kind {
 	case errkind.Stopping:
 		f.Here = true
-	case errkind.TargetsLimited:
+	case errkind.TargetsLimited, errkind.NoRoom:
 		f.Reserved = true
 	case errkind.Overloaded:
 		f.Reserved, f.Brief = f.EndsIn > 0, true
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -17,60 +17,15 @@
 	headBytes = 600
 	// minEntryPause is the least pause between two starts of requests that wait.
 	minEntryPause = time.Millisecond
+	// maxWaitingEntries bounds the requests that wait for the link.
+	maxWaitingEntries = 500
 )
 
-// entryTicket is a request that waits for a place on the link.
-type entryTicket struct {
+// entry is the place of a request in the queue for the link.
+type entry struct {
+	admit.Ticket
 	room.Request
-	team     string
-	route    string
-	rank     int           // 0 is the most urgent
-	startBy  time.Time     // a later start does not serve the caller in time
-	deadline time.Time     // of the caller
-	started  chan struct{} // closed at the start
-}
-
-// entryQueue orders the requests that wait for a place on the link.
-type entryQueue interface {
-	// ahead returns the bytes of the requests that would start before the ticket.
-	ahead(t *entryTicket) int64
-	push(t *entryTicket)
-	// next returns the ticket that starts next, nil if none waits. It stays in the queue.
-	next() *entryTicket
-	// remove removes a ticket and reports whether it was in the queue.
-	remove(t *entryTicket) bool
-	waitingTickets() int
-}
-
-// fifo is an entryQueue in the order of arrival.
-type fifo struct {
-	tickets []*entryTicket
-	bytes   int64
-}
-
-func (q *fifo) ahead(*entryTicket) int64 { return q.bytes }
-func (q *fifo) waitingTickets() int      { return len(q.tickets) }
-
-func (q *fifo) push(t *entryTicket) {
-	q.tickets = append(q.tickets, t)
-	q.bytes += t.Bytes
-}
-
-func (q *fifo) next() *entryTicket {
-	if len(q.tickets) == 0 {
-		return nil
-	}
-	return q.tickets[0]
-}
-
-func (q *fifo) remove(t *entryTicket) bool {
-	i := slices.Index(q.tickets, t)
-	if i < 0 {
-		return false
-	}
-	q.tickets = slices.Delete(q.tickets, i, i+1)
-	q.bytes -= t.Bytes
-	return true
+	result chan bool // receives true at the start, and false if the request is evicted
 }
 
 // refusalReasons are the resources for which requests are refused.
@@ -82,22 +37,11 @@
 	if g.room == nil {
 		return nil
 	}
-	objective := req.route.LatencyObjective
-	if objective <= 0 {
-		objective = min(room.DefaultObjective, req.deadline.Sub(req.arrived))
-	}
-	t := &entryTicket{
-		Request: room.Request{Bytes: headBytes + max(r.ContentLength, 0), Objective: objective},
-		team:    req.team.Name, route: req.route.Name, rank: req.route.Priority, deadline: req.deadline,
-	}
-	if req.team.HasPriority {
-		t.rank = req.team.Priority
-	}
-	t.startBy = req.arrived.Add(t.LongestWait())
+	e := g.newEntry(req, max(r.ContentLength, 0))
 	g.sampleRoomIfDue(time.Now())
-	resource, wait, ok := g.room.enter(ctx, t)
+	resource, wait, ok := g.room.enter(ctx, e)
 	if ok {
-		req.place = t.Bytes
+		req.place = e.Bytes
 		return nil
 	}
 	if ctx.Err() != nil {
@@ -108,55 +52,101 @@
 	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return errkind.Wrap(err, errkind.Internal, "read deadline")
 	}
-	e := errkind.New(errkind.NoRoom, "%s of this host: %d ms to wait, objective %d ms", resource, wait.Milliseconds(), objective.Milliseconds())
-	e.RetryAfter = g.room.relief() + admit.MinReturn + rand.N(admit.MinReturn)
+	refusal := errkind.New(errkind.NoRoom, "%s of this host: %d ms to wait, objective %d ms", resource, wait.Milliseconds(), e.Objective.Milliseconds())
+	refusal.RetryAfter = g.room.relief() + admit.MinReturn + rand.N(admit.MinReturn)
+	return refusal
+}
+
+// newEntry returns the entry of a request whose body has a number of bytes.
+func (g *Gateway) newEntry(req *request, bodyBytes int64) *entry {
+	objective := req.route.LatencyObjective
+	if objective <= 0 {
+		objective = min(room.DefaultObjective, req.deadline.Sub(req.arrived))
+	}
+	e := &entry{Request: room.Request{Bytes: headBytes + bodyBytes, Objective: objective}, result: make(chan bool, 1)}
+	startBy := req.arrived.Add(e.LongestWait())
+	e.Ticket = admit.Ticket{Team: req.team.Name, Route: req.route.Name, Rank: req.rank(), Work: float64(e.Bytes), StartBy: startBy, Deadline: startBy}
 	return e
 }
 
-// enter waits for a place for a ticket. If there is none in time it returns the resource
+// fit says whether the host has room for a request. h.mu is held.
+func (h *hostRoom) fit(now time.Time, e *entry) room.Fit {
+	return h.host.Fit(now, e.Request, int64(h.waiting.Ahead(now, &e.Ticket)))
+}
+
+// enter waits for a place for a request. If there is none in time it returns the resource
 // that has no room, and the wait.
-func (h *hostRoom) enter(ctx context.Context, t *entryTicket) (resource room.Resource, wait time.Duration, ok bool) {
+func (h *hostRoom) enter(ctx context.Context, e *entry) (resource room.Resource, wait time.Duration, ok bool) {
 	now := time.Now()
 	h.mu.Lock()
 	pace := h.host.Pace()
 	if pace != nil {
 		h.recordSent(now, pace)
 	}
-	switch fit := h.host.Fit(now, t.Request, h.waiting.ahead(t)); {
+	switch fit := h.fit(now, e); {
 	case fit.Refuse:
-		h.refuse(fit.Resource, t)
+		h.waiting.Refuse(now, &e.Ticket)
+		h.refuse(fit.Resource, e)
 		h.mu.Unlock()
 		return fit.Resource, fit.Wait, false
 	case pace == nil:
 		h.mu.Unlock()
 		return 0, 0, true
-	case fit.Wait == 0 && h.waiting.next() == nil:
-		pace.Start(now, t.Bytes)
+	case fit.Wait == 0 && h.waiting.Len() == 0:
+		h.waiting.Start(now, &e.Ticket)
+		h.start(now, pace, e)
 		h.mu.Unlock()
 		return 0, 0, true
 	}
-	t.started = make(chan struct{})
-	h.waiting.push(t)
+	evicted, err := h.waiting.Push(now, &e.Ticket, admit.Limits{Waiting: maxWaitingEntries, Rate: pace.BytesPerS()})
+	if err != nil {
+		h.refuse(room.Link, e)
+		h.mu.Unlock()
+		return room.Link, e.LongestWait(), false
+	}
+	h.entries[&e.Ticket] = e
+	if evicted != nil {
+		h.turnAway(evicted)
+	}
 	h.startWaiting(now, pace)
 	h.mu.Unlock()
 
-	late := time.NewTimer(t.startBy.Sub(now))
+	late := time.NewTimer(e.Deadline.Sub(now))
 	defer late.Stop()
 	select {
-	case <-t.started:
-		return 0, 0, true
+	case ok = <-e.result:
+		return room.Link, time.Since(now), ok
 	case <-late.C:
 	case <-ctx.Done():
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.waiting.remove(t) {
-		return 0, 0, true // it has started
+	if !h.waiting.Remove(time.Now(), &e.Ticket) {
+		return room.Link, time.Since(now), <-e.result
 	}
-	h.refuse(room.Link, t)
+	h.forget(e)
 	return room.Link, time.Since(now), false
 }
 
+// start gives a request its place on the link. h.mu is held.
+func (h *hostRoom) start(now time.Time, pace *room.Pace, e *entry) {
+	h.waiting.Done(now, &e.Ticket) // its place is used up
+	pace.Start(now, e.Bytes)
+}
+
+// turnAway refuses a request that waits and was taken from the queue. h.mu is held.
+func (h *hostRoom) turnAway(t *admit.Ticket) {
+	e := h.entries[t]
+	h.forget(e)
+	e.result <- false
+}
+
+// forget counts a request that waited and is refused. h.mu is held.
+func (h *hostRoom) forget(e *entry) {
+	delete(h.entries, &e.Ticket)
+	h.refuse(room.Link, e)
+}
+
 // relief returns the time after which callers who come back reach another gateway.
 func (h *hostRoom) relief() time.Duration {
 	h.mu.Lock()
@@ -165,10 +155,10 @@
 }
 
 // refuse counts a refusal. h.mu is held.
-func (h *hostRoom) refuse(resource room.Resource, t *entryTicket) {
+func (h *hostRoom) refuse(resource room.Resource, e *entry) {
 	h.refused[slices.Index(refusalReasons[:], resource)]++
 	if resource == room.Link {
-		h.refusedBytes.Add(t.Bytes)
+		h.refusedBytes.Add(e.Bytes)
 	}
 }
 
@@ -182,19 +172,27 @@
 // startWaiting starts the requests for which there is room now and sets the timer for
 // the next one. h.mu is held.
 func (h *hostRoom) startWaiting(now time.Time, pace *room.Pace) {
-	for t := h.waiting.next(); t != nil; t = h.waiting.next() {
-		if wait := pace.Wait(now, 0); wait > 0 {
-			wait = max(wait, minEntryPause)
-			if h.wake == nil {
-				h.wake = time.AfterFunc(wait, h.wakeWaiting)
-			} else {
-				h.wake.Reset(wait)
-			}
-			return
+	for _, t := range h.waiting.Expire(now, func(string) float64 { return pace.BytesPerS() }) {
+		h.turnAway(t)
+	}
+	for {
+		t := h.waiting.Next(now, func(*admit.Ticket) bool { return pace.Wait(now, 0) == 0 })
+		if t == nil {
+			break
 		}
-		h.waiting.remove(t)
-		pace.Start(now, t.Bytes)
-		close(t.started)
+		e := h.entries[t]
+		delete(h.entries, t)
+		h.start(now, pace, e)
+		e.result <- true
+	}
+	if h.waiting.Len() == 0 {
+		return
+	}
+	wait := max(pace.Wait(now, 0), minEntryPause)
+	if h.wake == nil {
+		h.wake = time.AfterFunc(wait, h.wakeWaiting)
+	} else {
+		h.wake.Reset(wait)
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/entry_test.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/core/admit"
+	"tarragonridge.example/tarragonridge/internal/core/room"
+)
+
+// testLink carries a request of testBytes in 10 ms.
+const (
+	testLink  = 1 << 20 // bytes per second
+	testBytes = testLink / 100
+)
+
+func entryOf(rank int, longest time.Duration) *entry {
+	startBy := time.Now().Add(longest)
+	return &entry{
+		Request: room.Request{Bytes: testBytes, Objective: 2 * longest}, result: make(chan bool, 1),
+		Ticket: admit.Ticket{Team: "t", Route: "r", Rank: rank, Work: testBytes, StartBy: startBy, Deadline: startBy},
+	}
+}
+
+// Guards against a link that goes to who comes first, against a request that waits beyond
+// its time, and against entries that stay behind. Ten requests come at once, the least
+// urgent first.
+func TestLinkGoesToTheMostUrgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHostRoom(room.Limits{LinkBytesPerS: testLink}, nil)
+		for range 20 { // fills the link
+			h.enter(t.Context(), entryOf(0, 100*time.Millisecond))
+		}
+		type ended struct {
+			rank int
+			ok   bool
+			wait time.Duration
+		}
+		ends := make(chan ended, 10)
+		for rank := 9; rank >= 0; rank-- {
+			go func() {
+				began := time.Now()
+				_, _, ok := h.enter(t.Context(), entryOf(rank, 400*time.Millisecond))
+				ends <- ended{rank, ok, time.Since(began)}
+			}()
+			synctest.Wait()
+		}
+		last := -1
+		for range 10 {
+			e := <-ends
+			assert.Assert(t, e.wait <= 400*time.Millisecond, "%+v", e)
+			if e.ok {
+				assert.Assert(t, e.rank > last, "rank %d started after rank %d", e.rank, last)
+				last = e.rank
+			}
+		}
+		assert.Assert(t, last >= 3, "some have started, the last of rank %d", last)
+		synctest.Wait()
+		assert.Equal(t, h.waiting.Len(), 0)
+		assert.Equal(t, len(h.entries), 0)
+	})
+}
+
+// Guards against a place that a caller keeps which leaves while it waits.
+func TestCallerThatLeavesKeepsNoPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHostRoom(room.Limits{LinkBytesPerS: testLink}, nil)
+		for range 20 {
+			h.enter(t.Context(), entryOf(0, 100*time.Millisecond))
+		}
+		ctx, leave := context.WithCancel(t.Context())
+		ended := make(chan bool)
+		go func() {
+			_, _, ok := h.enter(ctx, entryOf(0, 400*time.Millisecond))
+			ended <- ok
+		}()
+		synctest.Wait()
+		assert.Equal(t, h.waiting.Len(), 1)
+		leave()
+		assert.Assert(t, !<-ended)
+		assert.Equal(t, h.waiting.Len(), 0)
+		assert.Equal(t, len(h.entries), 0)
+	})
+}
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/core/admit"
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/room"
@@ -45,8 +46,9 @@
 	mu       sync.Mutex
 	host     *room.Host
 	sampleAt time.Time // when the next sample is due
-	waiting  entryQueue
-	wake     *time.Timer // starts the next of waiting; nil before the first has waited
+	waiting  *admit.Queue
+	entries  map[*admit.Ticket]*entry // that wait
+	wake     *time.Timer              // starts the next of waiting; nil before the first has waited
 	sent     struct{ callers, targets int64 }
 	config   *httproute.Config // whose shortest objective host knows
 	resumed  bool              // the row of an earlier process was seen
@@ -62,7 +64,7 @@
 		return nil
 	}
 	h := &hostRoom{
-		store: store, waiting: &fifo{}, resources: limits.Resources(),
+		store: store, waiting: admit.NewQueue(), entries: map[*admit.Ticket]*entry{}, resources: limits.Resources(),
 		host: room.NewHost(limits, func(below time.Duration) time.Duration { return rand.N(below) }),
 		heap: []metrics.Sample{{Name: liveHeapMetric}},
 	}
--- a/internal/gateway/room_metrics.go
+++ b/internal/gateway/room_metrics.go
@@ -51,7 +51,7 @@
 	for i, r := range refusalReasons {
 		ch <- prometheus.MustNewConstMetric(roomRefusedDesc, prometheus.CounterValue, float64(h.refused[i]), r.String())
 	}
-	ch <- prometheus.MustNewConstMetric(roomWaitingDesc, prometheus.GaugeValue, float64(h.waiting.waitingTickets()))
+	ch <- prometheus.MustNewConstMetric(roomWaitingDesc, prometheus.GaugeValue, float64(h.waiting.Len()))
 	ch <- prometheus.MustNewConstMetric(roomCallDesc, prometheus.GaugeValue, h.host.CallDelay().Seconds())
 	ch <- prometheus.MustNewConstMetric(roomReleasedDesc, prometheus.CounterValue, float64(h.released))
 }
--- a/internal/gateway/where.go
+++ b/internal/gateway/where.go
@@ -87,10 +87,34 @@
 	if err := g.checkQuarantine(req); err != nil {
 		return where.refuse(errkind.From(err))
 	}
+	if refusal := g.inspectRoom(req, int64(len(wr.Body)), where); refusal != nil {
+		return where.refuse(refusal)
+	}
 	g.inspectBudget(req, where)
 	return g.inspectTargets(req, where)
 }
 
+// inspectRoom tells whether this host has room for the request, and returns the refusal if
+// it has none.
+func (g *Gateway) inspectRoom(req *request, bodyBytes int64, where *Where) *errkind.Error {
+	if g.room == nil {
+		return nil
+	}
+	e := g.newEntry(req, bodyBytes)
+	g.room.mu.Lock()
+	fit := g.room.fit(time.Now(), e)
+	g.room.mu.Unlock()
+	switch {
+	case fit.Refuse:
+		return errkind.New(errkind.NoRoom, "%s of this host: %d ms to wait", fit.Resource, fit.Wait.Milliseconds())
+	case fit.Wait > 0:
+		where.because(fmt.Sprintf("waits %d ms for the link of this host", fit.Wait.Milliseconds()))
+	default:
+		where.because("this host has room")
+	}
+	return nil
+}
+
 // inspectBudget tells whether the budget covers the request.
 func (g *Gateway) inspectBudget(req *request, where *Where) {
 	where.Tokens = req.reservedTokens()
