Keep hundreds of routers from using up the parts of the table with conflicts

With 43 routers at each stripe two of three transactions failed, since each timed round changes the totals of up to twelve teams, and the failed ones are repeated at once: 14,063 transactions in 10 s, as many as the parts can execute, 10,498 of them conflicts (simulated, 300 routers, 24 teams, 650 requests/s).

Change: from four holders of a stripe on a transaction changes fewer totals, from nine on timed rounds are rarer, and the pause after further conflicts of a round doubles.

--- a/internal/prepaid/calls.go
+++ b/internal/prepaid/calls.go
@@ -12,7 +12,7 @@
 	if !m.tableReachable {
 		return max(outageProbeInterval, m.lastCallDuration)
 	}
-	return max(settleInterval, pauseLatencyFactor*m.lastCallDuration)
+	return max(settleInterval, time.Duration(m.homeHolders())*settleIntervalPerHolder, pauseLatencyFactor*m.lastCallDuration)
 }
 
 // nextCallTimeout returns the timeout of the next call to the table.
--- a/internal/prepaid/load_test.go
+++ b/internal/prepaid/load_test.go
@@ -274,6 +274,24 @@
 	})
 }
 
+// Guards against write conflicts that use up the parts of the table where each is shared by
+// dozens of routers: 300 routers before a table that accepts 1,500 writes a second. They
+// are to serve at least 0.7 of what 30 routers serve, which refuse nobody.
+func TestHundredsOfRoutersDoNotRaceForTotals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const d = 5 * time.Second
+		f := newFleetOf(fleetLoad{routers: 300, teams: 24, perSecond: 650, stripes: 1500 / 200}, 1, 12*d)
+		time.Sleep(2 * time.Second)
+		f.sendRequests(d)
+		f.stop()
+		t.Logf("%d asked, %d refused, %d commits, %d conflicts, wait p50 %v p95 %v p99 %v", f.requests, f.wrongRefusals,
+			f.table.commits, f.table.conflicts, f.waitQuantile(0.5), f.waitQuantile(0.95), f.waitQuantile(0.99))
+		assert.Assert(t, float64(f.wrongRefusals) <= 0.3*float64(f.requests), "%v", f.lastRefusal)
+		assert.Assert(t, f.table.conflicts < f.table.commits/2)
+		f.checkTotals(t)
+	})
+}
+
 // manyStripes is the number of parts that the table of the larger load can keep busy.
 const manyStripes = 4000 / 200
 
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -31,6 +31,12 @@
 const (
 	// settleInterval is the least pause between two rounds while no request waits.
 	settleInterval = 500 * time.Millisecond
+	// settleIntervalPerHolder bounds the timed rounds of all routers of a stripe to 17 a
+	// second, a twelfth of what its part of the table can execute.
+	settleIntervalPerHolder = 60 * time.Millisecond
+	// uncontendedHolders is the number of holders of a stripe up to which transactions that
+	// change many totals rarely fail.
+	uncontendedHolders = 4
 	// outageProbeInterval is the least pause between two calls while the table is
 	// unreachable.
 	outageProbeInterval = 300 * time.Millisecond
@@ -92,9 +98,11 @@
 	// transaction fails if another router has changed any of its totals in the
 	// meantime, so larger transactions conflict more often.
 	maxServingTeamsPerTxn = 12
-	// maxConflictBackoff is the longest pause after a write conflict. The pause is
-	// random, so that the same routers do not conflict again.
-	maxConflictBackoff = 25 * time.Millisecond
+	// firstConflictBackoff is the longest pause after the first write conflict of a round.
+	// It doubles with each further one, up to maxConflictBackoff. The pause is random, so
+	// that the same routers do not conflict again.
+	firstConflictBackoff = 25 * time.Millisecond
+	maxConflictBackoff   = 200 * time.Millisecond
 	// homeRefreshInterval is the least age at which the totals of the home stripe are
 	// read again. A router whose share suffices does not write them. Without reading
 	// them it would keep its share when other routers need the tokens.
@@ -325,7 +333,7 @@
 	failures := 0
 	for attempt := range maxRoundAttempts {
 		if attempt > 0 && m.opt.Sleep != nil {
-			m.opt.Sleep(time.Duration(rand.Int64N(int64(maxConflictBackoff))))
+			m.opt.Sleep(rand.N(min(firstConflictBackoff<<(attempt-1), maxConflictBackoff)))
 		}
 		result := m.exchangeOnce(ctx, tick)
 		m.opt.Metrics.exchanges.WithLabelValues(result.String()).Inc()
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -67,7 +67,7 @@
 	op := &operation{totals: map[string]budget.Total{}, fromReserve: map[*team]int64{}, holding: budget.Holding{
 		Seq: m.holding.Seq + 1, Grants: maps.Clone(m.holding.Grants), Era: m.era,
 	}}
-	teamLimit := maxServingTeamsPerTxn
+	teamLimit := m.servingTeamsPerTxn()
 	if m.stopping {
 		teamLimit = m.maxTeams()
 	}
@@ -99,6 +99,14 @@
 	return op, shortfalls
 }
 
+// servingTeamsPerTxn returns the number of teams whose totals one transaction may change.
+// The more routers change the same totals, the fewer, so that as few transactions fail.
+// m.mu is held.
+func (m *Manager) servingTeamsPerTxn() int {
+	contention := max(float64(m.homeHolders())/uncontendedHolders, 1)
+	return max(int(maxServingTeamsPerTxn/(contention*contention)), 1)
+}
+
 // planTeam adds the change of one team's share to the operation. It reports whether
 // a change is due, and how many tokens the home stripe lacks for it.
 func (m *Manager) planTeam(op *operation, t *team, tick bool) (due bool, shortfall int64, err error) {
--- a/internal/prepaid/reading.go
+++ b/internal/prepaid/reading.go
@@ -81,6 +81,18 @@
 	return true
 }
 
+// homeHolders returns the number of routers that hold a share in the home stripe of the
+// most widely held budget, at least 1. m.mu is held.
+func (m *Manager) homeHolders() int {
+	holders := 1
+	if m.stripes > 0 {
+		for _, t := range m.teams {
+			holders = max(holders, t.stripes[m.home].total.Holders)
+		}
+	}
+	return holders
+}
+
 // stripesToRefresh returns the other stripes whose totals are due to be read
 // again. They are read more often if a request needs tokens that they may have, or a budget seems
 // to run out. Apart from
