Leave small budgets to the gateways that need them

Cause: a gateway without demand took a 64th of what was free, one after another: with 107 gateways 44 to 55% of each budget was held before the first request, and a gateway that had served one request kept five more. Change: gateways without demand draw nothing more while a quarter is held; one with a sparse demand keeps at most half of its part of what is unspent, and nothing that would not cover a request.

--- a/internal/core/budget/share.go
+++ b/internal/core/budget/share.go
@@ -26,6 +26,12 @@
 	// All routers without demand together hold up to the free tokens divided by
 	// idleHoldersDivisor.
 	idleHoldersDivisor = 8
+	// Routers without demand draw nothing more while all routers hold more than the unspent
+	// tokens divided by idleHeldDivisor.
+	idleHeldDivisor = 4
+	// A router with a sparse demand holds up to its part of the unspent tokens divided by
+	// sparseShareDivisor, where that is less than minDemandRequests.
+	sparseShareDivisor = 2
 )
 
 // maxHeldFraction is the part of the unspent tokens above which all shares shrink.
@@ -114,8 +120,16 @@
 		}
 		return min(wanted, free/maxShareDivisor)
 	}
+	unspent := p.Left + p.Held
 	minimum := min(free/minTargetDivisor, free/int64(max(holders, 1))/idleHoldersDivisor)
-	wanted := max(int64(d.TokensPerSecond*horizon.Seconds()), minDemandRequests*d.RequestSize)
+	if p.Held > unspent/idleHeldDivisor {
+		minimum = min(minimum, max(s.Available(), 0))
+	}
+	sparse := min(minDemandRequests*d.RequestSize, unspent/int64(max(holders, 1))/sparseShareDivisor)
+	if sparse < d.RequestSize {
+		sparse = 0 // less than a request is of no use here
+	}
+	wanted := max(int64(d.TokensPerSecond*horizon.Seconds()), sparse)
 	return min(max(wanted, minimum), free/maxShareDivisor)
 }
 
--- a/internal/core/budget/share_test.go
+++ b/internal/core/budget/share_test.go
@@ -156,3 +156,28 @@
 		assert.Assert(t, rate > 0 && rate <= 3000*rateWeight, "%g tokens a second after %v", rate, after)
 	}
 }
+
+// Guards against a budget that is nearly all held by routers that do not need it before
+// the first request comes: 107 routers, one after another.
+func TestRoutersWithoutDemandLeaveMostOfABudget(t *testing.T) {
+	const prepaid = 1_000_000
+	pool := Pool{Left: prepaid}
+	for range 107 {
+		drawn := (&LocalShare{}).GrantChange(Demand{}, ShareHorizon, 0, pool)
+		pool.Left, pool.Held, pool.Holders = pool.Left-drawn, pool.Held+drawn, pool.Holders+1
+	}
+	assert.Assert(t, pool.Held <= prepaid/idleHeldDivisor+prepaid/minTargetDivisor, "%d held", pool.Held)
+}
+
+// Guards against a small budget of which each of many routers keeps several requests'
+// tokens after one request.
+func TestSparseDemandKeepsNoMoreThanItsPart(t *testing.T) {
+	const requestSize = 5000
+	share := &LocalShare{}
+	held := func(unspent int64, holders int) int64 {
+		return share.TargetSize(Demand{TokensPerSecond: 10, RequestSize: requestSize}, ShareHorizon, Pool{Left: unspent * 2 / 3, Held: unspent - unspent*2/3, Holders: holders})
+	}
+	assert.Equal(t, held(10_000_000, 20), int64(minDemandRequests*requestSize))
+	assert.Equal(t, held(10_000_000, 300), int64(10_000_000/300/sparseShareDivisor))
+	assert.Assert(t, held(1_000_000, 300) < requestSize, "its part does not cover a request")
+}
