--- a/internal/prepaid/calls.go
+++ b/internal/prepaid/calls.go
@@ -66,9 +66,11 @@
 		d = m.lastCallDuration
 	}
 	if !m.callStart.IsZero() {
-		// The call ends by its timeout. The next one may take another path.
 		took := now.Sub(m.callStart)
-		d = max(d, min(took, max(m.callTimeout()-took, 0)))
+		if timeout := m.callTimeout(); m.consecutiveTimeouts == 0 && timeout == minCallTimeout {
+			took = min(took, max(timeout-took, 0)) // the next call may take another path
+		}
+		d = max(d, took)
 	}
 	return d
 }
