--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -36,7 +36,7 @@
 	settleIntervalPerHolder = 60 * time.Millisecond
 	// uncontendedHolders is the number of holders of a stripe up to which transactions that
 	// change many totals rarely fail.
-	uncontendedHolders = 4
+	uncontendedHolders = 6
 	// outageProbeInterval is the least pause between two calls while the table is
 	// unreachable.
 	outageProbeInterval = 300 * time.Millisecond
