--- a/internal/prepaid/calls.go
+++ b/internal/prepaid/calls.go
@@ -46,6 +46,9 @@
 		m.lastSuccessDuration = m.opt.Clock().Sub(start)
 	}
 	m.lastCallEnd = m.opt.Clock()
+	if err != nil {
+		m.lastFailureAt = m.lastCallEnd
+	}
 	m.lastCallDuration, m.callStart = m.lastCallEnd.Sub(start), time.Time{}
 	m.recentDuration = max(m.lastCallDuration, time.Duration(recentDurationDecay*float64(m.recentDuration)))
 }
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -210,6 +210,7 @@
 	lastSuccessDuration time.Duration // of the last call that succeeded
 	recentDuration      time.Duration // of the longest call lately
 	lastCallEnd         time.Time
+	lastFailureAt       time.Time  // end of the last call that failed
 	callStart           time.Time  // start of the call in flight; zero if there is none
 	draining            bool       // tokens that no request needs are returned at once
 	stopping            bool       // Close was called
--- a/internal/prepaid/pool.go
+++ b/internal/prepaid/pool.go
@@ -34,6 +34,10 @@
 	return budget.Pool{Left: left, Held: max(m.unspentTokens(t)-left, 0), Holders: t.holderCount(), Demand: m.demandOfAll(t, own)}
 }
 
+// disturbedFor is how long after a failed call the table counts as disturbed: calls that
+// fail now and then leave a pledge too little time for its renewal.
+const disturbedFor = 5 * time.Second
+
 // newPledge returns the pledge for an operation. A burst alone does not make a budget low,
 // so the demand that tells is the average one. The part of the pledge for sparse requests,
 // those that arrive rarely, is not limited while the table is slow: each request beyond the
@@ -51,7 +55,7 @@
 		if !pool.Low(average) {
 			kind = budget.PledgeWide
 		}
-	case pool.Low(average):
+	case pool.Low(average) && now.Sub(m.lastFailureAt) >= disturbedFor:
 		kind = budget.PledgeLow
 	}
 	return t.share.NewPledge(kind, demand, sparse, t.waitingTokens(), m.tableNowMS())
