--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -190,7 +190,7 @@
 func (m *Manager) renewOtherPledges(op *operation) {
 	for name, old := range op.holding.Grants {
 		t := m.team(name)
-		if _, pending := t.share.Pending(); pending || m.stopping {
+		if _, pending := t.share.Pending(); pending || m.stopping && m.holding.Era == m.era {
 			continue
 		}
 		op.holding.Grants[name] = m.beginGrant(t, old, 0, t.share.Consumed()-t.share.Stored().Settled, 0)
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -27,6 +27,9 @@
 		m.pendingOp = nil
 	}
 	for _, t := range m.teams {
+		if pending, ok := t.share.Pending(); ok && pending.Granted < t.share.Stored().Granted {
+			t.history.Record(m.opt.Clock(), pending.Granted, 0) // the return may still take effect
+		}
 		t.share.Drop()
 		t.stripes, t.sent = make([]stripeRow, m.stripes), make([]budget.GrantHistory, m.stripes)
 	}
