--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -218,7 +218,7 @@
 		demand := t.demand.Demand(now)
 		horizon, returnsRest := m.horizon(t, left, now)
 		delta = t.share.GrantChange(demand, horizon, need, m.pool(t, left, demand))
-		if idle := m.idleTokens(t, demand, horizon); returnsRest && need == 0 && idle > 0 {
+		if idle := m.idleTokens(t, demand, horizon); returnsRest && need == 0 && (idle > 0 || demand.TokensPerSecond == 0) {
 			delta = -idle
 		}
 	}
