--- a/internal/prepaid/calls.go
+++ b/internal/prepaid/calls.go
@@ -50,7 +50,10 @@
 		m.lastFailureAt = m.lastCallEnd
 	}
 	m.lastCallDuration, m.callStart = m.lastCallEnd.Sub(start), time.Time{}
-	m.recentDuration = max(m.lastCallDuration, time.Duration(recentDurationDecay*float64(m.recentDuration)))
+	m.recentDuration = time.Duration(recentDurationDecay * float64(m.recentDuration))
+	if err == nil { // a call that got no answer lasted as long as it was let
+		m.recentDuration = max(m.lastCallDuration, m.recentDuration)
+	}
 }
 
 // startCall records and returns the start of a call to the table.
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -330,6 +330,7 @@
 			w.inRound = true
 		}
 	}
+	wasReachable := m.tableReachable
 	m.mu.Unlock()
 	failures := 0
 	for attempt := range maxRoundAttempts {
@@ -340,7 +341,8 @@
 		m.opt.Metrics.exchanges.WithLabelValues(result.String()).Inc()
 		if result == exchangeFailed {
 			failures++
-			m.setTriesAgain(failures <= maxRoundFailures)
+			// Later rounds of an outage hold no requests: the refusal is already known.
+			m.setTriesAgain(wasReachable && failures <= maxRoundFailures)
 		}
 		if result == exchangeDone && !m.hasCoverableWaiter() || failures > maxRoundFailures {
 			break
