--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -43,7 +44,8 @@
 // Errors: BudgetExhausted if the prepaid total cannot cover the request; BudgetBusy
 // if other requests or routers hold the tokens, or too many requests wait;
 // PlatformUnavailable if the table or a stripe cannot be reached, the table is too
-// slow, or another process has closed the holding; Canceled if ctx ends first.
+// slow, the deadline of ctx passes first, or another process has closed the holding;
+// Canceled if ctx is canceled first.
 func (m *Manager) Reserve(ctx context.Context, name string, tokens int64) (*Reservation, error) {
 	return m.ReserveWithin(ctx, name, Need{Tokens: tokens, Wait: MinMaxWait})
 }
@@ -135,6 +137,11 @@
 		return &Reservation{manager: m, team: t, tokens: tokens}, nil
 	case <-ctx.Done():
 		m.removeWaiter(t, w)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return nil, m.unavailableError(t, tokens) // the caller is still there
+		}
 		e := errkind.New(errkind.Canceled, "ended while waiting for budget")
 		e.Ran = errkind.RanNo
 		return nil, e
