Weigh the lateness of a timer by the time since the timer's last sample

Cause: samples that requests take do not measure the lateness, but shortened the time that the next one of the timer stands for. With a request 5 ms before each timer a host out of processor time was full after 14 s instead of 0.4 s, and one stop of 5 s kept it full for so long that it left the rotation for 51 s of the next minute (TestOneStopDoesNotLeave). Change: the processor's load keeps the time of its own last sample.

--- a/internal/core/room/room.go
+++ b/internal/core/room/room.go
@@ -99,6 +99,7 @@
 	bound  time.Duration
 	last   Sample
 	lastAt time.Time              // of the last sample; zero before the first
+	lateAt time.Time              // of the last sample that a timer has caused, or of the first
 	loads  [resourceCount]float64 // as a fraction of the threshold for Full
 	levels [resourceCount]Level   // with hysteresis
 	calls  calls
@@ -174,11 +175,14 @@
 func (h *Host) Observe(now time.Time, s Sample, peers Peers) {
 	elapsed := now.Sub(h.lastAt)
 	if h.lastAt.IsZero() || elapsed <= 0 {
+		if h.lateAt.IsZero() {
+			h.lateAt = now
+		}
 		h.last, h.lastAt = s, now
 		return
 	}
 	h.calls.fold()
-	h.observeLoads(s, elapsed)
+	h.observeLoads(now, s, elapsed)
 	for r := range h.loads {
 		h.levels[r] = nextLevel(h.levels[r], h.loads[r])
 	}
@@ -186,8 +190,13 @@
 	h.last, h.lastAt = s, now
 }
 
-func (h *Host) observeLoads(s Sample, elapsed time.Duration) {
-	weight := 1 - math.Exp(-elapsed.Seconds()/loadWindow.Seconds())
+// weightOf returns the weight of a sample in loads, which stands for a time.
+func weightOf(elapsed time.Duration) float64 {
+	return 1 - math.Exp(-elapsed.Seconds()/loadWindow.Seconds())
+}
+
+func (h *Host) observeLoads(now time.Time, s Sample, elapsed time.Duration) {
+	weight := weightOf(elapsed)
 	perSecond := func(now, before int64) float64 { return float64(max(now-before, 0)) / elapsed.Seconds() }
 	h.flow.in += weight * (perSecond(s.In, h.last.In) - h.flow.in)
 	h.flow.out += weight * (perSecond(s.Out+s.Refused, h.last.Out+h.last.Refused) - h.flow.out)
@@ -200,8 +209,10 @@
 		}
 	}
 	if h.limits.Processor > 0 && s.Lateness >= 0 {
+		// Samples that requests take come in between and do not measure the lateness.
 		late := min(float64(s.Lateness)/float64(h.bound), maxLateness)
-		h.setLoad(Processor, h.loads[Processor]+weight*(late-h.loads[Processor]))
+		h.setLoad(Processor, h.loads[Processor]+weightOf(now.Sub(h.lateAt))*(late-h.loads[Processor]))
+		h.lateAt = now
 	}
 	if h.limits.MemoryBytes > 0 {
 		h.setLoad(Memory, float64(s.Heap)/float64(h.limits.MemoryBytes)/countThreshold)
--- a/internal/core/room/room_test.go
+++ b/internal/core/room/room_test.go
@@ -192,3 +192,54 @@
 		assert.Assert(t, m.Ready(), "%v", resource)
 	}
 }
+
+// Guards against samples that requests take and that hide from the host that it is out of
+// processor time, or has it again.
+func TestSamplesOfRequestsDoNotHideLateness(t *testing.T) {
+	after := func(between bool, lateness time.Duration, m *meter, until room.Level) time.Duration {
+		began := m.now
+		for m.now.Sub(began) < time.Minute && m.LevelOf(room.Processor) != until {
+			if between { // a request comes first, the timer 5 ms later
+				m.now = m.now.Add(195 * time.Millisecond)
+				m.sample.Lateness = -1
+				m.Observe(m.now, m.sample, m.peers)
+				m.now = m.now.Add(5 * time.Millisecond)
+			} else {
+				m.now = m.now.Add(200 * time.Millisecond)
+			}
+			m.sample.Lateness = lateness
+			m.Observe(m.now, m.sample, m.peers)
+		}
+		return m.now.Sub(began)
+	}
+	for _, between := range []bool{false, true} {
+		m := newMeter(room.Limits{Processor: 0.1})
+		full := after(between, 30*time.Millisecond, m, room.Full)
+		free := after(between, time.Millisecond, m, room.Free)
+		assert.Assert(t, full < 2*time.Second && free < 2*time.Second, "samples of requests between: %v: full after %v, free after %v", between, full, free)
+	}
+}
+
+// Guards against a host that leaves the rotation because its process was stopped once while
+// requests take samples.
+func TestOneStopDoesNotLeave(t *testing.T) {
+	m := newMeter(room.Limits{Processor: 0.1})
+	m.run(0, 10*time.Second)
+	m.now = m.now.Add(5 * time.Second)
+	m.sample.Lateness = 5 * time.Second
+	m.Observe(m.now, m.sample, m.peers)
+	var unready time.Duration
+	for range 60 * 5 {
+		m.now = m.now.Add(195 * time.Millisecond)
+		m.sample.Lateness = -1
+		m.peers.Confirmed = m.Announced()
+		m.Observe(m.now, m.sample, m.peers)
+		m.now = m.now.Add(5 * time.Millisecond)
+		m.sample.Lateness = 0
+		m.Observe(m.now, m.sample, m.peers)
+		if !m.Ready() {
+			unready += 200 * time.Millisecond
+		}
+	}
+	assert.Assert(t, unready == 0, "not ready for %v of the minute after a stop of 5 s", unready)
+}
