End a wait for the link with the request's deadline

Cause: the wait was bounded by half of the route's objective alone. A request with 0.6 s left on a route with an objective of 6 s got its place 0.85 s after its deadline. Change: what the caller waits bounds the objective for every route, not only for those that state none.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -61,8 +61,9 @@
 func (g *Gateway) newEntry(req *request, bodyBytes int64) *entry {
 	objective := req.route.LatencyObjective
 	if objective <= 0 {
-		objective = min(room.DefaultObjective, req.deadline.Sub(req.arrived))
+		objective = room.DefaultObjective
 	}
+	objective = min(objective, req.deadline.Sub(req.arrived))
 	e := &entry{Request: room.Request{Bytes: headBytes + bodyBytes, Objective: objective}, result: make(chan bool, 1)}
 	startBy := req.arrived.Add(e.LongestWait())
 	e.Ticket = admit.Ticket{Team: req.team.Name, Route: req.route.Name, Rank: req.rank(), Work: float64(e.Bytes), StartBy: startBy, Deadline: startBy}
--- a/internal/gateway/entry_test.go
+++ b/internal/gateway/entry_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"tarragonridge.example/tarragonridge/internal/core/admit"
+	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/room"
 )
 
@@ -86,3 +87,20 @@
 		assert.Equal(t, len(h.entries), 0)
 	})
 }
+
+// Guards against a request that waits for the link for longer than its caller waits.
+func TestWaitForTheLinkEndsWithTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHostRoom(room.Limits{LinkBytesPerS: testLink}, nil)
+		for range 150 {
+			go h.enter(t.Context(), entryOf(0, 2*time.Second))
+		}
+		synctest.Wait()
+		req := newRequest(time.Now())
+		req.route = &httproute.Route{Name: "r", LatencyObjective: 6 * time.Second}
+		req.team, req.route.Priority = httproute.Team{Name: "t"}, 9
+		req.deadline = req.arrived.Add(600 * time.Millisecond)
+		_, _, ok := h.enter(t.Context(), (&Gateway{}).newEntry(req, testBytes))
+		assert.Assert(t, !time.Now().After(req.deadline), "started %v, %v after the deadline", ok, time.Since(req.deadline))
+	})
+}
