Take no connection that was given up early as a sign of a free link

Cause: a request near its deadline gave its connection up after 5 ms, which counted as a call of 10 ms. The shortest call counts, so that a delay of 397 ms ended. Change: a connection that was given up counts as no faster than calls were lately.

--- a/internal/gateway/entry_test.go
+++ b/internal/gateway/entry_test.go
@@ -104,3 +104,22 @@
 		assert.Assert(t, !time.Now().After(req.deadline), "started %v, %v after the deadline", ok, time.Since(req.deadline))
 	})
 }
+
+// Guards against a connection that a request near its deadline gives up, and that counts as
+// a sign of a free link.
+func TestDialGivenUpEarlyIsNoSignOfAFreeLink(t *testing.T) {
+	h := newHostRoom(room.Limits{LinkBytesPerS: testLink}, nil)
+	now := time.Unix(1000, 0)
+	observe := func(d time.Duration, err error) {
+		for range 8 {
+			h.observeDial(d, err)
+			h.host.Observe(now, room.Sample{}, room.Peers{})
+			now = now.Add(200 * time.Millisecond)
+		}
+	}
+	observe(400*time.Millisecond, nil)
+	before := h.host.CallDelay()
+	h.observeDial(5*time.Millisecond, context.DeadlineExceeded)
+	h.host.Observe(now, room.Sample{}, room.Peers{})
+	assert.Assert(t, h.host.CallDelay() >= before, "%v, before %v", h.host.CallDelay(), before)
+}
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -30,7 +30,7 @@
 	notMeasured    = time.Duration(-1)
 	liveHeapMetric = "/gc/heap/live:bytes"
 	// givenUpFactor is how much longer than until it was given up a new connection would
-	// have taken, as it counts.
+	// have taken, as it counts, unless it was given up sooner than others lately took.
 	givenUpFactor = 2
 )
 
@@ -88,11 +88,12 @@
 	if h == nil || errors.Is(err, context.Canceled) {
 		return
 	}
-	if upstream.IsTimeout(err) {
-		d *= givenUpFactor
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if upstream.IsTimeout(err) {
+		// It may have been given up early, as its request had hardly any time left.
+		d = max(givenUpFactor*d, h.host.CallDelay())
+	}
 	h.host.ObserveCall(d)
 }
 
