Play callers that leave, displace each other or come too late at the link

3,500 requests on five seeds: each gets one answer, none starts after its deadline, and no entry or started ticket stays behind.

--- a/internal/gateway/entry_test.go
+++ b/internal/gateway/entry_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -123,3 +125,55 @@
 	h.host.Observe(now, room.Sample{}, room.Peers{})
 	assert.Assert(t, h.host.CallDelay() >= before, "%v, before %v", h.host.CallDelay(), before)
 }
+
+// Guards against a request that waits for the link for ever, starts too late or leaves its
+// entry behind, as callers leave, entries displace each other and some are too late at once.
+func TestNoEntryIsLost(t *testing.T) {
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			h := newHostRoom(room.Limits{LinkBytesPerS: testLink}, nil)
+			var started, refused, gone, tooLate int
+			var mu sync.Mutex
+			var wg sync.WaitGroup
+			for range 700 {
+				e := entryOf(random.IntN(4), time.Duration(1+random.IntN(1800))*time.Millisecond)
+				e.Bytes = int64(600 + random.IntN(3000))
+				e.Work = float64(e.Bytes)
+				e.Team = string(rune('a' + random.IntN(6)))
+				ctx, cancel := context.WithCancel(t.Context())
+				if random.IntN(4) == 0 {
+					time.AfterFunc(time.Duration(random.IntN(900))*time.Millisecond, cancel)
+				}
+				wg.Go(func() {
+					defer cancel()
+					_, _, ok := h.enter(ctx, e)
+					mu.Lock()
+					defer mu.Unlock()
+					switch {
+					case ok && time.Now().After(e.Deadline.Add(time.Millisecond)):
+						tooLate++
+					case ok:
+						started++
+					case ctx.Err() != nil:
+						gone++
+					default:
+						refused++
+					}
+				})
+				if random.IntN(3) == 0 {
+					time.Sleep(time.Duration(random.IntN(3)) * time.Millisecond)
+				}
+			}
+			wg.Wait()
+			synctest.Wait()
+			assert.Equal(t, tooLate, 0)
+			assert.Assert(t, started > 0 && refused > 0 && gone > 0, "%d, %d, %d", started, refused, gone)
+			assert.Equal(t, h.waiting.Len(), 0)
+			assert.Equal(t, len(h.entries), 0)
+			for c := 'a'; c < 'g'; c++ {
+				assert.Equal(t, h.waiting.InFlight(string(c)), 0)
+			}
+		})
+	}
+}
