Give tokens to teams whose requests wait, however many gateways share a stripe

Cause (review): with ten holders of a stripe or more a transaction changed one total, chosen at random; 8 to 12 of the first 24 requests of a gateway were served, the others got 429 with most of the budget left, and a draining gateway still held 75 to 93% of its shares after 2.5 s. Teams with waiting requests go first and are not limited, nor are returns of a draining gateway. Requests that would start too late at the link are looked for every 20 ms, not at each start.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -17,6 +17,9 @@
 	headBytes = 600
 	// minEntryPause is the least pause between two starts of requests that wait.
 	minEntryPause = time.Millisecond
+	// expireInterval is the least pause between two looks for requests that would start too
+	// late: each takes some ten microseconds.
+	expireInterval = 20 * time.Millisecond
 	// maxWaitingEntries bounds the requests that wait for the link.
 	maxWaitingEntries = 500
 )
@@ -173,8 +176,11 @@
 // startWaiting starts the requests for which there is room now and sets the timer for
 // the next one. h.mu is held.
 func (h *hostRoom) startWaiting(now time.Time, pace *room.Pace) {
-	for _, t := range h.waiting.Expire(now, func(string) float64 { return pace.BytesPerS() }) {
-		h.turnAway(t)
+	if !now.Before(h.expireAt) {
+		h.expireAt = now.Add(expireInterval)
+		for _, t := range h.waiting.Expire(now, func(string) float64 { return pace.BytesPerS() }) {
+			h.turnAway(t)
+		}
 	}
 	for {
 		t := h.waiting.Next(now, func(*admit.Ticket) bool { return pace.Wait(now, 0) == 0 })
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -48,6 +48,7 @@
 	sampleAt time.Time // when the next sample is due
 	waiting  *admit.Queue
 	entries  map[*admit.Ticket]*entry // that wait
+	expireAt time.Time                // when those that would start too late are next looked for
 	wake     *time.Timer              // starts the next of waiting; nil before the first has waited
 	sent     struct{ callers, targets int64 }
 	config   *httproute.Config // whose shortest objective host knows
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -1,6 +1,7 @@
 package prepaid
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -67,23 +68,18 @@
 	op := &operation{totals: map[string]budget.Total{}, fromReserve: map[*team]int64{}, holding: budget.Holding{
 		Seq: m.holding.Seq + 1, Grants: maps.Clone(m.holding.Grants), Era: m.era,
 	}}
-	teamLimit := m.servingTeamsPerTxn()
-	if m.stopping {
-		teamLimit = m.maxTeams()
-	}
 	changed := m.holding.Era != m.era && len(m.holding.Grants) > 0 // renews the pledges
-	for name := range m.prepaidTotals {                            // in random order, so that routers conflict less often
-		t := m.team(name)
+	for _, t := range m.teamsToPlan() {
 		due, shortfall, err := m.planTeam(op, t, tick)
 		if err != nil {
-			m.opt.Logger.Error("failed to change a share", "team", name, "err", err)
+			m.opt.Logger.Error("failed to change a share", "team", t.name, "err", err)
 			t.share.Drop()
 		}
 		if shortfall > 0 {
 			shortfalls[t] = shortfall
 		}
 		changed = changed || due
-		if len(op.totals) >= teamLimit {
+		if len(op.totals) >= m.teamsPerTxn(t) {
 			break
 		}
 	}
@@ -99,10 +95,28 @@
 	return op, shortfalls
 }
 
-// servingTeamsPerTxn returns the number of teams whose totals one transaction may change.
-// The more routers change the same totals, the fewer, so that as few transactions fail.
-// m.mu is held.
-func (m *Manager) servingTeamsPerTxn() int {
+// teamsToPlan returns all teams, those for which requests wait first, and otherwise in
+// random order, so that routers conflict less often. m.mu is held.
+func (m *Manager) teamsToPlan() (teams []*team) {
+	for name := range m.prepaidTotals {
+		teams = append(teams, m.team(name))
+	}
+	slices.SortStableFunc(teams, func(a, b *team) int {
+		return cmp.Compare(min(len(b.waiters), 1), min(len(a.waiters), 1))
+	})
+	return teams
+}
+
+// teamsPerTxn returns the number of totals after which a transaction takes no further team
+// than t. The more routers change the same totals, the fewer, so that as few transactions
+// fail; but not while requests wait or the router returns its shares. m.mu is held.
+func (m *Manager) teamsPerTxn(t *team) int {
+	switch {
+	case m.stopping:
+		return m.maxTeams()
+	case m.draining, len(t.waiters) > 0:
+		return maxServingTeamsPerTxn
+	}
 	contention := max(float64(m.homeHolders())/uncontendedHolders, 1)
 	return max(int(maxServingTeamsPerTxn/(contention*contention)), 1)
 }
