--- /dev/null
+++ b/internal/prepaid/many_holders_test.go
@@ -0,0 +1,82 @@
+package prepaid
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against requests that are refused although their budgets have the tokens, because
+// the transactions of a stripe with many holders change few totals and a round has six.
+func TestFirstRequestsOfManyTeamsWithManyHoldersAreServed(t *testing.T) {
+	for _, holders := range []int{2, 12} {
+		t.Run(fmt.Sprint(holders, " holders"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const teams = 24
+				f := newFleetOf(fleetLoad{routers: holders, teams: teams, perSecond: 10, stripes: 1}, 1, time.Hour)
+				defer f.stop()
+				time.Sleep(60 * time.Second) // all hold a minimum share
+				m := f.managers[0]
+				var served atomic.Int64
+				var mu sync.Mutex
+				refusals := map[string]int{}
+				var all sync.WaitGroup
+				for i := range teams {
+					f.inProgress.Add(1)
+					all.Add(1)
+					go func() {
+						defer f.inProgress.Done()
+						defer all.Done()
+						name := fmt.Sprint("team", i)
+						m.mu.Lock()
+						tokens := m.team(name).share.Available() + 2000
+						m.mu.Unlock()
+						began := time.Now()
+						r, err := m.ReserveWithin(context.Background(), name, Need{Tokens: tokens, Wait: 2 * time.Second})
+						if err == nil {
+							r.Settle(0)
+							served.Add(1)
+							return
+						}
+						mu.Lock()
+						refusals[fmt.Sprint(time.Since(began), " ", err)]++
+						mu.Unlock()
+					}()
+				}
+				all.Wait()
+				m.mu.Lock()
+				t.Logf("%d holders, %d totals per transaction", m.homeHolders(), m.servingTeamsPerTxn())
+				m.mu.Unlock()
+				assert.Equal(t, served.Load(), int64(teams), "%v", refusals)
+			})
+		})
+	}
+}
+
+// Guards against a draining router that keeps the shares of most teams until it ends, because the
+// transactions of a stripe with many holders change few totals and a round has one.
+func TestDrainingRouterReturnsAllSharesWithManyHolders(t *testing.T) {
+	for _, holders := range []int{2, 12} {
+		t.Run(fmt.Sprint(holders, " holders"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const teams = 24
+				f := newFleetOf(fleetLoad{routers: holders, teams: teams, perSecond: 10, stripes: 1}, 1, time.Hour)
+				defer f.stop()
+				time.Sleep(60 * time.Second) // all hold a minimum share
+				m := f.managers[0]
+				before := m.heldTokens()
+				m.Drain()
+				time.Sleep(2500 * time.Millisecond)
+				after := m.heldTokens()
+				t.Logf("%d tokens held before, %d 2.5 s after the drain began", before, after)
+				assert.Assert(t, after <= before/10, "%d of %d held", after, before)
+			})
+		})
+	}
+}
