--- a/internal/core/budget/demand.go
+++ b/internal/core/budget/demand.go
@@ -9,6 +9,10 @@
 // demand, which gives it a time constant of about 6 s.
 const rateWeight = 0.16
 
+// minRate is the rate in tokens per second below which there is no demand. Without it the
+// average would never reach 0.
+const minRate = 1
+
 // DemandAverage is a moving average of a team's demand at this router.
 type DemandAverage struct {
 	tokensPerSecond float64      // 0 before the first full second with demand
@@ -95,7 +99,9 @@
 		if now.Sub(a.secondStartedAt) < time.Second {
 			return
 		}
-		a.tokensPerSecond += rateWeight * (a.current.tokens - a.tokensPerSecond)
+		if a.tokensPerSecond += rateWeight * (a.current.tokens - a.tokensPerSecond); a.tokensPerSecond < minRate {
+			a.tokensPerSecond = 0
+		}
 		a.previous, a.current = a.current, secondDemand{}
 		a.secondStartedAt = a.secondStartedAt.Add(time.Second)
 	}
--- a/internal/prepaid/many_holders_test.go
+++ b/internal/prepaid/many_holders_test.go
@@ -51,7 +51,7 @@
 				}
 				all.Wait()
 				m.mu.Lock()
-				t.Logf("%d holders, %d totals per transaction", m.homeHolders(), m.servingTeamsPerTxn())
+				t.Logf("%d holders, %d totals per transaction", m.homeHolders(), m.teamsPerTxn(m.team("team0")))
 				m.mu.Unlock()
 				assert.Equal(t, served.Load(), int64(teams), "%v", refusals)
 			})
