Keep nonsensical parts of a prompt from silencing relays

A caller states how many tokens the parts of its prompt have. A relay drops a message with parts beyond maxTokens, or out of order after an overflow; the gateway then took the relay for silent and asked it for no other caller's prompt for 0.5 to 8 s. The parts are now brought into range before they are sent. TestPromptWithNonsensicalPartsIsAskedAbout failed before.

--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -102,11 +102,14 @@
 	return m, nil
 }
 
-// setPrompt adds a prompt, of which only the first parts are told if there are many.
+// setPrompt adds a prompt, of which only the first parts are told if there are many. Callers
+// state the tokens of the parts: what makes no sense must not have relays drop the message.
 func (m *message) setPrompt(p placement.Prompt) {
 	m.Tokens, m.Output = min(p.Tokens, maxTokens), min(p.Output, maxTokens)
+	before := int64(0)
 	for _, part := range p.Parts[:min(len(p.Parts), maxParts)] {
-		m.Parts = append(m.Parts, [2]uint64{part.Hash, uint64(part.Tokens)})
+		before = min(max(part.Tokens, before), maxTokens)
+		m.Parts = append(m.Parts, [2]uint64{part.Hash, uint64(before)})
 	}
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"net/netip"
 	"strconv"
@@ -186,3 +187,20 @@
 		}
 	})
 }
+
+// Guards against a caller that states parts of a nonsensical size, so that relays drop the
+// messages about its prompt and count as silent for the requests of all callers.
+func TestPromptWithNonsensicalPartsIsAskedAbout(t *testing.T) {
+	_, port := startRelay(t, "127.0.0.2:0")
+	for name, parts := range map[string][]placement.Part{
+		"huge":      {{Hash: 1, Tokens: 100}, {Hash: 2, Tokens: maxTokens + 1}},
+		"overflown": {{Hash: 1, Tokens: math.MaxInt64}, {Hash: 2, Tokens: math.MinInt64}},
+	} {
+		c := startClient(t, port)
+		ask := func(p placement.Prompt) *placement.Load {
+			return c.Loads(context.Background(), []string{"127.0.0.2:80"}, p, testTimeout)[0]
+		}
+		assert.Check(t, ask(placement.Prompt{Tokens: 900, Parts: parts}) != nil, name)
+		assert.Check(t, ask(placement.Prompt{Tokens: 900}) != nil, "%s: the next caller", name)
+	}
+}
