Reset a caller's connection whose backlog failed

After the handler has returned, the rest of an answer may still wait in the backlog. If its write failed, for example at maxLinger, the connection was closed as usual. An answer without a length or chunks then ended early and looked complete. TestBacklogThatFailsEndsInAReset failed before: the caller got 12288 bytes and a clean end.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -172,12 +172,12 @@
 		c.deadline, c.deadlineEnds = time.Time{}, false
 	}
 	c.changed.Broadcast()
-	if c.closingWrites {
+	switch {
+	case c.closing || c.closingWrites && c.err != nil:
+		c.closeNow(c.end)
+	case c.closingWrites:
 		c.closeNow(c.tcp.CloseWrite)
 	}
-	if c.closing {
-		c.closeNow(c.Conn.Close)
-	}
 }
 
 // closeNow closes the connection after its last byte, when nobody waits for the result.
@@ -187,6 +187,15 @@
 	}
 }
 
+// end closes the connection. If a write has failed, the connection is reset: its end may be
+// all that ends an answer, which must not look complete. c.mu is held.
+func (c *callerConn) end() error {
+	if c.err == nil {
+		return c.Conn.Close()
+	}
+	return errors.Join(c.tcp.SetLinger(0), c.Conn.Close())
+}
+
 // awaitWritten waits until the backlog is written, and returns the error of the
 // connection, if there is one.
 func (c *callerConn) awaitWritten() error {
@@ -234,7 +243,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.writing {
-		return c.Conn.Close()
+		return c.end()
 	}
 	c.closing = true
 	if c.deadline.IsZero() {
@@ -252,6 +261,9 @@
 		c.closingWrites = true
 		return nil
 	}
+	if c.err != nil {
+		return c.end()
+	}
 	return c.tcp.CloseWrite()
 }
 
