Give a turn that is due to a request whose wait ends

The timer of a turn and the end of a request's wait may fall due together. On a busy host the request was refused with no_target ("1 usable") while the target was free, and with nobody waiting the permit stayed unused until the next request.

--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"time"
 
@@ -86,7 +87,7 @@
 	select {
 	case ok = <-w.result:
 	case <-ctx.Done():
-		ok = g.leaveWait(t, w)
+		ok = g.leaveWait(t, w, errors.Is(ctx.Err(), context.DeadlineExceeded))
 	}
 	waited := time.Since(now)
 	req.targetWait += waited
@@ -96,11 +97,17 @@
 }
 
 // leaveWait ends the wait of a request that has waited for too long or whose caller has
-// left. It reports true if the request got a turn meanwhile.
-func (g *Gateway) leaveWait(t *admit.Ticket, w *turnWaiter) bool {
+// left. It reports true if the request got a turn meanwhile, or if a turn is due that this
+// host is late to give: a request is not refused while a target is free for it.
+func (g *Gateway) leaveWait(t *admit.Ticket, w *turnWaiter, tooLong bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.turns.queue.Remove(time.Now(), t) {
+	now := time.Now()
+	if tooLong {
+		t.Deadline = now
+		g.giveTurns(now, t.Pool)
+	}
+	if !g.turns.queue.Remove(now, t) {
 		return <-w.result
 	}
 	g.endWait(t, false)
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -98,3 +98,22 @@
 	assert.Assert(t, time.Since(began) < time.Second, "refused once its wait is too long")
 	assert.Assert(t, !g.turns.needed("s"))
 }
+
+// Guards against a request that is refused although a target has become free, because this
+// host was late to give it its turn.
+func TestTurnThatIsDueIsGivenLate(t *testing.T) {
+	g, _ := limitedGateway(8)
+	req := requestOfRank(0)
+	req.route.LatencyObjective = targetWaitDivisor * 200 * time.Millisecond
+	got := make(chan bool)
+	go func() { got <- g.awaitTarget(t.Context(), req) }()
+	for waiting := 0; waiting == 0; time.Sleep(time.Millisecond) {
+		g.mu.Lock()
+		waiting = g.turns.queue.Len()
+		g.mu.Unlock()
+	}
+	g.mu.Lock()
+	time.Sleep(300 * time.Millisecond)
+	g.mu.Unlock()
+	assert.Assert(t, <-got, "%v", g.targetView.Reasons(time.Now(), targets.Query{Service: "s"}))
+}
