Take a target for cold that starts again after its registration was gone

A registration that says nothing of a cold time was only taken for a restart if the one before was still known. Between a crash and the next start it mostly is not: the target then counted as warm and got 60 requests in a second under a rate of 11 (bound 21.5). TestColdReplicaWhoseRegistrationWasGone failed before.

--- a/internal/core/targets/backpressure.go
+++ b/internal/core/targets/backpressure.go
@@ -36,6 +36,13 @@
 	return b
 }
 
+// Restarted reports whether a registration is of another start than the one before with its
+// id, which may have been gone meanwhile.
+func (v *View) Restarted(r Registration) bool {
+	b := v.backpressure[r.ID]
+	return b != nil && b.startedMS != r.StartedMS
+}
+
 // SetDraining records that a target is about to stop, and reports whether that was not
 // known. Only a new start of the target ends it.
 func (v *View) SetDraining(t *Target) (changed bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -211,8 +211,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	old := g.targetView.Target(registration.ID)
-	restarted := old != nil && old.StartedMS != registration.StartedMS
+	restarted := g.targetView.Restarted(registration)
 	newVersion := !g.targetView.HasVersion(registration.ServiceVersion())
 	t := g.targetView.Put(registration)
 	if g.fleetDraining(t) {
