Mend what the reviews of room, turns and hurried attempts have found

- A hurried attempt counted as a failure of its engine: the engine was avoided for 0.5 s and more, its idle connections were closed.
- A request that may not wait was refused beside a free target while another one of its service waited.
- Rows of gateways that are out of rotation expired while the store could not be read, so that a second third of a domain might leave, and a complete read renewed those of gateways that are gone.
- A host that is out of memory or descriptors left the rotation and let nobody go.
- One late timer made a host count as out of processor time.
- Unused parts of places on the link hid further attempts.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -101,6 +101,7 @@
 	cold      map[string]coldTarget
 	domains   map[string]string    // failure domains of routers, by host
 	rooms     map[string]roomState // routers out of rotation, by host
+	readAt    time.Time            // when changes were last applied; while there are none the source answers too
 	// countFrom is the time from which missing renewals count: when the state became
 	// active, or the renewals of this router were seen again after an interruption.
 	countFrom time.Time
@@ -126,6 +127,8 @@
 // applied the others.
 func (s *State) Apply(now time.Time, c Changes) (changedTargets []string, err error) {
 	before, wasDraining, wasCold, wasActive := maps.Clone(s.limits), maps.Clone(s.draining), maps.Clone(s.cold), s.Active()
+	wereOut := maps.Clone(s.rooms)
+	s.readAt = now
 	if c.Complete {
 		s.synced = true
 		clear(s.limits)
@@ -150,6 +153,11 @@
 				s.cold[target] = was
 			}
 		}
+		for host, room := range s.rooms {
+			if was := wereOut[host]; was.row == room.row {
+				s.rooms[host] = was
+			}
+		}
 	}
 	for _, key := range c.Removed {
 		if host, ok := strings.CutPrefix(key, routerPrefix); ok {
--- a/internal/core/fleet/room.go
+++ b/internal/core/fleet/room.go
@@ -53,6 +53,10 @@
 	}
 }
 
+// roomExpired reports whether a router no longer renews its row. While this router cannot
+// read the rows, none expires: its router may still be out.
+func (s *State) roomExpired(room roomState) bool { return s.readAt.Sub(room.renewedAt) > roomTimeout }
+
 // Domain is what is known of the routers of a failure domain.
 type Domain struct {
 	Routers       int  // live ones, this one included
@@ -76,7 +80,7 @@
 		}
 	}
 	for host, room := range s.rooms {
-		if room.row.FailureDomain != domain || now.Sub(room.renewedAt) > roomTimeout {
+		if room.row.FailureDomain != domain || s.roomExpired(room) {
 			continue
 		}
 		d.OutOfRotation++
@@ -92,9 +96,9 @@
 }
 
 // ExpiredRooms returns the hosts of routers that were out of rotation and are gone.
-func (s *State) ExpiredRooms(now time.Time) (hosts []string) {
+func (s *State) ExpiredRooms() (hosts []string) {
 	for host, room := range s.rooms {
-		if host != s.self && now.Sub(room.renewedAt) > roomTimeout {
+		if host != s.self && s.roomExpired(room) {
 			hosts = append(hosts, host)
 		}
 	}
--- a/internal/core/fleet/red_test.go
+++ b/internal/core/fleet/room_outage_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 )
 
-func reviewRows() (rows []Row) {
+func outRows() (rows []Row) {
 	for _, host := range []string{"a", "b", "c", "d", "e", "f"} {
 		value, _ := json.Marshal(RouterRow{Incarnation: "1", Renewal: 1, FailureDomain: "z"})
 		rows = append(rows, Row{Key: RouterKey(host), Value: value})
@@ -24,7 +24,7 @@
 // store cannot be read.
 func TestRoomRowsOutlastTheStore(t *testing.T) {
 	s, now := NewState("c"), time.Unix(1000, 0)
-	_, err := s.Apply(now, Changes{Complete: true, Rows: reviewRows()})
+	_, err := s.Apply(now, Changes{Complete: true, Rows: outRows()})
 	assert.NilError(t, err)
 	now = now.Add(roomTimeout + time.Second) // nothing is read, the stay of a and b lasts 50 s
 	d := s.Domain(now, "z", "1")
@@ -36,11 +36,11 @@
 func TestCompleteReadDoesNotRenewRoomRows(t *testing.T) {
 	s, now := NewState("c"), time.Unix(1000, 0)
 	for range 10 {
-		_, err := s.Apply(now, Changes{Complete: true, Rows: reviewRows()})
+		_, err := s.Apply(now, Changes{Complete: true, Rows: outRows()})
 		assert.NilError(t, err)
 		now = now.Add(roomTimeout - time.Second)
 	}
 	d := s.Domain(now, "z", "1")
-	t.Logf("%+v expired %v", d, s.ExpiredRooms(now))
+	t.Logf("%+v expired %v", d, s.ExpiredRooms())
 	assert.Check(t, d.OutOfRotation == 0)
 }
--- a/internal/core/fleet/room_test.go
+++ b/internal/core/fleet/room_test.go
@@ -36,7 +36,7 @@
 	assert.Assert(t, d.OutOfRotation == 1 && d.SelfTold, "%+v", d)
 	_, ok = s.LeftRoom("2")
 	assert.Assert(t, !ok)
-	assert.Equal(t, len(s.ExpiredRooms(later)), 2)
+	assert.Equal(t, len(s.ExpiredRooms()), 2)
 
 	_, err = s.Apply(later, fleet.Changes{Removed: []string{fleet.RoomKey("a")}})
 	assert.NilError(t, err)
--- a/internal/core/room/pace.go
+++ b/internal/core/room/pace.go
@@ -49,6 +49,7 @@
 	if elapsed := now.Sub(p.at); elapsed > 0 {
 		if !p.at.IsZero() {
 			p.backlog = max(p.backlog-elapsed.Seconds()*p.BytesPerS(), 0)
+			p.promised = min(p.promised, p.backlog) // places are larger than what is sent
 		}
 		p.at = now
 	}
--- a/internal/core/room/room.go
+++ b/internal/core/room/room.go
@@ -78,7 +78,10 @@
 	loadWindow = 500 * time.Millisecond
 	// maxLateness bounds a sample of the lateness, in multiples of the bound, so that a
 	// process that was stopped once does not count as out of processor time.
-	maxLateness = 4
+	maxLateness = 2.5
+	// maxLatenessTime bounds the time that one sample of the lateness stands for, for the
+	// same reason.
+	maxLatenessTime = 200 * time.Millisecond
 	// Thresholds of Memory and Descriptors, as fractions of the limit.
 	countThreshold = 0.9
 	// busyPart is the load, as a fraction of the threshold for Full, from which a resource
@@ -211,7 +214,7 @@
 	if h.limits.Processor > 0 && s.Lateness >= 0 {
 		// Samples that requests take come in between and do not measure the lateness.
 		late := min(float64(s.Lateness)/float64(h.bound), maxLateness)
-		h.setLoad(Processor, h.loads[Processor]+weightOf(now.Sub(h.lateAt))*(late-h.loads[Processor]))
+		h.setLoad(Processor, h.loads[Processor]+weightOf(min(now.Sub(h.lateAt), maxLatenessTime))*(late-h.loads[Processor]))
 		h.lateAt = now
 	}
 	if h.limits.MemoryBytes > 0 {
@@ -255,5 +258,11 @@
 func (h *Host) Flow() (in, out float64) { return h.flow.in, h.flow.out }
 
 func (h *Host) loadOfCallers() callerLoad {
-	return callerLoad{load: max(h.linkLoad, h.loads[Processor]), bytesPerS: max(h.flow.in, h.flow.out)}
+	load := max(h.linkLoad, h.loads[Processor])
+	for _, r := range []Resource{Memory, Descriptors} {
+		if h.levels[r] == Full { // below it callers hold what they hold
+			load = max(load, h.loads[r])
+		}
+	}
+	return callerLoad{load: load, bytesPerS: max(h.flow.in, h.flow.out, 1)}
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -140,7 +140,7 @@
 		for _, target := range g.fleet.ExpiredCold(now) {
 			g.publications.add(fleet.ColdKey(target), nil)
 		}
-		for _, host := range g.fleet.ExpiredRooms(now) {
+		for _, host := range g.fleet.ExpiredRooms() {
 			g.publications.add(fleet.RoomKey(host), nil)
 		}
 		for _, v := range g.fleet.ExpiredVersions(now, g.targetView.HasVersion, g.streamRetention()) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -217,6 +217,8 @@
 		t.RecordInconclusive()
 	case result == outcomeRejected && !errors.Is(cause, errTargetReplaced):
 		t.RecordInconclusive()
+	case result == outcomeBroken && req.hurry.moved():
+		t.RecordInconclusive() // its relay tells whether the engine stands still
 	default:
 		t.RecordFailure(time.Now())
 		switch silent := errors.As(cause, &failure) && failure.TimedOut; {
--- a/internal/gateway/hurry.go
+++ b/internal/gateway/hurry.go
@@ -63,6 +63,9 @@
 	return latest
 }
 
+// moved reports whether the attempt was ended because its first event was overdue.
+func (h *hurry) moved() bool { return h != nil && h.retryTaken.Load() }
+
 // hurryAttempt returns a context for an attempt that ends when its first event is overdue,
 // if the retry budget then has room for another attempt. It sets req.hurry.
 func (g *Gateway) hurryAttempt(ctx context.Context, req *request, now time.Time) context.Context {
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -54,7 +54,15 @@
 	q := g.targetQuery(req)
 	g.mu.Lock()
 	wait, ok := g.targetView.Wait(now, q)
-	if free := g.targetView.Free(now, q) > 0; maxWait <= 0 || !free && (!ok || wait > maxWait) {
+	free := g.targetView.Free(now, q)
+	if maxWait <= 0 && free > g.turns.given[q.Service] {
+		// Those that wait have their turns at the targets that are free for them.
+		g.turns.given[q.Service]++
+		req.hasTurn = true
+		g.mu.Unlock()
+		return true
+	}
+	if maxWait <= 0 || free == 0 && (!ok || wait > maxWait) {
 		g.mu.Unlock()
 		return false
 	}
