--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -20,7 +20,8 @@
 	reasons := g.targetView.Reasons(now, q)
 	var e *errkind.Error
 	switch {
-	case reasons[targets.ReasonLimited]+reasons[targets.ReasonCold] > 0:
+	case reasons[targets.ReasonLimited]+reasons[targets.ReasonCold] > 0, g.turns.needed(req.service.Name) && g.targetView.PermitRate(now, q) > 0:
+		// A permit that is there now is for a request that waits.
 		e = errkind.New(errkind.TargetsLimited, "the targets of %s are at their limits: %s", req.service.Name, reasons)
 	case reasons[targets.ReasonTurnedAway] > 0:
 		e = errkind.New(errkind.Overloaded, "the targets of %s want no requests for now: %s", req.service.Name, reasons)
