--- a/internal/prepaid/load_test.go
+++ b/internal/prepaid/load_test.go
@@ -217,6 +217,8 @@
 // checkTotals checks that no budget is overspent and returns the sum of the stored
 // totals of all teams.
 func (f *fleet) checkTotals(t *testing.T) (sum budget.Total) {
+	f.mu.Lock() // requests may still be in progress
+	defer f.mu.Unlock()
 	t.Helper()
 	for team := range f.prepaid {
 		for stripe := range f.load.stripes {
