Spread refused callers by one piece of code

Cause: admit took over the multiples of the golden ratio that targets had; both stood in the tree. targets calls admit.EvenFraction now. Behaviour is the same; tests of admit, targets and gateway, vet, formatter and the linter on the two packages are green.

--- a/internal/core/admit/returns.go
+++ b/internal/core/admit/returns.go
@@ -73,7 +73,13 @@
 // fraction returns numbers from 0 to less than 1 that lie evenly over consecutive calls.
 func (r *Returns) fraction() float64 {
 	r.refused++
-	_, f := math.Modf(float64(r.refused) * goldenRatio)
+	return EvenFraction(r.refused)
+}
+
+// EvenFraction returns, for consecutive numbers, numbers from 0 to less than 1 that lie
+// evenly.
+func EvenFraction(n int) float64 {
+	_, f := math.Modf(float64(n) * goldenRatio)
 	return f
 }
 
--- a/internal/core/targets/limit.go
+++ b/internal/core/targets/limit.go
@@ -125,9 +125,6 @@
 	refused int       // callers for whom there was no room within their horizon
 }
 
-// goldenRatio spreads consecutive multiples evenly over the unit interval.
-const goldenRatio = 0.6180339887498949
-
 // ReturnAfter returns when a caller that was refused because Wait was too long should
 // return: at the next time that no other caller was given and at which a target takes a
 // request, or, if that lies beyond horizon, at some time within it.
@@ -159,8 +156,7 @@
 // spread returns times between two others that lie evenly over consecutive calls.
 func (r *returnTimes) spread(from, to time.Duration) time.Duration {
 	r.refused++
-	_, fraction := math.Modf(float64(r.refused) * goldenRatio)
-	return from + time.Duration(fraction*float64(to-from))
+	return from + time.Duration(admit.EvenFraction(r.refused)*float64(to-from))
 }
 
 // permitInterval returns the mean time between two requests that the limits of a
