--- a/internal/core/fleet/version.go
+++ b/internal/core/fleet/version.go
@@ -9,8 +9,9 @@
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 )
 
-// versionPrefix is followed by a service, a slash and a version of its targets.
-const versionPrefix = Prefix + "version/"
+// VersionPrefix is the key prefix of the rows of versions, followed by a service, a slash
+// and a version of its targets.
+const VersionPrefix = Prefix + "version/"
 
 // VersionValue is the value of the row of a version. Only its presence matters.
 var VersionValue = []byte("{}")
@@ -19,7 +20,7 @@
 type ServiceVersion struct{ Service, Version string }
 
 // Key returns the key of the row that says that the version serves or served lately.
-func (v ServiceVersion) Key() string { return versionPrefix + v.String() }
+func (v ServiceVersion) Key() string { return VersionPrefix + v.String() }
 
 // String returns the service and the version, separated by a slash.
 func (v ServiceVersion) String() string { return v.Service + "/" + v.Version }
@@ -37,11 +38,21 @@
 }
 
 func parseVersionKey(key string) (v ServiceVersion, ok bool) {
-	rest, ok := strings.CutPrefix(key, versionPrefix)
+	rest, ok := strings.CutPrefix(key, VersionPrefix)
 	ok = ok && v.UnmarshalText([]byte(rest)) == nil
 	return v, ok
 }
 
+// DecodeVersions returns the versions of a service of which there are rows.
+func DecodeVersions(service string, rows []Row) (versions []string) {
+	for _, row := range rows {
+		if v, ok := parseVersionKey(row.Key); ok && v.Service == service {
+			versions = append(versions, v.Version)
+		}
+	}
+	return versions
+}
+
 // Versions returns the versions of a service that serve or served lately according to
 // any router.
 func (s *State) Versions(service string) (versions []string) {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -236,7 +236,6 @@
 		default:
 		}
 	}
-	g.fleetReadAt = now
 	g.applyPartReports(now, changes)
 	g.divideLimits(now)
 	g.recordStreams()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -131,7 +131,6 @@
 	loggedParts  []quarantine.Part      // quarantined when last logged
 	brokenRuns   map[string][]brokenRun // recent ones, by target
 	fleet        *fleet.State
-	fleetReadAt  time.Time // when fleet was last known to be up to date
 	streams      *fleet.Streams
 	// severalVersions are the services whose streams are recorded, because targets of
 	// several versions serve or served lately.
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -23,33 +23,48 @@
 	recordReadInterval = 100 * time.Millisecond
 )
 
-// streamRecords are the records of streams of all gateways as last read.
+// streamRecords are the records of streams and the rows of versions of all gateways as
+// last read.
 type streamRecords struct {
 	mu       sync.Mutex // held while they are read
 	readFrom time.Time  // when the read began
-	latest   fleet.Recorded
+	streams  fleet.Recorded
+	versions []fleet.Row
 }
 
-// read returns the records as of a time or later. Requests that wait for the same read
-// share it.
-func (s *streamRecords) read(ctx context.Context, table platform.Table, asOf time.Time) (fleet.Recorded, error) {
+// read returns the records and the rows as of a time or later. Requests that wait for the
+// same read share it.
+func (s *streamRecords) read(ctx context.Context, table platform.Table, asOf time.Time) (fleet.Recorded, []fleet.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.readFrom.Before(asOf) {
-		return s.latest, nil
+		return s.streams, s.versions, nil
 	}
 	began := time.Now()
-	stored, err := platform.ScanAll(ctx, table, fleet.StreamPrefix)
+	streamRows, err := scanFleet(ctx, table, fleet.StreamPrefix)
 	if err != nil {
-		return s.latest, err
+		return s.streams, nil, err
+	}
+	versions, err := scanFleet(ctx, table, fleet.VersionPrefix)
+	if err != nil {
+		return s.streams, nil, err
+	}
+	streams, err := fleet.DecodeStreams(streamRows)
+	s.readFrom, s.streams, s.versions = began, streams, versions
+	return streams, versions, err
+}
+
+// scanFleet reads all rows with a prefix.
+func scanFleet(ctx context.Context, table platform.Table, prefix string) ([]fleet.Row, error) {
+	stored, err := platform.ScanAll(ctx, table, prefix)
+	if err != nil {
+		return nil, err
 	}
 	rows := make([]fleet.Row, len(stored))
 	for i, row := range stored {
 		rows[i] = fleet.Row{Key: row.Key, Value: row.Value}
 	}
-	recorded, err := fleet.DecodeStreams(rows)
-	s.readFrom, s.latest = began, recorded
-	return recorded, err
+	return rows, nil
 }
 
 // flushInterval returns the time between two writes of this gateway's records.
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -30,8 +30,6 @@
 
 // Times for which versions are remembered.
 const (
-	// maxFleetAge is the age from which what is known of other gateways may lack versions.
-	maxFleetAge = 2 * longPollWait
 	// minStreamRetention is the least time for which versions and streams are remembered.
 	minStreamRetention = 10 * time.Second
 	// retentionFactor covers callers who take up a stream in several attempts.
@@ -157,55 +155,54 @@
 }
 
 func (g *Gateway) findOrigin(ctx context.Context, req *request) (streamOrigin, error) {
-	service := req.service.Name
 	g.mu.Lock()
 	at, ok := g.streams.Origin(req.streamID())
-	versions := g.versions(service)
 	g.mu.Unlock()
-	switch {
-	case ok:
+	if ok {
 		return streamOrigin{originGateway, at}, nil
-	case req.meta.BegunBy != "":
-		return g.findRecordedOrigin(ctx, req)
-	case len(versions) == 1:
-		return streamOrigin{originOnlyVersion, fleet.ServiceVersion{Service: service, Version: versions[0]}}, nil
 	}
-	return streamOrigin{}, errkind.New(errkind.VersionUnknown, "several versions serve, and the caller does not name the request that began the stream")
+	return g.findRecordedOrigin(ctx, req)
 }
 
 // findRecordedOrigin reads the records of all gateways until one names the stream, or
-// until the gateway that began it must have recorded it.
+// until the gateway that began it must have recorded it. A stream that the caller does not
+// name has no record that could come later.
 func (g *Gateway) findRecordedOrigin(ctx context.Context, req *request) (streamOrigin, error) {
 	ctx, cancel := context.WithTimeout(ctx, g.flushInterval()+recordWriteTime)
 	defer cancel()
 	for {
-		recorded, err := g.records.read(ctx, g.opt.FleetTable, time.Now())
+		recorded, versions, err := g.records.read(ctx, g.opt.FleetTable, time.Now())
 		if at, ok := recorded.Origin(req.meta.BegunBy); ok {
 			return streamOrigin{originTable, at}, nil
 		}
 		if err == nil {
-			if at, ok := g.onlyVersion(req.service.Name); ok {
+			if at, ok := g.onlyVersion(req.service.Name, versions); ok {
 				return streamOrigin{originOnlyVersion, at}, nil
 			}
 		}
-		if timing.Sleep(ctx, recordReadInterval) {
+		if (err != nil || req.meta.BegunBy != "") && timing.Sleep(ctx, recordReadInterval) {
 			continue
 		}
 		if err != nil {
 			return streamOrigin{}, errkind.Wrap(err, errkind.PlatformUnavailable, "the version that began the stream cannot be read")
 		}
-		return streamOrigin{}, errkind.New(errkind.VersionUnknown, "several versions serve, and none is recorded for the stream")
+		return streamOrigin{}, errkind.New(errkind.VersionUnknown, "another version may have begun the stream, and none is recorded for it")
 	}
 }
 
 // onlyVersion returns the version of a service if it is certain that no other serves or
-// served lately.
-func (g *Gateway) onlyVersion(service string) (at fleet.ServiceVersion, ok bool) {
+// served lately. Rows are those of versions, read after the request arrived: what the feeds
+// have delivered may lack the version that began the stream.
+func (g *Gateway) onlyVersion(service string, rows []fleet.Row) (at fleet.ServiceVersion, ok bool) {
+	written := fleet.DecodeVersions(service, rows)
+	if len(written) != 1 {
+		return fleet.ServiceVersion{}, false
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	versions := g.versions(service)
-	if len(versions) != 1 || time.Since(g.fleetReadAt) > maxFleetAge {
+	known := g.versions(service)
+	if slices.ContainsFunc(known, func(version string) bool { return version != written[0] }) {
 		return fleet.ServiceVersion{}, false
 	}
-	return fleet.ServiceVersion{Service: service, Version: versions[0]}, true
+	return fleet.ServiceVersion{Service: service, Version: written[0]}, true
 }
