--- a/internal/core/fleet/cold_test.go
+++ b/internal/core/fleet/cold_test.go
@@ -34,7 +34,7 @@
 // are never removed, or that make routers renew their rows.
 func TestColdTargetsFollowTheirRows(t *testing.T) {
 	s := NewState("r1")
-	rows := []Row{{ColdKey("t"), []byte(`{"started":7,"for_ms":3000}`)}, {ColdKey("u"), []byte("x")}}
+	rows := []Row{{Key: ColdKey("t"), Value: []byte(`{"started":7,"for_ms":3000}`)}, {Key: ColdKey("u"), Value: []byte("x")}}
 	changed, err := s.Apply(start, Changes{Complete: true, Rows: rows})
 	assert.ErrorContains(t, err, "invalid")
 	assert.DeepEqual(t, changed, []string{"t"})
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"tarragonridge.example/tarragonridge/internal/core/era"
 )
 
 // Key prefixes of the rows. All rows have Prefix.
@@ -80,8 +82,9 @@
 
 // Row is a row of the table.
 type Row struct {
-	Key   string
-	Value []byte
+	Key     string
+	Value   []byte
+	Version era.Version
 }
 
 // Changes are rows that were written and removed.
@@ -107,7 +110,7 @@
 	countFrom time.Time
 	division  division // as last returned by Shares
 
-	versions map[ServiceVersion]bool
+	versions map[ServiceVersion]era.Version // of their rows
 	// Rows whose targets this router does not see, and since when.
 	unusedVersions map[ServiceVersion]time.Time
 	unusedLimits   map[string]time.Time
@@ -118,7 +121,7 @@
 func NewState(host string) *State {
 	return &State{self: host, renewedAt: map[string]time.Time{}, limits: map[string]Limit{}, draining: map[string]Draining{}, cold: map[string]coldTarget{},
 		domains: map[string]string{}, rooms: map[string]roomState{},
-		versions: map[ServiceVersion]bool{}, unusedVersions: map[ServiceVersion]time.Time{}, unusedLimits: map[string]time.Time{},
+		versions: map[ServiceVersion]era.Version{}, unusedVersions: map[ServiceVersion]time.Time{}, unusedLimits: map[string]time.Time{},
 		unusedDraining: map[string]time.Time{}}
 }
 
@@ -174,7 +177,7 @@
 		if target, ok := strings.CutPrefix(key, coldPrefix); ok {
 			delete(s.cold, target)
 		}
-		if v, ok := parseVersionKey(key); ok {
+		if v, ok := ParseVersionKey(key); ok {
 			delete(s.versions, v)
 		}
 	}
@@ -242,8 +245,8 @@
 		}
 		s.cold[target] = coldTarget{cold, now.Add(time.Duration(cold.ForMS) * time.Millisecond)}
 	}
-	if v, ok := parseVersionKey(row.Key); ok {
-		s.versions[v] = true
+	if v, ok := ParseVersionKey(row.Key); ok {
+		s.RecordVersion(v, row.Version)
 	}
 	return nil
 }
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -164,7 +164,9 @@
 // to stop, and against rows about targets that are gone for good.
 func TestDrainingTargetsFollowTheirRows(t *testing.T) {
 	s := NewState("r1")
-	changed, err := s.Apply(start, Changes{Complete: true, Rows: []Row{{DrainingKey("t"), []byte(`{"started":7}`)}, {DrainingKey("u"), []byte("x")}}})
+	changed, err := s.Apply(start, Changes{Complete: true, Rows: []Row{
+		{Key: DrainingKey("t"), Value: []byte(`{"started":7}`)}, {Key: DrainingKey("u"), Value: []byte("x")},
+	}})
 	assert.ErrorContains(t, err, "invalid")
 	assert.DeepEqual(t, changed, []string{"t"})
 	draining, ok := s.Draining("t")
--- a/internal/core/fleet/streams_test.go
+++ b/internal/core/fleet/streams_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/core/era"
 )
 
 const testRetention = 30 * time.Second
@@ -116,3 +118,21 @@
 	assert.NilError(t, err)
 	assert.Assert(t, !s.Active())
 }
+
+// Guards against the row of a version that another router is about to remove and that
+// counts as written when the version serves again.
+func TestRowOfAReturningVersionIsWrittenAgain(t *testing.T) {
+	s := NewState("self")
+	v1 := ServiceVersion{"s", "v1"}
+	_, err := s.Apply(start, Changes{Complete: true, Rows: []Row{{Key: v1.Key(), Value: VersionValue}}})
+	assert.NilError(t, err)
+	s.ForgetUnusedVersion(v1)
+	assert.Assert(t, s.KnowsVersion(v1), "in use all the time")
+	unused := func(ServiceVersion) bool { return false }
+	s.ExpiredVersions(start, unused, testRetention)
+	s.ForgetUnusedVersion(v1)
+	assert.Assert(t, !s.KnowsVersion(v1))
+	s.RecordVersion(v1, era.Version{Number: 5})
+	assert.Assert(t, s.KnowsVersion(v1))
+	assert.Equal(t, len(s.ExpiredVersions(start.Add(testRetention), unused, testRetention)), 0, "unused from now on only")
+}
--- a/internal/core/fleet/version.go
+++ b/internal/core/fleet/version.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/core/era"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 )
 
@@ -37,7 +38,8 @@
 	return nil
 }
 
-func parseVersionKey(key string) (v ServiceVersion, ok bool) {
+// ParseVersionKey returns the version of which a row with the key tells.
+func ParseVersionKey(key string) (v ServiceVersion, ok bool) {
 	rest, ok := strings.CutPrefix(key, VersionPrefix)
 	ok = ok && v.UnmarshalText([]byte(rest)) == nil
 	return v, ok
@@ -46,7 +48,7 @@
 // DecodeVersions returns the versions of a service of which there are rows.
 func DecodeVersions(service string, rows []Row) (versions []string) {
 	for _, row := range rows {
-		if v, ok := parseVersionKey(row.Key); ok && v.Service == service {
+		if v, ok := ParseVersionKey(row.Key); ok && v.Service == service {
 			versions = append(versions, v.Version)
 		}
 	}
@@ -65,7 +67,25 @@
 }
 
 // KnowsVersion reports whether the row of a version is there.
-func (s *State) KnowsVersion(v ServiceVersion) bool { return s.versions[v] }
+func (s *State) KnowsVersion(v ServiceVersion) bool {
+	_, ok := s.versions[v]
+	return ok
+}
+
+// RecordVersion records that the row of a version was written or read.
+func (s *State) RecordVersion(v ServiceVersion, row era.Version) { s.versions[v] = row }
+
+// ForgetUnusedVersion forgets the row of a version that comes into use again, because the
+// row may be removed just now. It has to be written again.
+func (s *State) ForgetUnusedVersion(v ServiceVersion) {
+	if _, unused := s.unusedVersions[v]; unused {
+		delete(s.versions, v)
+		delete(s.unusedVersions, v)
+	}
+}
+
+// VersionRow returns the version of the row of a software version.
+func (s *State) VersionRow(v ServiceVersion) era.Version { return s.versions[v] }
 
 // ExpiredVersions returns the versions that have not been in use, as this router sees
 // it, for at least retention.
--- a/internal/core/targets/availability.go
+++ b/internal/core/targets/availability.go
@@ -16,6 +16,7 @@
 const (
 	ReasonTried        Reason = "tried"         // by this request
 	ReasonOtherVersion Reason = "other_version" // than the request needs
+	ReasonUnwritten    Reason = "unwritten"     // the other routers cannot know its version yet
 	ReasonDraining     Reason = "draining"      // is about to stop, as its registration or an answer says
 	ReasonEvacuated    Reason = "evacuated"     // the operator has its failure domain evacuated
 	ReasonTurnedAway   Reason = "turned_away"   // wants no request from this router for a while
@@ -49,6 +50,8 @@
 		return ReasonTried
 	case q.Version != nil && *q.Version != t.Version:
 		return ReasonOtherVersion
+	case q.Written != nil && !q.Written(t.ServiceVersion()):
+		return ReasonUnwritten
 	}
 	if r := t.Backpressure(now); r != ReasonNone {
 		return r
--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -220,6 +220,9 @@
 	PrefixHash uint64   // hash of the shared parts of the prompt; 0 if there are none
 	Exclude    []string // ids of targets that this request has already tried
 	Version    *string  // of the targets' software; nil for any
+	// Written reports whether other routers can know that a version serves; nil if the
+	// request is none that they may have to continue.
+	Written func(fleet.ServiceVersion) bool
 	// MaxInFlight limits this router's requests in flight at a target; 0 means no limit.
 	MaxInFlight int
 }
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -100,6 +100,7 @@
 			lastFailure = now
 		}
 		news := g.applyTargets(changes)
+		g.recordTargetsRead(now)
 		if now.Sub(lastFailure) < outageAftermath {
 			g.RemoveMissingTargets(now.Add(-reregisterGrace))
 		} else {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -104,6 +104,7 @@
 			renew = true
 		case <-ticker.C:
 			renew = g.inspectFleet()
+			g.removeExpiredVersions(ctx)
 		}
 	}
 }
@@ -118,8 +119,8 @@
 }
 
 // inspectFleet divides limits anew if gateways are gone, and reports whether this
-// gateway is to renew its row. The first of the live gateways removes rows of gateways,
-// targets and versions that are gone.
+// gateway is to renew its row. The first of the live gateways removes rows of gateways and
+// targets that are gone.
 func (g *Gateway) inspectFleet() (renew bool) {
 	now := time.Now()
 	g.mu.Lock()
@@ -143,9 +144,6 @@
 		for _, host := range g.fleet.ExpiredRooms() {
 			g.publications.add(fleet.RoomKey(host), nil)
 		}
-		for _, v := range g.fleet.ExpiredVersions(now, g.targetView.HasVersion, g.streamRetention()) {
-			g.publications.add(v.Key(), nil)
-		}
 	}
 	return g.fleet.Active()
 }
@@ -168,16 +166,6 @@
 	return t != nil && g.fleetDraining(t)
 }
 
-// publishVersions tells the other gateways of versions that they have not told. g.mu is
-// held.
-func (g *Gateway) publishVersions() {
-	for v := range g.targetView.Versions() {
-		if !g.fleet.KnowsVersion(v) {
-			g.publications.add(v.Key(), fleet.VersionValue)
-		}
-	}
-}
-
 // writeFleetRows writes all rows that are to be written and reports whether that
 // succeeded.
 func (g *Gateway) writeFleetRows(ctx context.Context) bool {
@@ -187,13 +175,14 @@
 			return true
 		}
 		callCtx, cancel := context.WithTimeout(ctx, fleetWriteTimeout)
-		_, err := g.opt.FleetTable.Commit(callCtx, txn)
+		result, err := g.opt.FleetTable.Commit(callCtx, txn)
 		cancel()
 		if err != nil {
 			g.publications.putBack(txn)
 			g.opt.Logger.Debug("failed to write fleet rows", "rows", n, "err", err)
 			return false
 		}
+		g.recordWrittenVersions(result.Versions)
 	}
 }
 
@@ -237,6 +226,8 @@
 		}
 	}
 	g.applyPartReports(now, changes)
+	g.signalVersions()
+	g.publishVersions()
 	g.divideLimits(now)
 	g.recordStreams()
 	for _, target := range changed {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -58,7 +58,7 @@
 		}
 		t := g.chooseTarget(ctx, req)
 		if t == nil {
-			if g.awaitTarget(ctx, req) {
+			if g.awaitWrittenVersion(ctx, req) || g.awaitTarget(ctx, req) {
 				continue
 			}
 			return g.finalError(req, g.noTargetError(req))
@@ -155,8 +155,11 @@
 // targetQuery returns the query for the target of the next attempt.
 func (g *Gateway) targetQuery(req *request) targets.Query {
 	q := targets.Query{Service: req.service.Name, Exclude: req.triedTargets, MaxInFlight: g.maxTargetConns(req.service)}
-	if req.origin.source != "" {
+	switch {
+	case req.origin.source != "":
 		q.Version = &req.origin.Version
+	case req.route.Resumable:
+		q.Written = g.fleet.KnowsVersion
 	}
 	if parts := req.prompt.Parts; req.route.Affinity && len(parts) > 0 {
 		q.PrefixHash = parts[len(parts)-1].Hash
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -143,6 +143,9 @@
 	activated    chan struct{} // signals that the fleet has become active
 	records      streamRecords
 	recordsDue   chan struct{} // signals that streams are to be recorded
+	// versionsWritten is closed and replaced when the table has further rows of versions.
+	versionsWritten chan struct{}
+	targetsReadAt   time.Time // when the registrations were last known to be up to date
 }
 
 // Phases of the process.
@@ -173,6 +176,7 @@
 		publications:    newPublications(),
 		activated:       make(chan struct{}, 1),
 		recordsDue:      make(chan struct{}, 1),
+		versionsWritten: make(chan struct{}),
 	}
 	o.Metrics.Registry.MustRegister(g)
 	if hostRoom != nil {
@@ -221,6 +225,7 @@
 	}
 	g.setRegisteredCold(now, t, registration.ColdFor, restarted)
 	if newVersion {
+		g.fleet.ForgetUnusedVersion(registration.ServiceVersion())
 		g.publishVersions()
 		g.recordStreams()
 	}
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -27,6 +27,8 @@
 		e = errkind.New(errkind.Overloaded, "the targets of %s want no requests for now: %s", req.service.Name, reasons)
 	case reasons[targets.ReasonEvacuated] > 0:
 		e = errkind.New(errkind.NoTarget, "no target of %s takes work: %s", req.service.Name, reasons)
+	case reasons[targets.ReasonUnwritten] > 0:
+		return errkind.New(errkind.PlatformUnavailable, "the table does not take the version of the targets of %s: %s", req.service.Name, reasons)
 	case q.Version != nil:
 		return errkind.New(errkind.NoTarget, "no target of %s with version %s takes work: %s", req.service.Name, *q.Version, reasons)
 	case g.turns.needed(req.service.Name):
--- /dev/null
+++ b/internal/gateway/versionrow.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/era"
+	"tarragonridge.example/tarragonridge/internal/core/fleet"
+	"tarragonridge.example/tarragonridge/internal/core/targets"
+	"tarragonridge.example/tarragonridge/internal/platform"
+)
+
+// maxTargetsAge is the age from which what is known of the registrations may lack versions.
+const maxTargetsAge = 2 * longPollWait
+
+// publishVersions tells the other gateways of versions that they have not told. g.mu is
+// held.
+func (g *Gateway) publishVersions() {
+	for v := range g.targetView.Versions() {
+		if !g.fleet.KnowsVersion(v) {
+			g.publications.add(v.Key(), fleet.VersionValue)
+		}
+	}
+}
+
+// recordWrittenVersions records which rows of versions were written.
+func (g *Gateway) recordWrittenVersions(rows map[string]era.Version) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for key, row := range rows {
+		if v, ok := fleet.ParseVersionKey(key); ok {
+			g.fleet.RecordVersion(v, row)
+		}
+	}
+	g.signalVersions()
+}
+
+// signalVersions wakes the requests that wait for rows of versions. g.mu is held.
+func (g *Gateway) signalVersions() {
+	close(g.versionsWritten)
+	g.versionsWritten = make(chan struct{})
+}
+
+// awaitWrittenVersion waits until a stream may begin at a target whose version has no row
+// yet. Without the row a stream that is taken up after the end of this gateway might go on
+// at another version. It reports false if there is no such target or that takes too long.
+func (g *Gateway) awaitWrittenVersion(ctx context.Context, req *request) bool {
+	began := time.Now()
+	defer func() { req.targetWait += time.Since(began) }()
+	ctx, cancel := context.WithTimeout(ctx, req.route.LatencyObjective/targetWaitDivisor-req.targetWait)
+	defer cancel()
+	q := g.targetQuery(req)
+	for waited := false; ; waited = true {
+		g.mu.Lock()
+		unwritten := g.targetView.Reasons(time.Now(), q)[targets.ReasonUnwritten] > 0
+		written := g.versionsWritten
+		g.mu.Unlock()
+		if !unwritten {
+			return waited
+		}
+		select {
+		case <-written:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// recordTargetsRead notes that the registrations were read.
+func (g *Gateway) recordTargetsRead(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.targetsReadAt = now
+}
+
+// removeExpiredVersions removes the rows of versions that have not served for the
+// retention, if this gateway is the first of the live ones.
+func (g *Gateway) removeExpiredVersions(ctx context.Context) {
+	for v, row := range g.expiredVersions(time.Now()) {
+		// A gateway that sees the version again writes the row again. The condition keeps a
+		// call that takes effect late from removing that.
+		txn := platform.Txn{Conditions: []platform.Condition{{Key: v.Key(), Version: row}}, Deletes: []string{v.Key()}}
+		callCtx, cancel := context.WithTimeout(ctx, fleetWriteTimeout)
+		_, err := g.opt.FleetTable.Commit(callCtx, txn)
+		cancel()
+		if err != nil {
+			g.opt.Logger.Debug("failed to remove the row of a version", "version", v, "err", err)
+		}
+	}
+}
+
+// expiredVersions returns the versions whose rows this gateway is to remove, with the
+// versions of the rows.
+func (g *Gateway) expiredVersions(now time.Time) map[fleet.ServiceVersion]era.Version {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	unused := g.fleet.ExpiredVersions(now, g.targetView.HasVersion, g.streamRetention())
+	if g.config.Load() == nil || now.Sub(g.targetsReadAt) > maxTargetsAge || g.fleet.Routers(now)[0] != g.opt.Host {
+		return nil
+	}
+	expired := map[fleet.ServiceVersion]era.Version{}
+	for _, v := range unused {
+		expired[v] = g.fleet.VersionRow(v)
+	}
+	return expired
+}
