--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -89,7 +89,8 @@
 
 // Changes are rows that were written and removed.
 type Changes struct {
-	Complete bool // Rows are all rows there are
+	Era      int64 // of the table, 0 if it reports none
+	Complete bool  // Rows are all rows there are
 	Rows     []Row
 	Removed  []string // keys
 }
@@ -110,7 +111,9 @@
 	countFrom time.Time
 	division  division // as last returned by Shares
 
-	versions map[ServiceVersion]era.Version // of their rows
+	versions map[ServiceVersion]versionRow
+	era      int64     // of the table when changes were last applied
+	eraSince time.Time // when rows of the era were first applied
 	// Rows whose targets this router does not see, and since when.
 	unusedVersions map[ServiceVersion]time.Time
 	unusedLimits   map[string]time.Time
@@ -121,7 +124,7 @@
 func NewState(host string) *State {
 	return &State{self: host, renewedAt: map[string]time.Time{}, limits: map[string]Limit{}, draining: map[string]Draining{}, cold: map[string]coldTarget{},
 		domains: map[string]string{}, rooms: map[string]roomState{},
-		versions: map[ServiceVersion]era.Version{}, unusedVersions: map[ServiceVersion]time.Time{}, unusedLimits: map[string]time.Time{},
+		versions: map[ServiceVersion]versionRow{}, unusedVersions: map[ServiceVersion]time.Time{}, unusedLimits: map[string]time.Time{},
 		unusedDraining: map[string]time.Time{}}
 }
 
@@ -132,6 +135,9 @@
 	before, wasDraining, wasCold, wasActive := maps.Clone(s.limits), maps.Clone(s.draining), maps.Clone(s.cold), s.Active()
 	wereOut := maps.Clone(s.rooms)
 	s.readAt = now
+	if s.era != c.Era || s.eraSince.IsZero() {
+		s.era, s.eraSince = c.Era, now
+	}
 	if c.Complete {
 		s.synced = true
 		clear(s.limits)
@@ -246,7 +252,7 @@
 		s.cold[target] = coldTarget{cold, now.Add(time.Duration(cold.ForMS) * time.Millisecond)}
 	}
 	if v, ok := ParseVersionKey(row.Key); ok {
-		s.RecordVersion(v, row.Version)
+		return s.applyVersion(v, row)
 	}
 	return nil
 }
--- a/internal/core/fleet/streams_test.go
+++ b/internal/core/fleet/streams_test.go
@@ -136,3 +136,47 @@
 	assert.Assert(t, s.KnowsVersion(v1))
 	assert.Equal(t, len(s.ExpiredVersions(start.Add(testRetention), unused, testRetention)), 0, "unused from now on only")
 }
+
+// Guards against versions that a restore of the table has lost: the rows count as complete
+// again once all streams that began before it have ended.
+func TestOnlyVersionAfterARestore(t *testing.T) {
+	v1, v2 := ServiceVersion{"s", "v1"}, ServiceVersion{"s", "v2"}
+	row := func(v ServiceVersion, inEra int64, value string) Row {
+		return Row{Key: v.Key(), Value: []byte(value), Version: era.Version{Era: inEra, Number: 9}}
+	}
+	for _, c := range []struct {
+		rows []Row
+		only bool
+	}{
+		{nil, false},
+		{[]Row{row(v1, 0, "{}")}, true}, // a table without eras
+		{[]Row{row(v1, 1, "{}")}, true}, // never restored
+		{[]Row{row(v1, 1, "{}"), row(v2, 1, "{}")}, false},
+		{[]Row{row(v1, 2, "{}")}, false},
+		{[]Row{row(v1, 2, `{"settled_era":2}`)}, true},
+		{[]Row{row(v1, 3, `{"settled_era":2}`)}, false},
+		{[]Row{row(v1, 1, "x")}, false},
+	} {
+		_, only := OnlyVersion("s", c.rows)
+		assert.Equal(t, only, c.only, "%v", c.rows)
+	}
+
+	s := NewState("self")
+	inUse := func(v ServiceVersion) bool { return v == v1 }
+	apply := func(at time.Duration, era int64, value string) {
+		_, err := s.Apply(start.Add(at), Changes{Era: era, Complete: true, Rows: []Row{row(v1, era, value), row(v2, era, value)}})
+		assert.NilError(t, err)
+	}
+	unsettled := func(at time.Duration) []ServiceVersion {
+		versions, value := s.UnsettledVersions(start.Add(at), inUse, testRetention)
+		assert.Equal(t, value.SettledEra, s.era)
+		return versions
+	}
+	apply(0, 1, "{}")
+	assert.Equal(t, len(unsettled(testRetention)), 0, "never restored")
+	apply(time.Second, 2, "{}")
+	assert.Equal(t, len(unsettled(testRetention)), 0, "streams from before the restore may be in progress")
+	assert.DeepEqual(t, unsettled(testRetention+time.Second), []ServiceVersion{v1})
+	apply(testRetention+time.Second, 2, `{"settled_era":2}`)
+	assert.Equal(t, len(unsettled(2*testRetention)), 0)
+}
--- a/internal/core/fleet/version.go
+++ b/internal/core/fleet/version.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"iter"
 	"maps"
 	"strings"
@@ -14,7 +15,14 @@
 // and a version of its targets.
 const VersionPrefix = Prefix + "version/"
 
-// VersionValue is the value of the row of a version. Only its presence matters.
+// VersionRow is the value of the row of a version.
+type VersionRow struct {
+	// SettledEra is the era of the table since whose start no stream can be in progress at
+	// a version whose row a restore of the table has lost; 0 if that is not known.
+	SettledEra int64 `json:"settled_era,omitempty"`
+}
+
+// VersionValue is the value of the row of a version when it is first written.
 var VersionValue = []byte("{}")
 
 // ServiceVersion is a software version of a service's targets.
@@ -45,14 +53,44 @@
 	return v, ok
 }
 
-// DecodeVersions returns the versions of a service of which there are rows.
-func DecodeVersions(service string, rows []Row) (versions []string) {
+// firstEra is the era of a table that was never restored. The eras of a table that reports
+// none are 0.
+const firstEra = 1
+
+// OnlyVersion returns the version of a service of which alone there is a row, if the rows
+// are certain to name all versions that serve or served lately.
+func OnlyVersion(service string, rows []Row) (at ServiceVersion, ok bool) {
 	for _, row := range rows {
-		if v, ok := ParseVersionKey(row.Key); ok && v.Service == service {
-			versions = append(versions, v.Version)
+		v, isVersion := ParseVersionKey(row.Key)
+		if !isVersion || v.Service != service {
+			continue
 		}
+		if at != (ServiceVersion{}) {
+			return ServiceVersion{}, false
+		}
+		var value VersionRow
+		if err := json.Unmarshal(row.Value, &value); err != nil {
+			return ServiceVersion{}, false
+		}
+		at, ok = v, row.Version.Era <= firstEra || value.SettledEra == row.Version.Era
 	}
-	return versions
+	return at, ok
+}
+
+// UnsettledVersions returns the versions in use whose rows are to be written again, with
+// the returned value, because the rows have been complete for the retention since the
+// table was restored.
+func (s *State) UnsettledVersions(now time.Time, inUse func(ServiceVersion) bool, retention time.Duration) (versions []ServiceVersion, value VersionRow) {
+	value = VersionRow{SettledEra: s.era}
+	if s.era <= firstEra || now.Sub(s.eraSince) < retention {
+		return nil, value
+	}
+	for v, row := range s.versions {
+		if row.settledEra != s.era && inUse(v) {
+			versions = append(versions, v)
+		}
+	}
+	return versions, value
 }
 
 // Versions returns the versions of a service that serve or served lately according to
@@ -72,8 +110,25 @@
 	return ok
 }
 
-// RecordVersion records that the row of a version was written or read.
-func (s *State) RecordVersion(v ServiceVersion, row era.Version) { s.versions[v] = row }
+// RecordVersion records that the row of a version was written.
+func (s *State) RecordVersion(v ServiceVersion, row era.Version) {
+	s.versions[v] = versionRow{version: row}
+}
+
+// versionRow is the row of a software version.
+type versionRow struct {
+	version    era.Version
+	settledEra int64
+}
+
+func (s *State) applyVersion(v ServiceVersion, row Row) error {
+	var value VersionRow
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return err
+	}
+	s.versions[v] = versionRow{row.Version, value.SettledEra}
+	return nil
+}
 
 // ForgetUnusedVersion forgets the row of a version that comes into use again, because the
 // row may be removed just now. It has to be written again.
@@ -84,8 +139,8 @@
 	}
 }
 
-// VersionRow returns the version of the row of a software version.
-func (s *State) VersionRow(v ServiceVersion) era.Version { return s.versions[v] }
+// RowOfVersion returns the version of the row of a software version.
+func (s *State) RowOfVersion(v ServiceVersion) era.Version { return s.versions[v].version }
 
 // ExpiredVersions returns the versions that have not been in use, as this router sees
 // it, for at least retention.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -129,6 +129,7 @@
 	g.publishVersions()
 	g.removeExpiredParts(now)
 	if g.fleet.Routers(now)[0] == g.opt.Host {
+		g.settleVersions(now)
 		for _, host := range g.fleet.Gone(now) {
 			g.publications.add(fleet.RouterKey(host), nil)
 		}
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -194,15 +194,9 @@
 // served lately. Rows are those of versions, read after the request arrived: what the feeds
 // have delivered may lack the version that began the stream.
 func (g *Gateway) onlyVersion(service string, rows []fleet.Row) (at fleet.ServiceVersion, ok bool) {
-	written := fleet.DecodeVersions(service, rows)
-	if len(written) != 1 {
-		return fleet.ServiceVersion{}, false
-	}
+	at, ok = fleet.OnlyVersion(service, rows)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	known := g.versions(service)
-	if slices.ContainsFunc(known, func(version string) bool { return version != written[0] }) {
-		return fleet.ServiceVersion{}, false
-	}
-	return fleet.ServiceVersion{Service: service, Version: written[0]}, true
+	return at, ok && !slices.ContainsFunc(known, func(version string) bool { return version != at.Version })
 }
--- a/internal/gateway/versionrow.go
+++ b/internal/gateway/versionrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/era"
@@ -23,6 +24,26 @@
 	}
 }
 
+// settleVersions notes in the rows of versions that a restore of the table does not matter
+// any more. g.mu is held.
+func (g *Gateway) settleVersions(now time.Time) {
+	if g.config.Load() == nil || now.Sub(g.targetsReadAt) > maxTargetsAge {
+		return
+	}
+	versions, row := g.fleet.UnsettledVersions(now, g.targetView.HasVersion, g.streamRetention())
+	if len(versions) == 0 {
+		return
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		g.opt.Logger.Error("failed to encode the row of a version", "err", err)
+		return
+	}
+	for _, v := range versions {
+		g.publications.add(v.Key(), value)
+	}
+}
+
 // recordWrittenVersions records which rows of versions were written.
 func (g *Gateway) recordWrittenVersions(rows map[string]era.Version) {
 	g.mu.Lock()
@@ -100,7 +121,7 @@
 	}
 	expired := map[fleet.ServiceVersion]era.Version{}
 	for _, v := range unused {
-		expired[v] = g.fleet.VersionRow(v)
+		expired[v] = g.fleet.RowOfVersion(v)
 	}
 	return expired
 }
