--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -264,6 +264,7 @@
 	answer, err := g.pool.Do(attemptCtx, &upstream.Request{
 		Address: t.Address, Method: r.Method, Head: head, Body: req.body,
 		ResponseHeaderDeadline: earlier(req.deadline, req.answerBy(now)), MaxConns: g.maxTargetConns(req.service),
+		Identity: g.targetIdentity(req, t),
 		Matches: func(resp *http.Response) bool {
 			var matches bool
 			info, matches = g.opt.Codec.ParseAnswer(resp, req.meta.RequestID)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,11 @@
 	ParseAnswer(r *http.Response, requestID string) (info AnswerInfo, matches bool)
 	// CallerHeaders returns the headers for the caller, given those of an answer.
 	CallerHeaders(h http.Header) http.Header
+	// StartRequest returns the head of the request that asks an engine for its start.
+	StartRequest(address string) []byte
+	// ParseStart decodes the answer: the Unix milliseconds of the start, 0 if the engine
+	// does not tell them.
+	ParseStart(status int, body []byte) (startedMS int64, err error)
 }
 
 // Options configures a Gateway.
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -10,6 +10,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/explain"
 	"tarragonridge.example/tarragonridge/internal/timing"
+	"tarragonridge.example/tarragonridge/internal/upstream"
 )
 
 // streamOrigin is what is known of the targets that began a stream.
@@ -92,6 +93,15 @@
 	req.sentFrom = t
 }
 
+// targetIdentity returns the check that a target has not started again with other software
+// since it registered, which a stream needs that may be continued at another target.
+func (g *Gateway) targetIdentity(req *request, t *targets.Target) *upstream.Identity {
+	if !req.route.Resumable || req.service.Slots == 0 || req.targetStart == 0 {
+		return nil
+	}
+	return &upstream.Identity{Start: req.targetStart, Head: g.opt.Codec.StartRequest(t.Address), Parse: g.opt.Codec.ParseStart}
+}
+
 // forgetStream notes that a stream was sent whole.
 func (g *Gateway) forgetStream(req *request) {
 	if req.route.Resumable {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -42,6 +42,8 @@
 	// keepAliveTimeout is the timeout in the target's Keep-Alive header, 0 if it
 	// sent none.
 	keepAliveTimeout time.Duration
+	identified       bool  // the target was asked for its start
+	start            int64 // of the target; 0 if it does not name it
 }
 
 // reusable reports whether nothing has arrived on an idle connection. Bytes that
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -76,6 +76,8 @@
 	ResponseHeaderDeadline time.Time
 	// Matches reports whether a response belongs to this request.
 	Matches func(*http.Response) bool
+	// Identity checks the start of the target; nil if any may answer.
+	Identity *Identity
 	// BeforeSend is called when there is a connection and before anything is sent on it.
 	// If it fails, nothing is sent. nil allows every request.
 	BeforeSend func() error
@@ -90,7 +92,7 @@
 
 // Do sends a request and returns its response. Every error is a *Failure.
 func (p *Pool) Do(ctx context.Context, req *Request) (*Response, error) {
-	c, err := p.acquire(ctx, req)
+	c, err := p.acquireIdentified(ctx, req)
 	if err != nil {
 		return nil, &Failure{TimedOut: IsTimeout(err), Cause: err}
 	}
