--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -148,16 +148,15 @@
 }
 
 // continueStream finds the origin of a stream that a caller takes up, and binds the request
-// to its service and version. It fails if the origin is not known, since the stream must
-// not go on at any version then. If the route no longer leads to the service, the targets
-// of another one continue the stream.
+// to its service and version. It fails if the origin is not known or the route no longer
+// leads there, since the stream must not go on at another version or service.
 func (g *Gateway) continueStream(ctx context.Context, req *request) error {
 	origin, err := g.findOrigin(ctx, req)
 	if err != nil {
 		return err
 	}
 	if !req.route.LeadsTo(origin.Service) {
-		return nil
+		return errkind.New(errkind.VersionUnknown, "the route no longer leads to the service %s, which began the stream", origin.Service)
 	}
 	req.origin = origin
 	req.service = g.config.Load().Services[origin.Service]
