--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -37,6 +37,9 @@
 	// uncontendedHolders is the number of holders of a stripe up to which transactions that
 	// change many totals rarely fail.
 	uncontendedHolders = 6
+	// scarceContentionFactor is how many times as many holders may contend to return scarce
+	// tokens: requests of others wait for these.
+	scarceContentionFactor = 2
 	// outageProbeInterval is the least pause between two calls while the table is
 	// unreachable.
 	outageProbeInterval = 300 * time.Millisecond
--- a/internal/prepaid/many_holders_test.go
+++ b/internal/prepaid/many_holders_test.go
@@ -80,3 +80,41 @@
 		})
 	}
 }
+
+// Guards against scarce tokens that stay for many seconds in the shares of routers without
+// demand, because the transactions of a stripe with many holders change few totals: the
+// requests at other routers are refused meanwhile.
+func TestScarceTokensOfManyTeamsComeBackWithManyHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const teams = 24
+		f := newFleetOf(fleetLoad{routers: 13, teams: teams, perSecond: 10, stripes: 1}, 1, time.Hour)
+		defer f.stop()
+		time.Sleep(60 * time.Second) // all hold a minimum share
+		spender, idle := f.managers[0], f.managers[1:]
+		held := func() (tokens int64) {
+			for _, m := range idle {
+				tokens += m.heldTokens()
+			}
+			return tokens
+		}
+		before, began := held(), time.Now()
+		var spending sync.WaitGroup
+		for i := range teams { // leaves a tenth of each budget
+			spending.Go(func() {
+				name := fmt.Sprint("team", i)
+				for range 18 {
+					r, err := spender.ReserveWithin(context.Background(), name, Need{Tokens: f.prepaid[name] / 20, Wait: 2 * time.Second})
+					if err != nil {
+						return // the rest is held
+					}
+					r.Settle(f.prepaid[name] / 20)
+				}
+			})
+		}
+		spending.Wait()
+		t.Logf("spent after %v, %d held", time.Since(began), held())
+		time.Sleep(4 * time.Second)
+		t.Logf("%d tokens held before, %d 4 s after they became scarce", before, held())
+		assert.Assert(t, held() <= before/10, "%d of %d held", held(), before)
+	})
+}
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -70,6 +70,7 @@
 	}}
 	changed := m.holding.Era != m.era && len(m.holding.Grants) > 0 // renews the pledges
 	for _, t := range m.teamsToPlan() {
+		limit := m.teamsPerTxn(t) // before the plan, which may return all that is held
 		due, shortfall, err := m.planTeam(op, t, tick)
 		if err != nil {
 			m.opt.Logger.Error("failed to change a share", "team", t.name, "err", err)
@@ -79,7 +80,7 @@
 			shortfalls[t] = shortfall
 		}
 		changed = changed || due
-		if len(op.totals) >= m.teamsPerTxn(t) {
+		if len(op.totals) >= limit {
 			break
 		}
 	}
@@ -95,18 +96,33 @@
 	return op, shortfalls
 }
 
-// teamsToPlan returns all teams, those for which requests wait first, and otherwise in
-// random order, so that routers conflict less often. m.mu is held.
+// teamsToPlan returns all teams, those for which requests wait first, then those of whose
+// scarce tokens this router holds some, which others may need, and otherwise in random
+// order, so that routers conflict less often. m.mu is held.
 func (m *Manager) teamsToPlan() (teams []*team) {
+	order := map[*team]int{}
 	for name := range m.prepaidTotals {
-		teams = append(teams, m.team(name))
+		t := m.team(name)
+		teams = append(teams, t)
+		switch {
+		case len(t.waiters) > 0:
+			order[t] = 0
+		case m.holdsScarceTokens(t):
+			order[t] = 1
+		default:
+			order[t] = 2
+		}
 	}
-	slices.SortStableFunc(teams, func(a, b *team) int {
-		return cmp.Compare(min(len(b.waiters), 1), min(len(a.waiters), 1))
-	})
+	slices.SortStableFunc(teams, func(a, b *team) int { return cmp.Compare(order[a], order[b]) })
 	return teams
 }
 
+// holdsScarceTokens reports whether this router holds some of a team's scarce tokens, which
+// other routers may need. m.mu is held.
+func (m *Manager) holdsScarceTokens(t *team) bool {
+	return t.share.Available() > 0 && m.homeIsScarce(t)
+}
+
 // teamsPerTxn returns the number of totals after which a transaction takes no further team
 // than t. The more routers change the same totals, the fewer, so that as few transactions
 // fail; but not while requests wait or the router returns its shares. m.mu is held.
@@ -117,7 +133,11 @@
 	case m.draining, len(t.waiters) > 0:
 		return maxServingTeamsPerTxn
 	}
-	contention := max(float64(m.homeHolders())/uncontendedHolders, 1)
+	uncontended := float64(uncontendedHolders)
+	if m.holdsScarceTokens(t) {
+		uncontended *= scarceContentionFactor
+	}
+	contention := max(float64(m.homeHolders())/uncontended, 1)
 	return max(int(maxServingTeamsPerTxn/(contention*contention)), 1)
 }
 
