--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -96,8 +97,8 @@
 	return op, shortfalls
 }
 
-// teamsToPlan returns all teams, those for which requests wait first, then those of whose
-// scarce tokens this router holds some, which others may need, and otherwise in random
+// teamsToPlan returns all teams, those for which requests wait first, then half of those of
+// whose scarce tokens this router holds some, which others may need, and otherwise in random
 // order, so that routers conflict less often. m.mu is held.
 func (m *Manager) teamsToPlan() (teams []*team) {
 	order := map[*team]int{}
@@ -107,7 +108,7 @@
 		switch {
 		case len(t.waiters) > 0:
 			order[t] = 0
-		case m.holdsScarceTokens(t):
+		case m.holdsScarceTokens(t) && rand.N(2) == 0:
 			order[t] = 1
 		default:
 			order[t] = 2
