--- a/review/harness/crowd.go
+++ b/review/harness/crowd.go
@@ -1,11 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,24 +50,11 @@
 					return
 				}
 			}
-			from := 0
-			if last := x.Request.Header.Get("Last-Event-Id"); last != "" {
-				from, _ = strconv.Atoi(last)
-			}
-			fmt.Fprintf(x.Conn, "HTTP/1.1 200 OK\r\nTarragonridge-Request-Id: %s\r\nTarragonridge-Response-Signature: sig.%s.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", x.ID, x.Replica.ID, x.ID)
 			all := events
 			if string(x.Body) == poison { // if it crashes nothing
 				all = 2
 			}
-			for n := from; n < all; n++ {
-				time.Sleep(gap)
-				ev := fmt.Sprintf("id: %d\ndata: piece %d of %d\n\n", n+1, n+1, all)
-				if _, err := fmt.Fprintf(x.Conn, "%x\r\n%s\r\n", len(ev), ev); err != nil {
-					x.Close = true
-					return
-				}
-			}
-			x.Conn.Write([]byte("0\r\n\r\n"))
+			x.Stream(all, gap)
 		}
 	}
 	start = func(i, incarnation int) error {
@@ -86,7 +70,7 @@
 		}
 	}
 	w.Store.PutJSON("op", "config", object{"version": 1, "services": []object{engineService("writers")}, "limits": limits,
-		"routes": []object{{"name": "tag", "host": "case.example", "prefix": "/tag/", "kind": "streaming", "timeout-ms": 15000, "target-latency-ms": 1500, "gap-target-ms": 500, "priority": 2, "service": "writers", "max-attempts": 2, "public": false, "sticky": true, "resumable": true},
+		"routes": []object{tagRoute,
 			{"name": "note", "host": "case.example", "prefix": "/note/", "kind": "streaming", "timeout-ms": 4000, "target-latency-ms": 1200, "gap-target-ms": 500, "priority": 1, "service": "writers", "max-attempts": 1, "public": false, "sticky": true, "resumable": false}},
 		"tenants": []object{{"name": "t1", "api-keys": []string{"key1"}, "prepaid": 30000000}, {"name": "t2", "api-keys": []string{"key2"}, "prepaid": 30000000}}})
 	var gateways []*Process
@@ -101,17 +85,6 @@
 		gateways = append(gateways, g)
 	}
 	time.Sleep(3 * time.Second)
-	stream := func(g *Process, id, path, body, key, prefix string, limit time.Duration) answer {
-		c, err := net.Dial("tcp", g.Callers)
-		if err != nil {
-			return answer{err: err}
-		}
-		defer c.Close()
-		c.SetDeadline(time.Now().Add(limit))
-		c.Write(append(head("POST", path, "Tarragonridge-Request-Id", id, "Tarragonridge-Model", "m", "Tarragonridge-Token-Usage", "543,80", "Tarragonridge-Prompt-Prefix", prefix,
-			"Tarragonridge-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10), "Authorization", "Bearer "+key, "Content-Length", strconv.Itoa(len(body))), body...))
-		return readAnswer(bufio.NewReader(c), "POST")
-	}
 	var total, refused, served atomic.Int64
 	var clients sync.WaitGroup
 	stop := make(chan struct{})
--- a/review/harness/hup.go
+++ b/review/harness/hup.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -13,26 +14,33 @@
 // hup: a gateway gets SIGTERM while it serves, and SIGHUP a second later, as its settings
 // have changed. Both are planned work: what it has passed on to a replica it must answer.
 func hup(w *World) (bool, error) {
-	const work = 110 * time.Millisecond
-	var mu sync.Mutex
-	ran := map[string]bool{}
+	var ran sync.Map // ids of the requests that replicas ran
 	for i := range 3 {
-		r := &Replica{ID: fmt.Sprintf("i-d%d", i), Service: "desk", Zone: "z1", Version: "v1", Slots: 6}
-		r.Handler = func(x *Exchange) {
-			mu.Lock()
-			ran[x.ID] = true
-			mu.Unlock()
-			w.Logf("replica %s runs %s", r.ID, x.ID)
-			time.Sleep(work)
-			err := x.Answer(200, "reserved")
-			w.Logf("replica %s has run %s to its end, answer sent: %v", r.ID, x.ID, err == nil)
+		ip := fmt.Sprintf("127.0.2.%d", i+1)
+		engine := &Replica{ID: fmt.Sprintf("i-e%d", i), Service: "writers", Zone: "z1", Version: "v1", Slots: 64, Engine: true, Handler: func(x *Exchange) {
+			ran.Store(x.ID, true)
+			w.Logf("replica %s runs %s", x.Replica.ID, x.ID)
+			w.Logf("replica %s has run %s, whole: %v", x.Replica.ID, x.ID, x.Stream(20, 100*time.Millisecond))
+		}}
+		if err := engine.Start(w.Store, ip); err != nil {
+			return false, err
+		}
+		if err := w.Relay(fmt.Sprintf("side-z1-%d", i), "z1", ip); err != nil {
+			return false, err
 		}
-		if err := r.Start(w.Store, fmt.Sprintf("127.0.3.%d", i+1)); err != nil {
+		desk := &Replica{ID: fmt.Sprintf("i-d%d", i), Service: "desk", Zone: "z1", Version: "v1", Slots: 6, Handler: func(x *Exchange) {
+			ran.Store(x.ID, true)
+			w.Logf("replica %s runs %s", x.Replica.ID, x.ID)
+			time.Sleep(15*time.Millisecond + rand.N(95*time.Millisecond))
+			err := x.Answer(200, "reserved")
+			w.Logf("replica %s has run %s to its end, answer sent: %v", x.Replica.ID, x.ID, err == nil)
+		}}
+		if err := desk.Start(w.Store, fmt.Sprintf("127.0.3.%d", i+1)); err != nil {
 			return false, err
 		}
 	}
-	w.Store.PutJSON("op", "config", object{"version": 1, "services": []object{plainService("desk")}, "limits": limits,
-		"routes":  []object{{"name": "bid", "host": "case.example", "prefix": "/bid/", "kind": "non_idempotent", "timeout-ms": 600, "target-latency-ms": 100, "priority": 2, "service": "desk", "max-attempts": 1, "public": false}},
+	w.Store.PutJSON("op", "config", object{"version": 1, "services": []object{engineService("writers"), plainService("desk")}, "limits": limits,
+		"routes":  []object{tagRoute, bidRoute},
 		"tenants": []object{{"name": "t1", "api-keys": []string{"key1"}, "prepaid": 3000000}}})
 	g, err := w.Gateway("front-z1-1", "z1", "127.0.1.1")
 	if err != nil {
@@ -42,38 +50,50 @@
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
-	// 40 bids a second until the platform sends no more connections.
-	var lost, answered, refused atomic.Int64
+	// 20 bids and 8 streams of 2 s a second. The platform sends connections for two seconds
+	// after the SIGTERM, until it has missed two answers to its question.
+	const sendFor, termAfter = 6 * time.Second, 4 * time.Second
+	var lost, lostBids, answered, notRead atomic.Int64
 	var clients sync.WaitGroup
 	began := time.Now()
-	const termAfter = 2 * time.Second
-	for n := range 40 * 4 {
+	judge := func(id string, bid bool, a answer) {
+		w.Logf("%s: client gets %v", id, a)
+		time.Sleep(250 * time.Millisecond)
+		_, passedOn := ran.Load(id)
+		switch {
+		case a.status != 0 && a.err == nil:
+			answered.Add(1)
+		case passedOn:
+			w.Logf("%s: was passed on to a replica and got no complete answer", id)
+			lost.Add(1)
+			if bid {
+				lostBids.Add(1)
+			}
+		default:
+			notRead.Add(1)
+		}
+	}
+	for n := range int(20 * sendFor / time.Second) {
 		clients.Go(func() {
-			time.Sleep(time.Until(began.Add(time.Duration(n) * 25 * time.Millisecond)))
-			id := fmt.Sprintf("r-%03d", n)
-			c, err := net.Dial("tcp", g.Callers)
+			time.Sleep(time.Until(began.Add(time.Duration(n) * time.Second / 20)))
+			id := fmt.Sprintf("bid-%03d", n)
+			request := append(head("POST", "/bid/7/", "Tarragonridge-Request-Id", id, "Tarragonridge-Deadline-Ms", "600", "Authorization", "Bearer key1", "Content-Length", "3"), "bid"...)
+			c, err := net.DialTimeout("tcp", g.Callers, time.Second)
 			if err != nil {
-				w.Logf("%s: cannot connect", id)
-				refused.Add(1)
+				judge(id, true, answer{err: err})
 				return
 			}
 			defer c.Close()
 			c.SetDeadline(time.Now().Add(2 * time.Second))
-			c.Write(append(head("POST", "/bid/7/", "Tarragonridge-Request-Id", id, "Tarragonridge-Deadline-Ms", "600", "Authorization", "Bearer key1", "Content-Length", "3"), "bid"...))
-			a := readAnswer(bufio.NewReader(c), "POST")
-			w.Logf("%s: client gets %v", id, a)
-			time.Sleep(2 * work)
-			mu.Lock()
-			defer mu.Unlock()
-			switch {
-			case a.status != 0 && a.err == nil:
-				answered.Add(1)
-			case ran[id]:
-				w.Logf("%s: was passed on to a replica, which ran it, and got no answer", id)
-				lost.Add(1)
-			default:
-				refused.Add(1)
-			}
+			c.Write(request)
+			judge(id, true, readAnswer(bufio.NewReader(c), "POST"))
+		})
+	}
+	for n := range int(8 * sendFor / time.Second) {
+		clients.Go(func() {
+			time.Sleep(time.Until(began.Add(time.Duration(n) * time.Second / 8)))
+			id := fmt.Sprintf("tag-%03d", n)
+			judge(id, false, stream(g, id, fmt.Sprintf("/tag/%d/", n), "tag", "key1", fmt.Sprintf("5c1e:172,e4%03d:371", n), 15*time.Second))
 		})
 	}
 	time.Sleep(time.Until(began.Add(termAfter)))
@@ -88,6 +108,6 @@
 	case <-time.After(10 * time.Second):
 		return false, fmt.Errorf("the gateway does not end")
 	}
-	w.Logf("%d answered, %d not read, %d passed on to a replica and lost", answered.Load(), refused.Load(), lost.Load())
+	w.Logf("%d answered, %d not read by the gateway, %d passed on to a replica and lost, of which %d bids", answered.Load(), notRead.Load(), lost.Load(), lostBids.Load())
 	return lost.Load() == 0, nil
 }
