--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -20,6 +20,7 @@
 	"quarantine": quarantine,
 	"crasher":    crasher,
 	"hup":        hup,
+	"shed":       shed,
 	"crowd":      crowd,
 }
 
