review: records tell all that was sent and run

Cause: the records of cases 4 and 5 lacked the runs of ordinary streams, those of 1, 2, 4 and 5 a line for what is sent.

--- a/review/harness/crowd.go
+++ b/review/harness/crowd.go
@@ -54,6 +54,7 @@
 			if string(x.Body) == poison { // if it crashes nothing
 				all = 2
 			}
+			w.Logf("engine %s runs %s, %s", x.Replica.ID, x.ID, x.Body)
 			x.Stream(all, gap)
 		}
 	}
@@ -99,6 +100,7 @@
 			clients.Go(func() {
 				id := fmt.Sprintf("c-%05d", n)
 				g := gateways[rand.IntN(3)]
+				w.Logf("%s for lot %d is sent to %s", id, lot, g.Name)
 				a := stream(g, id, fmt.Sprintf("/tag/%d/", lot), fmt.Sprintf("tag of lot %d", lot), "key1", fmt.Sprintf("5c1e:172,e4%02d:371", lot), 15*time.Second)
 				w.Logf("%s for lot %d at %s: %v", id, lot, g.Name, a)
 				total.Add(1)
@@ -115,6 +117,7 @@
 	for n := range attempts {
 		id := fmt.Sprintf("r-%02d", n+1)
 		g := gateways[n%3]
+		w.Logf("%s, the request that crashes engines, is sent to %s", id, g.Name)
 		a := stream(g, id, "/note/7/", poison, "key2", "5c1e:172,ef40:371", 4*time.Second)
 		w.Logf("%s at %s: client gets %v", id, g.Name, a)
 		time.Sleep(again)
--- a/review/harness/hup.go
+++ b/review/harness/hup.go
@@ -85,6 +85,7 @@
 			}
 			defer c.Close()
 			c.SetDeadline(time.Now().Add(2 * time.Second))
+			w.Logf("%s is sent", id)
 			c.Write(request)
 			judge(id, true, readAnswer(bufio.NewReader(c), "POST"))
 		})
@@ -93,6 +94,7 @@
 		clients.Go(func() {
 			time.Sleep(time.Until(began.Add(time.Duration(n) * time.Second / 8)))
 			id := fmt.Sprintf("tag-%03d", n)
+			w.Logf("%s is sent", id)
 			judge(id, false, stream(g, id, fmt.Sprintf("/tag/%d/", n), "tag", "key1", fmt.Sprintf("5c1e:172,e4%03d:371", n), 15*time.Second))
 		})
 	}
--- a/review/harness/quarantine.go
+++ b/review/harness/quarantine.go
@@ -26,6 +26,7 @@
 	start = func(i, incarnation int) error {
 		replicas[i] = &Replica{ID: fmt.Sprintf("i-e%d.%d", i, incarnation), Service: "writers", Zone: fmt.Sprintf("z%d", i%3+1), Version: "v1", Slots: 64, Engine: true,
 			Handler: func(x *Exchange) {
+				w.Logf("engine %s runs %s, %s", x.Replica.ID, x.ID, x.Body)
 				if string(x.Body) == "tag of lot 17" {
 					running[i].Add(1)
 					defer running[i].Add(-1)
@@ -79,6 +80,7 @@
 			mu.Unlock()
 			clients.Go(func() {
 				id, g := fmt.Sprintf("r-%05d", n), gateways[rand.IntN(len(gateways))]
+				w.Logf("%s for lot %d is sent to %s", id, lot, g.Name)
 				a := stream(g, id, fmt.Sprintf("/tag/%d/", lot), fmt.Sprintf("tag of lot %d", lot), "key1", fmt.Sprintf("e4%05d:543", lot), 15*time.Second)
 				w.Logf("%s for lot %d at %s: %v", id, lot, g.Name, a)
 				total.Add(1)
--- a/review/harness/refused.go
+++ b/review/harness/refused.go
@@ -73,6 +73,7 @@
 				id := fmt.Sprintf("r-%03d-%d", n, try+1)
 				g := gateways[(n+try)%2]
 				request := append(head("POST", "/bid/7/", "Tarragonridge-Request-Id", id, "Tarragonridge-Deadline-Ms", "600", "Authorization", "Bearer key1", "Content-Length", fmt.Sprint(len(bid))), bid...)
+				w.Logf("%s %s is sent to %s", id, bid, g.Name)
 				a := call(g.Callers, request, "POST", 2*time.Second)
 				w.Logf("%s %s at %s: client gets %v", id, bid, g.Name, a)
 				promise := a.status == 429 || a.status == 503 || a.status == 408 || a.status == 421
