gateway: logs and metrics tell who ended an answer, and how its end shows

Change: requests cut off at the end of the grace period are logged as stopping; the lines of failed attempts and of requests that were not served name the caller's version of HTTP and what ends the answer on either side; an answer that its target ended with the connection is logged with the state of the target and the result of a new connection to it; a counter of answers by framing and end.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -140,19 +140,23 @@
 const (
 	MessageAttemptFailed = "attempt failed"
 	MessageNotServed     = "request not served"
-	MessageLate          = "answer late"      // served later than the route's objective
-	MessageContinues     = "stream continues" // at another target than before
+	MessageLate          = "answer late"                      // served later than the route's objective
+	MessageContinues     = "stream continues"                 // at another target than before
+	MessageUnframedEnd   = "answer ended with its connection" // which may have cut it off
 )
 
 // verdict says how a request ended. The gateway logs MessageNotServed at the end
 // of a request that it could not serve, and nothing at the end of one that it
-// served.
+// served, unless only the connection of its target ended the answer.
 func verdict(requestID string, events []Event) string {
-	attempts := 0
+	attempts, unframed := 0, ""
 	for _, e := range events {
 		switch e.Message {
 		case MessageAttemptFailed:
 			attempts++
+			unframed = ""
+		case MessageUnframedEnd:
+			unframed = fmt.Sprintf("; its end was that of the connection to %s, which was %s, dial error %s", e.Get("target"), e.Get("state"), e.Get("dial_err"))
 		case MessageNotServed:
 			text := fmt.Sprintf("not served: %s, %s; status %s, ran %s, after %s ms",
 				e.Get("kind"), e.Get("detail"), e.Get("status"), e.Get("ran"), e.Get("ms"))
@@ -163,7 +167,10 @@
 		}
 	}
 	if attempts > 0 {
-		return fmt.Sprintf("served after %d failed attempts", attempts)
+		return fmt.Sprintf("served after %d failed attempts%s", attempts, unframed)
+	}
+	if unframed != "" {
+		return "served" + unframed
 	}
 	return "no line about " + requestID + ": an ordinary answer is not logged"
 }
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -10,6 +10,7 @@
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
+	"tarragonridge.example/tarragonridge/internal/explain"
 	"tarragonridge.example/tarragonridge/internal/timing"
 	"tarragonridge.example/tarragonridge/internal/upstream"
 )
@@ -24,11 +25,40 @@
 	lingerDefault = -1
 )
 
+// framing says what ends an answer, in one word for logs and metrics.
+type framing string
+
+const (
+	framingNone       framing = "none" // there was no answer
+	framingLength     framing = "length"
+	framingChunks     framing = "chunks"
+	framingConnection framing = "connection"
+)
+
+// framingOf returns what ends a target's answer.
+func framingOf(answer *upstream.Response) framing {
+	switch {
+	case !answer.Framed():
+		return framingConnection
+	case answer.Chunked():
+		return framingChunks
+	}
+	return framingLength
+}
+
 // beginAnswer records how the answer to the caller ends, before its head is sent. hasLength
 // says that the head states a length.
 func (g *Gateway) beginAnswer(req *request, answer *upstream.Response, hasLength bool) {
 	req.headSent, req.framed = true, answer.Framed()
 	req.endsWithConn = !hasLength && !(answer.Framed() && req.chunks)
+	switch {
+	case req.endsWithConn:
+		req.callerFraming = framingConnection
+	case hasLength:
+		req.callerFraming = framingLength
+	default:
+		req.callerFraming = framingChunks
+	}
 	if !req.endsWithConn || req.delivery.conn == nil {
 		return
 	}
@@ -79,7 +109,7 @@
 // checkUnframedEnd returns an error if an answer has ended with its connection and its target
 // no longer accepts connections: the kernel ends the connections of a process that has
 // crashed as if their answers were whole. A target that cannot be reached tells nothing.
-func (g *Gateway) checkUnframedEnd(ctx context.Context, answer *upstream.Response, t *targets.Target) error {
+func (g *Gateway) checkUnframedEnd(ctx context.Context, req *request, answer *upstream.Response, t *targets.Target) error {
 	if answer.Framed() {
 		return nil
 	}
@@ -88,8 +118,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
-	if err := g.pool.Probe(ctx, t.Address); errors.Is(err, syscall.ECONNREFUSED) {
+	err := g.pool.Probe(ctx, t.Address)
+	g.logUnframedEnd(req, t, err)
+	if errors.Is(err, syscall.ECONNREFUSED) {
 		return fmt.Errorf("%w: %w", errTargetEnded, err)
 	}
 	return nil
 }
+
+// logUnframedEnd logs that a target has ended an answer with its connection, and what is known
+// of the target then. Nothing else tells a whole answer from one that was cut off. dialErr is
+// that of a new connection to the target.
+func (g *Gateway) logUnframedEnd(req *request, t *targets.Target, dialErr error) {
+	g.mu.Lock()
+	state := t.Availability(time.Now(), targets.Query{})
+	g.mu.Unlock()
+	g.opt.Logger.Info(explain.MessageUnframedEnd, "request", req.meta.RequestID, "target", t.ID, "state", state, "event", req.lastEvent,
+		"protocol", req.protocol, "ms", time.Since(req.arrived).Milliseconds(), "dial_err", dialErr)
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -68,7 +68,7 @@
 		g.opt.Metrics.attempts.WithLabelValues(result.String()).Inc()
 		if result != outcomeServed {
 			g.opt.Logger.Info(explain.MessageAttemptFailed, "request", req.meta.RequestID, "target", t.ID, "version", t.Version, "outcome", result,
-				"event", req.lastEvent, "ms", time.Since(req.arrived).Milliseconds(), "cause", cause)
+				"event", req.lastEvent, "ms", time.Since(req.arrived).Milliseconds(), "framing", req.targetFraming, "cause", cause)
 		}
 		switch result {
 		case outcomeServed:
@@ -143,6 +143,9 @@
 func (g *Gateway) endedError(r *http.Request, req *request, cause error) error {
 	if r.Context().Err() != nil || errors.Is(cause, errCallerGone) {
 		e := errkind.Wrap(cause, errkind.Canceled, "the caller has left")
+		if g.phase.Load() == phaseClosing {
+			e = errkind.Wrap(cause, errkind.Stopping, "cut off at the end of the grace period")
+		}
 		e.Ran = req.ran
 		return e
 	}
@@ -256,6 +259,7 @@
 // exchange sends the request to a target and forwards the answer to the caller.
 func (g *Gateway) exchange(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request, t *targets.Target) (outcome, error) {
 	now := time.Now()
+	req.targetFraming = framingNone
 	var info AnswerInfo
 	head, err := g.requestHead(r, req, t, now)
 	if err != nil {
@@ -284,7 +288,7 @@
 	if info.Unnamed {
 		answer.EndConnection()
 	}
-	req.answeredIn = time.Since(now)
+	req.answeredIn, req.targetFraming = time.Since(now), framingOf(answer)
 	g.hearLimit(t, answer.StatusCode, info)
 	if info.NotRun {
 		drainBody(answer)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,6 +158,7 @@
 const (
 	phaseServing int32 = iota
 	phaseDraining
+	phaseClosing // the grace period is over; what is in progress is cut off
 )
 
 // New returns a gateway without a configuration. It answers requests with status
@@ -338,7 +339,7 @@
 // request of a route lies beyond the grace period. It reports false as long as new
 // connections are accepted.
 func (g *Gateway) cannotFinish(route *httproute.Route, now time.Time) bool {
-	if g.phase.Load() != phaseDraining || now.Sub(g.drainStart) < acceptAfterStop {
+	if g.phase.Load() == phaseServing || now.Sub(g.drainStart) < acceptAfterStop {
 		return false
 	}
 	return now.Add(route.Timeout).After(g.drainStart.Add(g.opt.GracePeriod - closeReserve))
@@ -360,6 +361,7 @@
 	if remaining := g.inProgress.Load(); remaining > 0 {
 		g.opt.Logger.Warn("grace period ended with requests in progress", "open", remaining)
 	}
+	g.phase.Store(phaseClosing)
 	ctx, cancel := context.WithTimeout(context.Background(), drainPollInterval)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -22,6 +23,7 @@
 	crashes        prometheus.Counter
 	crashReports   *prometheus.CounterVec
 	continued      *prometheus.CounterVec
+	answerEnds     *prometheus.CounterVec
 	widened        prometheus.Counter
 	slowCallers    prometheus.Counter
 	heldUp         prometheus.Counter
@@ -71,6 +73,10 @@
 			Name: "tarragonridge_http_continued_streams_total",
 			Help: "Streams that continue at another target, by how the version that began them is known, and whether the target has it.",
 		}, []string{"origin", "version"}),
+		answerEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tarragonridge_http_answer_ends_total",
+			Help: "Answers of targets whose head was sent to the caller, by what ends them at the caller and at the target, and how they ended: whole, or the error kind.",
+		}, []string{"framing", "target_framing", "result"}),
 		slowCallers: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "tarragonridge_http_slow_callers_total",
 			Help: "Times that a caller did not take at once what was written to it, so that a backlog began.",
@@ -96,7 +102,7 @@
 			Name: "tarragonridge_http_config_version", Help: "Version of the routes in force here.",
 		}),
 	}
-	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.invalidOrders, m.crashes, m.crashReports, m.continued,
+	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.invalidOrders, m.crashes, m.crashReports, m.continued, m.answerEnds,
 		m.slowCallers, m.heldUp, m.widened, m.hurried, m.duration, m.configVersion, m.admission.refused, m.admission.evicted, m.admission.wait, collectors.NewGoCollector())
 	return m
 }
@@ -182,5 +188,8 @@
 		kind = string(req.err.Kind)
 	}
 	m.requests.WithLabelValues(strconv.Itoa(req.status), kind).Inc()
+	if req.headSent {
+		m.answerEnds.WithLabelValues(string(req.callerFraming), string(req.targetFraming), cmp.Or(kind, "whole")).Inc()
+	}
 	m.duration.Observe(time.Since(req.arrived).Seconds())
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,21 +49,25 @@
 	verdict      <-chan struct{} // closed when it is known whether the target of the last of these has crashed
 	headSent     bool            // the head of the answer was sent to the caller
 	framed       bool            // the head of the target's answer says where the answer ends
-	chunks       bool            // the caller's version of HTTP has chunks
+	protocol     string          // the caller's version of HTTP
+	chunks       bool            // which has chunks
 	endsWithConn bool            // only the end of the connection ends the caller's answer
-	origin       streamOrigin
-	sentFrom     *targets.Target    // whose events were sent last
-	placed       *placement.Request // the attempt in progress, at the relay of its engine
-	expected     expectation        // of the attempt in progress
-	hurry        *hurry             // likewise
-	delivery     delivery
-	targetStart  int64         // of the attempt in progress: start of its target, Unix milliseconds
-	answeredIn   time.Duration // from the start of the attempt in progress to the head of its answer
-	lastEvent    int64         // ID of the last event that the caller has; -1 if none
-	eventsSent   int64         // events that were sent to the caller
-	firstAt      time.Time
-	latestAt     time.Time     // of the events that were sent to the caller
-	longestGap   time.Duration // between two of them
+
+	callerFraming framing // of the answer to the caller
+	targetFraming framing // of the answer to the attempt in progress, or the last one
+	origin        streamOrigin
+	sentFrom      *targets.Target    // whose events were sent last
+	placed        *placement.Request // the attempt in progress, at the relay of its engine
+	expected      expectation        // of the attempt in progress
+	hurry         *hurry             // likewise
+	delivery      delivery
+	targetStart   int64         // of the attempt in progress: start of its target, Unix milliseconds
+	answeredIn    time.Duration // from the start of the attempt in progress to the head of its answer
+	lastEvent     int64         // ID of the last event that the caller has; -1 if none
+	eventsSent    int64         // events that were sent to the caller
+	firstAt       time.Time
+	latestAt      time.Time     // of the events that were sent to the caller
+	longestGap    time.Duration // between two of them
 
 	conn  *netcount.Conn // of the caller; nil if its bytes are not counted
 	place int64          // bytes of the place on the host's link; 0 if there is none
@@ -83,7 +87,7 @@
 const defaultDeadline = 2 * time.Second
 
 func newRequest(arrived time.Time) *request {
-	return &request{arrived: arrived, deadline: arrived.Add(defaultDeadline), lastEvent: -1, ran: errkind.RanNo}
+	return &request{arrived: arrived, deadline: arrived.Add(defaultDeadline), lastEvent: -1, ran: errkind.RanNo, callerFraming: framingNone, targetFraming: framingNone}
 }
 
 // ServeHTTP forwards a request to a target of its route's service.
@@ -91,7 +95,7 @@
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
 	req := newRequest(time.Now())
-	req.chunks = r.ProtoAtLeast(1, 1)
+	req.protocol, req.chunks = r.Proto, r.ProtoAtLeast(1, 1)
 	if conn, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok {
 		req.delivery.conn, req.conn = conn, conn.counted
 	}
@@ -301,5 +305,6 @@
 	}
 	g.opt.Logger.Info(explain.MessageNotServed, "request", req.meta.RequestID, "route", route, "team", req.team.Name,
 		"kind", req.err.Kind, "detail", req.err.Detail, "status", req.status, "ran", req.ran, "runs", req.runs, "rejected", req.rejections,
-		"started", req.headSent, "ms", time.Since(req.arrived).Milliseconds(), "cause", req.err.Cause)
+		"started", req.headSent, "protocol", req.protocol, "framing", req.callerFraming, "target_framing", req.targetFraming,
+		"ms", time.Since(req.arrived).Milliseconds(), "cause", req.err.Cause)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -58,7 +58,7 @@
 		return g.classifyBrokenAnswer(ctx, req, err)
 	}
 	if len(body) <= maxBufferedBytes {
-		if err := g.checkUnframedEnd(ctx, answer, t); err != nil {
+		if err := g.checkUnframedEnd(ctx, req, answer, t); err != nil {
 			return g.classifyBrokenAnswer(ctx, req, err)
 		}
 	}
@@ -88,7 +88,7 @@
 	case n > maxRest:
 		return outcomeBroken, &upstream.TooLongError{What: "plain answer", Limit: maxPlainBytes}
 	}
-	if err := g.checkUnframedEnd(ctx, answer, t); err != nil {
+	if err := g.checkUnframedEnd(ctx, req, answer, t); err != nil {
 		return g.classifyBrokenAnswer(ctx, req, err)
 	}
 	return outcomeServed, nil
@@ -163,7 +163,7 @@
 			// stream may have all events already.
 			return g.classifyBrokenAnswer(ctx, req, io.ErrUnexpectedEOF)
 		default:
-			if err := g.checkUnframedEnd(ctx, answer, t); err != nil {
+			if err := g.checkUnframedEnd(ctx, req, answer, t); err != nil {
 				return g.classifyBrokenAnswer(ctx, req, err)
 			}
 			return g.endStream(w, control, req, answer)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -236,6 +236,9 @@
 // one looks complete.
 func (r *Response) Framed() bool { return framed(r.Response) }
 
+// Chunked reports whether the response is chunked.
+func (r *Response) Chunked() bool { return len(r.TransferEncoding) > 0 }
+
 // IsTimeout reports whether err is a network timeout.
 func IsTimeout(err error) bool {
 	var timeout net.Error
