targets: reading a target's version does not copy its whole registration

Seen: the race detector, in a test whose target says that it leaves while it sends a stream: ServiceVersion copied the registration, whose state the feed writes at that moment. Only fields that do not change were used of the copy. Change: a pointer receiver, which reads the two fields alone.

--- a/internal/core/targets/targets.go
+++ b/internal/core/targets/targets.go
@@ -30,8 +30,9 @@
 	ColdFor time.Duration
 }
 
-// ServiceVersion returns the service and the software version of the target.
-func (r Registration) ServiceVersion() fleet.ServiceVersion {
+// ServiceVersion returns the service and the software version of the target, which do not
+// change. It reads no other field.
+func (r *Registration) ServiceVersion() fleet.ServiceVersion {
 	return fleet.ServiceVersion{Service: r.Service, Version: r.Version}
 }
 
