gateway: judge the end of an answer without a length by the target's start

Seen: a target that leaves as planned stops accepting connections, ends in full what it has begun, and closes; callers of answers without a length got a reset in place of the end, and three such ends could count as crashes caused by their requests. Cause: the only evidence was whether the address accepts connections, and a refusal was taken for a crash, anything else for a whole answer. The check for crashes used the same evidence. Change: one judgement for both (targets.View.JudgeEnd). The new connection asks an engine for its start; the registration, or its absence, tells a target that leaves. Its answers are presumed whole; if the request may run again, a run at another target confirms the end or brings the rest, and nothing else may replace what is presumed. A target that cannot be reached counts as crashed. What remains: services tell no start, so one that is killed and accepts connections again within 10 ms under its registration counts as whole; a target that is alive and ends early cannot be told from one that has sent all.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -156,7 +156,7 @@
 			attempts++
 			unframed = ""
 		case MessageUnframedEnd:
-			unframed = fmt.Sprintf("; its end was that of the connection to %s, which was %s, dial error %s", e.Get("target"), e.Get("state"), e.Get("dial_err"))
+			unframed = fmt.Sprintf("; its end was that of the connection to %s, which was %s, and counted as %s", e.Get("target"), e.Get("state"), e.Get("end"))
 		case MessageNotServed:
 			text := fmt.Sprintf("not served: %s, %s; status %s, ran %s, after %s ms",
 				e.Get("kind"), e.Get("detail"), e.Get("status"), e.Get("ran"), e.Get("ms"))
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -12,7 +12,7 @@
 rubbish request=r1
 time=2026-03-02T06:16:18Z level=INFO msg="attempt failed" request=r2 target=i-1
 time=2026-03-02T06:16:18Z level=INFO msg="attempt failed" request=r11 target=i-1
-time=2026-03-02T06:16:19Z level=INFO msg="answer ended with its connection" request=r4 target=i-2 state=draining event=7 dial_err=<nil>
+time=2026-03-02T06:16:19Z level=INFO msg="answer ended with its connection" request=r4 target=i-2 state=draining event=7 end=presumed conn=refused
 `
 
 func explainRequest(t *testing.T, request string) string {
@@ -33,6 +33,6 @@
 verdict: not served: budget_busy, 5 "tokens" needed; status 429, ran no, after 3 ms
 `)
 	assert.Assert(t, strings.HasSuffix(explainRequest(t, "r2"), "verdict: served after 1 failed attempts\n"))
-	assert.Assert(t, strings.HasSuffix(explainRequest(t, "r4"), "verdict: served; its end was that of the connection to i-2, which was draining, dial error <nil>\n"))
+	assert.Assert(t, strings.HasSuffix(explainRequest(t, "r4"), "verdict: served; its end was that of the connection to i-2, which was draining, and counted as presumed\n"))
 	assert.Equal(t, explainRequest(t, "r3"), "verdict: no line about r3: an ordinary answer is not logged\n")
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -51,33 +51,34 @@
 	if at == nil {
 		at = &brokenRuns{checked: make(chan struct{})}
 		g.brokenRuns[t.ID] = at
-		registration := t.Registration
-		time.AfterFunc(crashCheckDelay, func() { g.checkCrash(registration) })
+		startedMS, engine := req.targetStart, req.service.Slots > 0
+		time.AfterFunc(crashCheckDelay, func() { g.checkCrash(t, startedMS, engine) })
 	}
 	at.runs = append(at.runs, run)
 	req.brokenRuns++
 	req.verdict = at.checked
 }
 
-// checkCrash reports the broken runs at a target if the target no longer
-// accepts connections.
-func (g *Gateway) checkCrash(registration targets.Registration) {
+// checkCrash reports the broken runs at a start of a target if that has crashed. A target that
+// leaves may end with runs in progress.
+func (g *Gateway) checkCrash(t *targets.Target, startedMS int64, engine bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	err := g.pool.Probe(ctx, registration.Address)
+	conn, err := g.connect(ctx, t, startedMS, engine)
 	g.mu.Lock()
-	broken := g.brokenRuns[registration.ID]
-	delete(g.brokenRuns, registration.ID)
+	crashed := g.targetView.JudgeEnd(t, startedMS, conn, false) == targets.EndCutOff
+	broken := g.brokenRuns[t.ID]
+	delete(g.brokenRuns, t.ID)
 	g.mu.Unlock()
 	defer close(broken.checked)
-	if err == nil {
+	if !crashed {
 		return
 	}
-	g.opt.Logger.Warn("target has crashed", "target", registration.ID, "runs", len(broken.runs), "cause", err)
+	g.opt.Logger.Warn("target has crashed", "target", t.ID, "runs", len(broken.runs), "conn", conn, "cause", err)
 	g.opt.Metrics.crashes.Inc()
 	// The ID identifies this start of the target, so that reports of several routers
 	// about a crash count once.
-	crashID := registration.ID + "/" + time.UnixMilli(registration.StartedMS).UTC().Format(time.RFC3339Nano)
+	crashID := t.ID + "/" + time.UnixMilli(startedMS).UTC().Format(time.RFC3339Nano)
 	for _, run := range broken.runs {
 		g.reportRun(run, crashID)
 		g.logCrashSuspect(run, crashID)
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -1,17 +1,9 @@
 package gateway
 
 import (
-	"context"
-	"errors"
-	"fmt"
 	"net/http"
-	"syscall"
-	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
-	"tarragonridge.example/tarragonridge/internal/core/targets"
-	"tarragonridge.example/tarragonridge/internal/explain"
-	"tarragonridge.example/tarragonridge/internal/timing"
 	"tarragonridge.example/tarragonridge/internal/upstream"
 )
 
@@ -97,42 +89,3 @@
 	e.Ran = req.ran
 	return e
 }
-
-// Timing of the check of a target that has ended an answer with its connection.
-const (
-	endCheckDelay   = 10 * time.Millisecond // a process that ends closes its sockets one by one
-	endCheckTimeout = 100 * time.Millisecond
-)
-
-var errTargetEnded = errors.New("the target ended with its answer, which may not be whole")
-
-// checkUnframedEnd returns an error if an answer has ended with its connection and its target
-// no longer accepts connections: the kernel ends the connections of a process that has
-// crashed as if their answers were whole. A target that cannot be reached tells nothing.
-func (g *Gateway) checkUnframedEnd(ctx context.Context, req *request, answer *upstream.Response, t *targets.Target) error {
-	if answer.Framed() {
-		return nil
-	}
-	if !timing.Sleep(ctx, endCheckDelay) {
-		return ctx.Err()
-	}
-	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
-	defer cancel()
-	err := g.pool.Probe(ctx, t.Address)
-	g.logUnframedEnd(req, t, err)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return fmt.Errorf("%w: %w", errTargetEnded, err)
-	}
-	return nil
-}
-
-// logUnframedEnd logs that a target has ended an answer with its connection, and what is known
-// of the target then. Nothing else tells a whole answer from one that was cut off. dialErr is
-// that of a new connection to the target.
-func (g *Gateway) logUnframedEnd(req *request, t *targets.Target, dialErr error) {
-	g.mu.Lock()
-	state := t.Availability(time.Now(), targets.Query{})
-	g.mu.Unlock()
-	g.opt.Logger.Info(explain.MessageUnframedEnd, "request", req.meta.RequestID, "target", t.ID, "state", state, "event", req.lastEvent,
-		"protocol", req.protocol, "ms", time.Since(req.arrived).Milliseconds(), "dial_err", dialErr)
-}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -59,7 +59,7 @@
 		}
 		t := g.chooseTarget(ctx, req)
 		if t == nil {
-			if g.awaitWrittenVersion(ctx, req) || g.awaitTarget(ctx, req) {
+			if !req.presumedWhole() && (g.awaitWrittenVersion(ctx, req) || g.awaitTarget(ctx, req)) {
 				continue
 			}
 			return g.finalError(req, g.noTargetError(req))
@@ -221,7 +221,8 @@
 	case result == outcomeServed:
 		t.RecordSuccess()
 		g.recordAnswerTime(req, t)
-	case errors.Is(cause, upstream.ErrConnLimit), errors.Is(cause, errDeclined), errors.Is(cause, errQuarantined), result == outcomeAbandoned, errors.Is(cause, errFailedAnswer):
+	case errors.Is(cause, upstream.ErrConnLimit), errors.Is(cause, errDeclined), errors.Is(cause, errQuarantined), result == outcomeAbandoned,
+		errors.Is(cause, errFailedAnswer), errors.Is(cause, errEndUnconfirmed):
 		t.RecordInconclusive()
 	case result == outcomeRejected && !errors.Is(cause, errTargetReplaced):
 		t.RecordInconclusive()
@@ -362,7 +363,7 @@
 // answerBy returns the time until which a target must answer before another one is
 // tried, zero if there will be no other attempt.
 func (req *request) answerBy(now time.Time) time.Time {
-	if !req.route.Repeatable() || req.runs+1 >= req.route.MaxAttempts || req.route.LatencyObjective == 0 {
+	if !req.route.Repeatable() || req.route.LatencyObjective == 0 || req.runs+1 >= req.route.MaxAttempts && !req.presumedWhole() {
 		return time.Time{}
 	}
 	waitFactor := float64(plainAnswerFactor)
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -231,7 +231,7 @@
 	if len(addresses) == 0 {
 		return
 	}
-	if err := g.pool.Probe(context.Background(), addresses[rand.IntN(len(addresses))]); err != nil {
+	if err := g.pool.Probe(context.Background(), addresses[rand.IntN(len(addresses))], nil); err != nil {
 		g.opt.Logger.Debug("probe of the link failed", "err", err)
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -47,6 +47,7 @@
 	run          runState
 	brokenRuns   int             // runs so far that broke off, for another reason than a timeout
 	verdict      <-chan struct{} // closed when it is known whether the target of the last of these has crashed
+	presumed     *presumedAnswer // nil if there is none
 	headSent     bool            // the head of the answer was sent to the caller
 	framed       bool            // the head of the target's answer says where the answer ends
 	protocol     string          // the caller's version of HTTP
@@ -114,7 +115,8 @@
 		g.writeProblem(w, req, errkind.From(err))
 		return
 	}
-	err = g.awaitDelivery(req, g.flushLast(w, req, g.forward(ctx, w, r, req)))
+	err = g.endPresumed(r, req, g.forward(ctx, w, r, req))
+	err = g.awaitDelivery(req, g.flushLast(w, req, err))
 	if err == nil {
 		err = g.endWithoutReset(req)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -57,28 +57,23 @@
 	if err != nil {
 		return g.classifyBrokenAnswer(ctx, req, err)
 	}
-	if len(body) <= maxBufferedBytes {
-		if err := g.checkUnframedEnd(ctx, req, answer, t); err != nil {
+	isWhole := len(body) <= maxBufferedBytes
+	end := targets.EndWhole
+	if isWhole {
+		if end, err = g.judgeEnd(ctx, req, answer, t); err != nil {
 			return g.classifyBrokenAnswer(ctx, req, err)
 		}
 	}
 	if answer.StatusCode >= 500 && req.route.Repeatable() && req.runs < req.route.MaxAttempts {
 		return outcomeBroken, errFailedAnswer
 	}
-	g.setAnswerHeaders(w, req, answer)
-	hasLength := len(body) <= maxBufferedBytes && answer.Framed()
-	if hasLength {
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if end == targets.EndPresumed && req.presume(func() error { return g.beginPlain(w, req, answer, body, isWhole) }) {
+		return outcomeBroken, errEndUnconfirmed
 	}
-	req.status = answer.StatusCode
-	req.recordSent(time.Now())
-	g.setWriteDeadline(http.NewResponseController(w), req)
-	g.beginAnswer(req, answer, hasLength)
-	w.WriteHeader(answer.StatusCode)
-	if _, err := w.Write(body); err != nil {
+	if err := g.beginPlain(w, req, answer, body, isWhole); err != nil {
 		return outcomeAbandoned, err
 	}
-	if len(body) <= maxBufferedBytes {
+	if isWhole {
 		return outcomeServed, nil
 	}
 	const maxRest = maxPlainBytes - maxBufferedBytes - 1
@@ -88,12 +83,29 @@
 	case n > maxRest:
 		return outcomeBroken, &upstream.TooLongError{What: "plain answer", Limit: maxPlainBytes}
 	}
-	if err := g.checkUnframedEnd(ctx, req, answer, t); err != nil {
+	if _, err := g.judgeEnd(ctx, req, answer, t); err != nil {
 		return g.classifyBrokenAnswer(ctx, req, err)
 	}
 	return outcomeServed, nil
 }
 
+// beginPlain sends the head of a plain answer and the first part of its body, or all of it, to
+// the caller.
+func (g *Gateway) beginPlain(w http.ResponseWriter, req *request, answer *upstream.Response, body []byte, isWhole bool) error {
+	g.setAnswerHeaders(w, req, answer)
+	hasLength := isWhole && answer.Framed()
+	if hasLength {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	req.status = answer.StatusCode
+	req.recordSent(time.Now())
+	g.setWriteDeadline(http.NewResponseController(w), req)
+	g.beginAnswer(req, answer, hasLength)
+	w.WriteHeader(answer.StatusCode)
+	_, err := w.Write(body)
+	return err
+}
+
 // setAnswerHeaders sets the headers of the answer to the caller.
 func (g *Gateway) setAnswerHeaders(w http.ResponseWriter, req *request, answer *upstream.Response) {
 	h := w.Header()
@@ -154,6 +166,9 @@
 			return g.classifyBrokenAnswer(ctx, req, readErr)
 		case splitter.PendingBytes() > 0:
 			return g.classifyBrokenAnswer(ctx, req, io.ErrUnexpectedEOF)
+		case req.presumedWhole() && !answer.Framed():
+			// The run that was to confirm the end has brought nothing.
+			return outcomeBroken, errEndUnconfirmed
 		case req.framed && !answer.Framed():
 			// The caller's answer would end as a complete one, but this part of it may
 			// be incomplete.
@@ -163,10 +178,17 @@
 			// stream may have all events already.
 			return g.classifyBrokenAnswer(ctx, req, io.ErrUnexpectedEOF)
 		default:
-			if err := g.checkUnframedEnd(ctx, req, answer, t); err != nil {
+			end, err := g.judgeEnd(ctx, req, answer, t)
+			if err != nil {
 				return g.classifyBrokenAnswer(ctx, req, err)
 			}
-			return g.endStream(w, control, req, answer)
+			if end == targets.EndPresumed && req.presume(func() error { return g.endStream(w, control, req, answer) }) {
+				return outcomeBroken, errEndUnconfirmed
+			}
+			if err := g.endStream(w, control, req, answer); err != nil {
+				return outcomeAbandoned, err
+			}
+			return outcomeServed, nil
 		}
 	}
 }
@@ -175,11 +197,11 @@
 // arrive: the request's deadline if no further run is allowed, else an earlier one
 // after which another target is tried.
 func (g *Gateway) stallDeadline(req *request) time.Time {
-	if !req.route.Repeatable() || req.runs >= req.route.MaxAttempts {
+	if !req.route.Repeatable() || req.runs >= req.route.MaxAttempts && !req.presumedWhole() {
 		return req.deadline
 	}
 	now := time.Now()
-	if req.eventsSent == 0 {
+	if req.eventsSent == 0 || req.presumedWhole() {
 		return earlier(req.deadline, now.Add(max(time.Duration(firstEventFactor*float64(req.route.LatencyObjective)), minAnswerWait)))
 	}
 	return earlier(req.deadline, now.Add(max(stallGapFactor*req.route.GapObjective, minStallTimeout)))
@@ -246,13 +268,13 @@
 
 // endStream completes a stream and removes the write deadline. It sends the head if
 // there was no event.
-func (g *Gateway) endStream(w http.ResponseWriter, control *http.ResponseController, req *request, answer *upstream.Response) (outcome, error) {
+func (g *Gateway) endStream(w http.ResponseWriter, control *http.ResponseController, req *request, answer *upstream.Response) error {
 	if !req.headSent {
 		g.startStream(w, control, req, answer)
 	}
 	if err := control.SetWriteDeadline(time.Time{}); err != nil {
-		return outcomeAbandoned, err
+		return err
 	}
 	g.forgetStream(req)
-	return outcomeServed, nil
+	return nil
 }
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -99,7 +99,12 @@
 	if !req.route.Resumable || req.service.Slots == 0 || req.targetStart == 0 {
 		return nil
 	}
-	return &upstream.Identity{Start: req.targetStart, Head: g.opt.Codec.StartRequest(t.Address), Parse: g.opt.Codec.ParseStart}
+	return g.startIdentity(t, req.targetStart)
+}
+
+// startIdentity returns the check that a connection to an engine leads to one of its starts.
+func (g *Gateway) startIdentity(t *targets.Target, startedMS int64) *upstream.Identity {
+	return &upstream.Identity{Start: startedMS, Head: g.opt.Codec.StartRequest(t.Address), Parse: g.opt.Codec.ParseStart}
 }
 
 // forgetStream notes that a stream was sent whole.
--- a/internal/upstream/identity.go
+++ b/internal/upstream/identity.go
@@ -20,6 +20,15 @@
 // ErrOtherStart reports that the target has started again.
 var ErrOtherStart = errors.New("the target has started again")
 
+// IdentityError is the failure of the check of a connection that a target has accepted.
+type IdentityError struct{ Cause error }
+
+// Error implements error.
+func (e *IdentityError) Error() string { return "start of the target: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *IdentityError) Unwrap() error { return e.Cause }
+
 const (
 	// identityTimeout bounds the check of a connection. Targets answer it without a queue.
 	identityTimeout = 300 * time.Millisecond
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -160,16 +160,26 @@
 	return c, nil
 }
 
-// Probe reports whether the address accepts a connection. The connection is
-// kept for the next request.
-func (p *Pool) Probe(ctx context.Context, address string) error {
+// Probe reports whether the address accepts a connection and, if identity is not nil, whether
+// that leads to the start of the target that identity names. The connection is kept for the
+// next request. The error is an *IdentityError if the connection was accepted.
+func (p *Pool) Probe(ctx context.Context, address string, identity *Identity) error {
 	p.mu.Lock()
 	p.connCount[address]++
 	p.mu.Unlock()
-	c, err := p.dial(ctx, &Request{Address: address, ResponseHeaderDeadline: time.Now().Add(p.opt.DialTimeout)})
+	now := time.Now()
+	req := &Request{Address: address, ResponseHeaderDeadline: now.Add(p.opt.DialTimeout), Identity: identity}
+	c, err := p.dial(ctx, req)
 	if err != nil {
 		return err
 	}
+	if identity != nil {
+		req.ResponseHeaderDeadline = time.Now().Add(identityTimeout)
+		if err := c.identify(ctx, req); err != nil {
+			p.release(c, false)
+			return &IdentityError{err}
+		}
+	}
 	p.release(c, true)
 	return nil
 }
