gateway: an orderly end needs evidence about the target's process

A target that is about to leave, or whose registration has expired, and ends with answers in progress: a part of an answer without a length looked whole. So it did when the next start at the address accepted connections and could not be identified. A presumed document could be appended to a part of the run that was to confirm it; a failure of that run replaced it. A target that could not be reached was not counted as crashed. Cause: that a target is expected to leave says nothing about how it ended; any answer to the question for the start passed for one of the same start; only events showed that the confirming run had sent something; the timeout of the check passed for one of the answer. Change: while a target leaves, the gateway watches whether it refuses connections with that of the answer still open (TCP_INFO); only then is a refusal at the end an orderly one. A start that cannot be identified, another target registered at the address, and a start that closes after it was named count as another process. A stream whose target leaves, stops listening and goes on for less than about 60 ms is cut off.

--- a/internal/core/targets/ending.go
+++ b/internal/core/targets/ending.go
@@ -1,15 +1,15 @@
 package targets
 
-// Conn is what a new connection to a target tells, after the target has ended an earlier one.
-type Conn string
+// Probe is what a new connection to a target tells, after the target has ended an earlier one.
+type Probe string
 
 const (
-	ConnAccepted     Conn = "accepted"     // by a target that tells no start
-	ConnSameStart    Conn = "same_start"   // accepted by the start that the request was sent to
-	ConnOtherStart   Conn = "other_start"  // accepted by another start
-	ConnUnidentified Conn = "unidentified" // accepted, but which start it is could not be learned
-	ConnRefused      Conn = "refused"
-	ConnUnreachable  Conn = "unreachable"
+	ProbeAccepted     Probe = "accepted"     // by a target that tells no start
+	ProbeSameStart    Probe = "same_start"   // accepted by the start that the request was sent to
+	ProbeOtherStart   Probe = "other_start"  // accepted by another start
+	ProbeUnidentified Probe = "unidentified" // accepted, but which start it is could not be learned
+	ProbeRefused      Probe = "refused"
+	ProbeUnreachable  Probe = "unreachable"
 )
 
 // End says whether an answer is whole that only the end of its connection has ended. The
@@ -23,26 +23,24 @@
 	EndCutOff   End = "cut_off"
 )
 
-// JudgeEnd says whether an answer is whole that a start of a target has ended with its
-// connection. conn is the result of a new connection. othersBrokeOff says that other answers
-// of the target have broken off at the same moment.
-func (v *View) JudgeEnd(t *Target, startedMS int64, conn Conn, othersBrokeOff bool) End {
+// JudgeEnd says whether an answer is whole that a start of the target has ended with its
+// connection. probe is the result of a new connection. leftInOrder says that the target refused
+// connections before while it still had this one open, as one does that stops once it has sent
+// what it has begun.
+func (t *Target) JudgeEnd(startedMS int64, probe Probe, leftInOrder bool) End {
 	switch {
-	case conn == ConnSameStart:
+	case probe == ProbeSameStart:
 		return EndWhole
-	case conn == ConnOtherStart, t.StartedMS != startedMS:
+	case probe == ProbeOtherStart, t.StartedMS != startedMS:
 		return EndCutOff
-	case conn == ConnAccepted:
+	case probe == ProbeAccepted && !t.replaced:
 		return EndWhole
-	case othersBrokeOff:
-		return EndCutOff
-	case conn == ConnUnidentified, t.leaving():
+	case leftInOrder && (probe == ProbeRefused || probe == ProbeUnreachable):
 		return EndPresumed
 	}
 	return EndCutOff
 }
 
-// leaving reports whether the target has said that it is about to stop. Targets that leave
-// end their answers in full and stop accepting connections meanwhile. Some only remove their
-// registration.
-func (t *Target) leaving() bool { return t.backpressure.draining || !t.missingSince.IsZero() }
+// Leaving reports whether the target has said that it is about to stop, or has removed its
+// registration, as some do instead.
+func (t *Target) Leaving() bool { return t.backpressure.draining || !t.missingSince.IsZero() }
--- a/internal/core/targets/ending_test.go
+++ b/internal/core/targets/ending_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -11,41 +10,41 @@
 // off, because of what is known of its target after the end.
 func TestJudgeEnd(t *testing.T) {
 	const start = 7
-	leaves := func(v *View, target *Target) { v.SetDraining(target) }
-	vanishes := func(v *View, target *Target) { v.MarkMissing(time.Now(), target.ID) }
 	restarts := func(v *View, target *Target) {
 		r := target.Registration
 		r.StartedMS++
 		v.Put(r)
 	}
+	isReplaced := func(v *View, target *Target) {
+		r := target.Registration
+		r.ID, r.StartedMS = "i-2", r.StartedMS+1
+		v.Put(r)
+	}
 	for name, c := range map[string]struct {
-		conn      Conn
-		change    func(*View, *Target)
-		othersToo bool
-		want      End
+		probe       Probe
+		change      func(*View, *Target)
+		leftInOrder bool
+		want        End
 	}{
-		"still there":                        {conn: ConnSameStart, want: EndWhole},
-		"still there, leaves":                {conn: ConnSameStart, change: leaves, want: EndWhole},
-		"still there, another answer reset":  {conn: ConnSameStart, othersToo: true, want: EndWhole},
-		"accepts and tells no start":         {conn: ConnAccepted, want: EndWhole},
-		"accepts, registered a new start":    {conn: ConnAccepted, change: restarts, want: EndCutOff},
-		"started again":                      {conn: ConnOtherStart, want: EndCutOff},
-		"started again, was to leave":        {conn: ConnOtherStart, change: leaves, want: EndCutOff},
-		"accepts, start not learned":         {conn: ConnUnidentified, want: EndPresumed},
-		"refuses":                            {conn: ConnRefused, want: EndCutOff},
-		"refuses, leaves":                    {conn: ConnRefused, change: leaves, want: EndPresumed},
-		"refuses, registration gone":         {conn: ConnRefused, change: vanishes, want: EndPresumed},
-		"refuses, leaves, others broken off": {conn: ConnRefused, change: leaves, othersToo: true, want: EndCutOff},
-		"unreachable":                        {conn: ConnUnreachable, want: EndCutOff},
-		"unreachable, leaves":                {conn: ConnUnreachable, change: leaves, want: EndPresumed},
+		"still there":                             {probe: ProbeSameStart, want: EndWhole},
+		"accepts and tells no start":              {probe: ProbeAccepted, want: EndWhole},
+		"accepts, registered a new start":         {probe: ProbeAccepted, change: restarts, want: EndCutOff},
+		"accepts, another registered its address": {probe: ProbeAccepted, change: isReplaced, want: EndCutOff},
+		"started again":                           {probe: ProbeOtherStart, want: EndCutOff},
+		"started again after it left":             {probe: ProbeOtherStart, leftInOrder: true, want: EndCutOff},
+		"accepts, start not learned":              {probe: ProbeUnidentified, want: EndCutOff},
+		"refuses":                                 {probe: ProbeRefused, want: EndCutOff},
+		"has left":                                {probe: ProbeRefused, leftInOrder: true, want: EndPresumed},
+		"unreachable":                             {probe: ProbeUnreachable, want: EndCutOff},
+		"has left with its host":                  {probe: ProbeUnreachable, leftInOrder: true, want: EndPresumed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			v := NewView(1)
-			target := v.Put(Registration{ID: "i-1", Service: "s", StartedMS: start})
+			target := v.Put(Registration{ID: "i-1", Service: "s", Address: "a", StartedMS: start})
 			if c.change != nil {
 				c.change(v, target)
 			}
-			assert.Equal(t, v.JudgeEnd(target, start, c.conn, c.othersToo), c.want)
+			assert.Equal(t, target.JudgeEnd(start, c.probe, c.leftInOrder), c.want)
 		})
 	}
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -154,8 +154,10 @@
 		switch e.Message {
 		case MessageAttemptFailed:
 			attempts++
-			unframed = ""
 		case MessageUnframedEnd:
+			if e.Get("end") == "cut_off" {
+				continue
+			}
 			unframed = fmt.Sprintf("; its end was that of the connection to %s, which was %s, and counted as %s", e.Get("target"), e.Get("state"), e.Get("end"))
 		case MessageNotServed:
 			text := fmt.Sprintf("not served: %s, %s; status %s, ran %s, after %s ms",
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -12,7 +12,7 @@
 rubbish request=r1
 time=2026-03-02T06:16:18Z level=INFO msg="attempt failed" request=r2 target=i-1
 time=2026-03-02T06:16:18Z level=INFO msg="attempt failed" request=r11 target=i-1
-time=2026-03-02T06:16:19Z level=INFO msg="answer ended with its connection" request=r4 target=i-2 state=draining event=7 end=presumed conn=refused
+time=2026-03-02T06:16:19Z level=INFO msg="answer ended with its connection" request=r4 target=i-2 state=draining event=7 end=presumed probe=refused
 `
 
 func explainRequest(t *testing.T, request string) string {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -59,14 +59,13 @@
 	req.verdict = at.checked
 }
 
-// checkCrash reports the broken runs at a start of a target if that has crashed. A target that
-// leaves may end with runs in progress.
+// checkCrash reports the broken runs at a start of a target if that is no longer there.
 func (g *Gateway) checkCrash(t *targets.Target, startedMS int64, engine bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	conn, err := g.connect(ctx, t, startedMS, engine)
+	probe, err := g.probeStart(ctx, t, startedMS, engine)
 	g.mu.Lock()
-	crashed := g.targetView.JudgeEnd(t, startedMS, conn, false) == targets.EndCutOff
+	crashed := probe != targets.ProbeUnidentified && t.JudgeEnd(startedMS, probe, false) == targets.EndCutOff
 	broken := g.brokenRuns[t.ID]
 	delete(g.brokenRuns, t.ID)
 	g.mu.Unlock()
@@ -74,7 +73,7 @@
 	if !crashed {
 		return
 	}
-	g.opt.Logger.Warn("target has crashed", "target", t.ID, "runs", len(broken.runs), "conn", conn, "cause", err)
+	g.opt.Logger.Warn("target has crashed", "target", t.ID, "runs", len(broken.runs), "probe", probe, "cause", err)
 	g.opt.Metrics.crashes.Inc()
 	// The ID identifies this start of the target, so that reports of several routers
 	// about a crash count once.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -75,7 +75,7 @@
 		}, []string{"origin", "version"}),
 		answerEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tarragonridge_http_answer_ends_total",
-			Help: "Answers of targets whose head was sent to the caller, by what ends them at the caller and at the target, and how they ended: whole, or the error kind.",
+			Help: "Answers of targets whose head was sent to the caller, by what ends them at the caller and at the target, and how they ended: whole, presumed (probably whole), or the error kind.",
 		}, []string{"framing", "target_framing", "result"}),
 		slowCallers: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "tarragonridge_http_slow_callers_total",
@@ -189,7 +189,7 @@
 	}
 	m.requests.WithLabelValues(strconv.Itoa(req.status), kind).Inc()
 	if req.headSent {
-		m.answerEnds.WithLabelValues(string(req.callerFraming), string(req.targetFraming), cmp.Or(kind, "whole")).Inc()
+		m.answerEnds.WithLabelValues(string(req.callerFraming), string(req.targetFraming), cmp.Or(kind, string(req.end))).Inc()
 	}
 	m.duration.Observe(time.Since(req.arrived).Seconds())
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -48,6 +48,7 @@
 	brokenRuns   int             // runs so far that broke off, for another reason than a timeout
 	verdict      <-chan struct{} // closed when it is known whether the target of the last of these has crashed
 	presumed     *presumedAnswer // nil if there is none
+	end          targets.End     // of the answer that was judged last
 	headSent     bool            // the head of the answer was sent to the caller
 	framed       bool            // the head of the target's answer says where the answer ends
 	protocol     string          // the caller's version of HTTP
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,6 +50,8 @@
 // sendPlain forwards an answer that is not a stream. Answers with status 500 or
 // higher are discarded while a further run is allowed.
 func (g *Gateway) sendPlain(ctx context.Context, w http.ResponseWriter, req *request, answer *upstream.Response, t *targets.Target) (outcome, error) {
+	watch := g.watchLeave(ctx, answer, t)
+	defer watch.stop()
 	if err := answer.SetReadDeadline(req.deadline); err != nil {
 		return g.classifyBrokenAnswer(ctx, req, err)
 	}
@@ -60,11 +62,12 @@
 	isWhole := len(body) <= maxBufferedBytes
 	end := targets.EndWhole
 	if isWhole {
-		if end, err = g.judgeEnd(ctx, req, answer, t); err != nil {
+		if end, err = g.judgeEnd(ctx, req, answer, t, watch); err != nil {
 			return g.classifyBrokenAnswer(ctx, req, err)
 		}
 	}
-	if answer.StatusCode >= 500 && req.route.Repeatable() && req.runs < req.route.MaxAttempts {
+	replaceable := req.route.Repeatable() && req.runs < req.route.MaxAttempts
+	if answer.StatusCode >= 500 && replaceable || answer.StatusCode >= 300 && req.presumedWhole() {
 		return outcomeBroken, errFailedAnswer
 	}
 	if end == targets.EndPresumed && req.presume(func() error { return g.beginPlain(w, req, answer, body, isWhole) }) {
@@ -83,7 +86,7 @@
 	case n > maxRest:
 		return outcomeBroken, &upstream.TooLongError{What: "plain answer", Limit: maxPlainBytes}
 	}
-	if _, err := g.judgeEnd(ctx, req, answer, t); err != nil {
+	if _, err := g.judgeEnd(ctx, req, answer, t, watch); err != nil {
 		return g.classifyBrokenAnswer(ctx, req, err)
 	}
 	return outcomeServed, nil
@@ -134,6 +137,8 @@
 // sendStream forwards complete events as they arrive. The head of the answer is
 // sent with the first event, so that until then another target may answer.
 func (g *Gateway) sendStream(ctx context.Context, w http.ResponseWriter, req *request, answer *upstream.Response, t *targets.Target) (outcome, error) {
+	watch := g.watchLeave(ctx, answer, t)
+	defer watch.stop()
 	control := http.NewResponseController(w)
 	splitter := sse.NewSplitter(maxEventBytes)
 	buf := make([]byte, streamReadBytes)
@@ -178,7 +183,7 @@
 			// stream may have all events already.
 			return g.classifyBrokenAnswer(ctx, req, io.ErrUnexpectedEOF)
 		default:
-			end, err := g.judgeEnd(ctx, req, answer, t)
+			end, err := g.judgeEnd(ctx, req, answer, t, watch)
 			if err != nil {
 				return g.classifyBrokenAnswer(ctx, req, err)
 			}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -236,6 +236,25 @@
 // one looks complete.
 func (r *Response) Framed() bool { return framed(r.Response) }
 
+// Open reports whether the target has not ended the connection of the response, as far as
+// this host has received. Bytes that came before may still be unread.
+func (r *Response) Open() bool {
+	sc, ok := r.exchange.conn.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		open = err == nil && info.State == unix.BPF_TCP_ESTABLISHED
+	})
+	return err == nil && open
+}
+
 // Chunked reports whether the response is chunked.
 func (r *Response) Chunked() bool { return len(r.TransferEncoding) > 0 }
 
--- a/internal/upstream/identity.go
+++ b/internal/upstream/identity.go
@@ -20,7 +20,8 @@
 // ErrOtherStart reports that the target has started again.
 var ErrOtherStart = errors.New("the target has started again")
 
-// IdentityError is the failure of the check of a connection that a target has accepted.
+// IdentityError is the failure of the check of a connection that a target has accepted. It
+// wraps ErrOtherStart if the target has named another start.
 type IdentityError struct{ Cause error }
 
 // Error implements error.
@@ -37,7 +38,10 @@
 	maxIdentityConns = 2
 )
 
-var errClosesAfterCheck = errors.New("the target closes the connection after the check of its start")
+var (
+	errClosesAfterCheck = errors.New("the target closes the connection after the check of its start")
+	errNoStart          = errors.New("the target names no start")
+)
 
 // acquireIdentified returns a connection to the start of the target that the request needs.
 func (p *Pool) acquireIdentified(ctx context.Context, req *Request) (*conn, error) {
@@ -94,9 +98,15 @@
 		return err
 	case len(body) > MaxSkippedBytes:
 		return &TooLongError{"description of its start", MaxSkippedBytes}
+	}
+	c.start, err = req.Identity.Parse(resp.StatusCode, body)
+	switch {
+	case err != nil:
+		return err
+	case c.start != 0 && c.start != req.Identity.Start:
+		return ErrOtherStart
 	case resp.Close || !framed(resp):
 		return errClosesAfterCheck
 	}
-	c.start, err = req.Identity.Parse(resp.StatusCode, body)
-	return err
+	return nil
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -173,15 +173,20 @@
 	if err != nil {
 		return err
 	}
-	if identity != nil {
-		req.ResponseHeaderDeadline = time.Now().Add(identityTimeout)
-		if err := c.identify(ctx, req); err != nil {
-			p.release(c, false)
-			return &IdentityError{err}
-		}
+	if identity == nil {
+		p.release(c, true)
+		return nil
+	}
+	req.ResponseHeaderDeadline = time.Now().Add(identityTimeout)
+	err = c.identify(ctx, req)
+	p.release(c, err == nil)
+	switch {
+	case (err == nil || errors.Is(err, errClosesAfterCheck)) && c.start == identity.Start:
+		return nil
+	case err == nil:
+		err = errNoStart
 	}
-	p.release(c, true)
-	return nil
+	return &IdentityError{err}
 }
 
 // Conns returns the number of connections, idle and in use.
