gateway: answers to HEAD are whole, and state their target's length

Seen: a HEAD request whose target gives no length and ends: 502 after the run. One whose target states a length: the caller reads a length of 0. Cause: an answer to HEAD without a length counted as one that only the end of its connection ends; the length of the body that was read, none, replaced that of the target.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -225,10 +225,10 @@
 	return resp, err
 }
 
-// framed reports whether a response has a Content-Length or is chunked, so that
-// its end is distinct from the end of the connection.
+// framed reports whether a response has a Content-Length or is chunked, or has no body as the
+// answer to HEAD, so that its end is distinct from the end of the connection.
 func framed(r *http.Response) bool {
-	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Request.Method == http.MethodHead
 }
 
 // Framed reports whether the response has a Content-Length or is chunked. One
