gateway: a connection with a part of a request stays open at a planned stop

What callers saw: a caller whose connection was accepted during the stop sent the rest of a head just after the gateway had stopped listening. The connection was closed within a millisecond with no answer, so the caller could not know that nothing had run, and may not repeat a request that runs once. Cause: the close was left to http.Server.Shutdown. It takes a kept connection for idle until the whole head of the next request was read, and a request that arrives on any other connection once it has begun is dropped unanswered. Change: connections to callers know whether bytes of a request were read since the last answer. After the last request the gateway closes the connections without, at once as before, and waits for the others until the grace period ends; their requests are served or refused as any that comes during a stop. The loop that accepts has ended before the first connection is closed, and what arrives on a connection that was closed as quiet counts as not read. No request was passed on and cut between the end of the last request and the close, before or after: http.Server drops those it reads once it shuts down.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -34,13 +34,7 @@
 	if err != nil {
 		return errCallerGone
 	}
-	closed := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, recvErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		closed = n == 0 && recvErr == nil || errors.Is(recvErr, unix.ECONNRESET)
-	})
-	if err != nil || closed {
+	if n, err := peek(raw); n == 0 && err == nil || errors.Is(err, unix.ECONNRESET) || errors.Is(err, net.ErrClosed) {
 		return errCallerGone
 	}
 	return nil
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -41,7 +42,10 @@
 	if err != nil {
 		return c, nil // an error would end the server
 	}
-	return newCallerConn(c, tcp, counted, raw, l.gateway.backlogs, l.gateway.opt.Metrics), nil
+	conn := newCallerConn(c, tcp, counted, raw, l.gateway.backlogs, l.gateway.opt.Metrics)
+	conn.conns = &l.gateway.callers
+	conn.conns.add(conn)
+	return conn, nil
 }
 
 // callerConn is a connection to a caller. Write does not wait for a caller that reads
@@ -53,6 +57,8 @@
 	counted  *netcount.Conn
 	raw      syscall.RawConn
 	metrics  *Metrics
+	conns    *callerConns // that it is one of; nil if it is not listed
+	state    atomic.Int32
 
 	mu            sync.Mutex
 	changed       sync.Cond // the backlog shrank, or err is set
@@ -190,6 +196,9 @@
 // end closes the connection. If a write has failed, the connection is reset: its end may be
 // all that ends an answer, which must not look complete. c.mu is held.
 func (c *callerConn) end() error {
+	if c.conns != nil {
+		c.conns.remove(c)
+	}
 	if c.err == nil {
 		return c.Conn.Close()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,7 +127,8 @@
 	config     atomic.Pointer[httproute.Config]
 	phase      atomic.Int32
 	inProgress atomic.Int64 // requests in progress
-	drainStart time.Time    // set before phase becomes phaseDraining
+	stop       stopSchedule // set before phase becomes phaseDraining
+	callers    callerConns
 
 	mu           sync.Mutex
 	targetView   *targets.View
@@ -284,22 +285,13 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// Limits on connections from callers, and timing of the stop. Callers reuse a
-// connection for up to four fifths of the idle timeout in the configuration;
-// idleTimeout is longer than any that can be configured.
+// Limits on connections from callers. Callers reuse a connection for up to four fifths
+// of the idle timeout in the configuration; idleTimeout is longer than any that can be
+// configured.
 const (
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 90 * time.Second
 	maxHeaderBytes = 32 << 10
-	// drainPollInterval is the pause between two checks for requests in progress.
-	drainPollInterval = 50 * time.Millisecond
-	// acceptAfterStop is how long new connections are accepted after the stop signal.
-	// The load balancer notices the stop within two readiness checks, which are one
-	// second apart.
-	acceptAfterStop = 2500 * time.Millisecond
-	// closeReserve is the part of the grace period that is reserved for returning the
-	// budget shares.
-	closeReserve = 1200 * time.Millisecond
 	// idleCloseInterval is the pause between two scans that close the connections to
 	// targets which have been idle for too long.
 	idleCloseInterval = time.Second
@@ -314,6 +306,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       withCallerConn,
+		ConnState:         observeCallerConn,
 		ErrorLog:          slog.NewLogLogger(g.opt.Logger.Handler(), slog.LevelDebug),
 	}
 	done := make(chan error, 1)
@@ -331,40 +324,6 @@
 		}
 		break
 	}
-	g.drain(server, listener)
+	g.drain(server, listener, done)
 	return nil
 }
-
-// cannotFinish reports whether the gateway is stopping and the timeout of a new
-// request of a route lies beyond the grace period. It reports false as long as new
-// connections are accepted.
-func (g *Gateway) cannotFinish(route *httproute.Route, now time.Time) bool {
-	if g.phase.Load() == phaseServing || now.Sub(g.drainStart) < acceptAfterStop {
-		return false
-	}
-	return now.Add(route.Timeout).After(g.drainStart.Add(g.opt.GracePeriod - closeReserve))
-}
-
-// drain accepts connections until the load balancer sends no more, then waits for
-// the requests in progress.
-func (g *Gateway) drain(server *http.Server, listener net.Listener) {
-	g.drainStart = time.Now()
-	g.phase.Store(phaseDraining)
-	g.opt.Logger.Info("stopping", "open", g.inProgress.Load())
-	g.opt.Budgets.Drain()
-	deadline := g.drainStart.Add(g.opt.GracePeriod - closeReserve)
-	time.Sleep(acceptAfterStop)
-	_ = listener.Close() // the server notices this; nothing else uses the listener
-	for time.Now().Before(deadline) && g.inProgress.Load() > 0 {
-		time.Sleep(drainPollInterval)
-	}
-	if remaining := g.inProgress.Load(); remaining > 0 {
-		g.opt.Logger.Warn("grace period ended with requests in progress", "open", remaining)
-	}
-	g.phase.Store(phaseClosing)
-	ctx, cancel := context.WithTimeout(context.Background(), drainPollInterval)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		_ = server.Close()
-	}
-}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -100,6 +100,9 @@
 	req.protocol, req.chunks = r.Proto, r.ProtoAtLeast(1, 1)
 	if conn, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok {
 		req.delivery.conn, req.conn = conn, conn.counted
+		if !conn.beginRequest() {
+			panic(http.ErrAbortHandler)
+		}
 	}
 	defer func() { g.finishRequest(req) }()
 	if err := g.prepare(w, r, req); err != nil {
