gateway: a stopping gateway passes on no request that may not end in time

What callers saw: requests that waited for tokens, for a target or for a slow body while the gateway stopped, or whose first target had refused them, were passed on late, although their timeout lay beyond the grace period, and cut off at its end with no answer. Cause: whether a request can end in time was asked once, when its head was read, before all that it waits for. Change: one check, when the request comes, before every attempt and again on the connection to the target just before the first byte is sent. When the gateway has stopped listening, requests that wait and may not end in time are told at once that they did not run. The check uses the request's own deadline, so that one whose caller waits for a shorter time than the route allows is served. A request that may have run goes on at another target until the end: it can no longer be refused as not run, and a stream would break off sooner.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
 
-	"tarragonridge.example/tarragonridge/internal/core/httproute"
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
 )
 
 // Timing of a planned stop.
@@ -31,14 +33,52 @@
 	return stopSchedule{acceptUntil: start.Add(acceptAfterStop), end: start.Add(grace - closeReserve)}
 }
 
-// cannotFinish reports whether the gateway is stopping and the timeout of a new
-// request of a route lies beyond the grace period. It reports false as long as new
-// connections are accepted.
-func (g *Gateway) cannotFinish(route *httproute.Route, now time.Time) bool {
+var errMayNotEnd = errors.New("the request may not end within the grace period")
+
+// requestContexts returns the context of a request and that of its waits, which ends when
+// a request that may not end in time is no longer passed on. Both have the request's
+// deadline.
+func (g *Gateway) requestContexts(parent context.Context, req *request) (ctx, waits context.Context, release func()) {
+	ctx, cancel := context.WithDeadline(parent, req.deadline)
+	waits, cancelWaits := context.WithCancelCause(ctx)
+	keepWaits := context.AfterFunc(g.lateRefused, func() {
+		if req.deadline.After(g.stop.end) {
+			cancelWaits(errMayNotEnd)
+		}
+	})
+	return ctx, waits, func() {
+		keepWaits()
+		cancelWaits(nil)
+		cancel()
+	}
+}
+
+// checkPassOn returns errMayNotEnd if a request may no longer be passed on, because the
+// gateway is stopping and the request's deadline lies beyond the grace period. A request that
+// may have run before is passed on again until the end: its caller could not be told to
+// repeat it elsewhere.
+func (g *Gateway) checkPassOn(req *request, now time.Time) error {
 	if g.phase.Load() == phaseServing || now.Before(g.stop.acceptUntil) {
-		return false
+		return nil
+	}
+	if now.Before(g.stop.end) && (req.ran != errkind.RanNo || !req.deadline.After(g.stop.end)) {
+		return nil
+	}
+	return errMayNotEnd
+}
+
+// refusedByStop returns the error of a request that is not passed on because the gateway is
+// stopping.
+func refusedByStop(cause error) *errkind.Error {
+	return errkind.Wrap(cause, errkind.Stopping, "the request may not end within the grace period")
+}
+
+// endOfWait returns the error of a request that has not run and whose wait has failed.
+func endOfWait(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); errors.Is(cause, errMayNotEnd) {
+		return refusedByStop(cause)
 	}
-	return now.Add(route.Timeout).After(g.stop.end)
+	return err
 }
 
 // drain accepts connections until the load balancer sends no more, then waits for
@@ -51,6 +91,7 @@
 	time.Sleep(time.Until(g.stop.acceptUntil))
 	_ = listener.Close() // the server notices this; nothing else uses the listener
 	<-accepted
+	g.refuseLate()
 	for g.inProgress.Load() > 0 || g.callers.closeQuiet() > 0 {
 		left := time.Until(g.stop.end)
 		if left <= 0 {
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -47,8 +48,8 @@
 		req.place = e.Bytes
 		return nil
 	}
-	if ctx.Err() != nil {
-		return errCallerGone
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return endOfWait(ctx, errCallerGone)
 	}
 	// The server reads a short rest of the body before it answers, for which the caller
 	// has as long as for any body.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -40,11 +40,11 @@
 )
 
 // forward sends the request to one target after another until one has served it
-// or no further attempt is allowed.
-func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) error {
+// or no further attempt is allowed. While nothing has run, it waits only until waits ends.
+func (g *Gateway) forward(ctx, waits context.Context, w http.ResponseWriter, r *http.Request, req *request) error {
 	if req.meta.LastEventID >= 0 && req.route.Resumable {
-		if err := g.continueStream(ctx, req); err != nil {
-			return err
+		if err := g.continueStream(waits, req); err != nil {
+			return endOfWait(waits, err)
 		}
 	}
 	g.countForRetries(req)
@@ -54,12 +54,19 @@
 		if err := ctx.Err(); err != nil {
 			return g.endedError(r, req, err)
 		}
+		if err := g.checkPassOn(req, time.Now()); err != nil {
+			return g.finalError(req, refusedByStop(err))
+		}
 		if err := g.checkQuarantine(req); err != nil {
 			return g.finalError(req, errkind.From(err))
 		}
-		t := g.chooseTarget(ctx, req)
+		if req.ran != errkind.RanNo {
+			waits = ctx
+		}
+		t := g.chooseTarget(waits, req)
 		if t == nil {
-			if !req.presumedWhole() && (g.awaitWrittenVersion(ctx, req) || g.awaitTarget(ctx, req)) {
+			awaited := !req.presumedWhole() && (g.awaitWrittenVersion(waits, req) || g.awaitTarget(waits, req))
+			if awaited || errors.Is(waits.Err(), context.Canceled) {
 				continue
 			}
 			return g.finalError(req, g.noTargetError(req))
@@ -221,8 +228,8 @@
 	case result == outcomeServed:
 		t.RecordSuccess()
 		g.recordAnswerTime(req, t)
-	case errors.Is(cause, upstream.ErrConnLimit), errors.Is(cause, errDeclined), errors.Is(cause, errQuarantined), result == outcomeAbandoned,
-		errors.Is(cause, errFailedAnswer), errors.Is(cause, errEndUnconfirmed):
+	case errors.Is(cause, upstream.ErrConnLimit), errors.Is(cause, errDeclined), errors.Is(cause, errQuarantined), errors.Is(cause, errMayNotEnd),
+		errors.Is(cause, errFailedAnswer), errors.Is(cause, errEndUnconfirmed), result == outcomeAbandoned:
 		t.RecordInconclusive()
 	case result == outcomeRejected && !errors.Is(cause, errTargetReplaced):
 		t.RecordInconclusive()
@@ -279,7 +286,7 @@
 			return matches
 		},
 		BeforeSend: func() error {
-			return cmp.Or(checkCaller(r.Context()), g.checkBackpressure(t), g.checkQuarantineBeforeSend(req))
+			return cmp.Or(checkCaller(r.Context()), g.checkPassOn(req, time.Now()), g.checkBackpressure(t), g.checkQuarantineBeforeSend(req))
 		},
 	})
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,15 +120,17 @@
 
 // Gateway serves callers. Create one with New.
 type Gateway struct {
-	opt        Options
-	pool       *upstream.Pool
-	room       *hostRoom // nil if nothing is watched
-	backlogs   *backlog.Pool
-	config     atomic.Pointer[httproute.Config]
-	phase      atomic.Int32
-	inProgress atomic.Int64 // requests in progress
-	stop       stopSchedule // set before phase becomes phaseDraining
-	callers    callerConns
+	opt         Options
+	pool        *upstream.Pool
+	room        *hostRoom // nil if nothing is watched
+	backlogs    *backlog.Pool
+	config      atomic.Pointer[httproute.Config]
+	phase       atomic.Int32
+	inProgress  atomic.Int64 // requests in progress
+	stop        stopSchedule // set before phase becomes phaseDraining
+	callers     callerConns
+	lateRefused context.Context // ends when requests that may not end in time are refused
+	refuseLate  context.CancelFunc
 
 	mu           sync.Mutex
 	targetView   *targets.View
@@ -186,6 +188,7 @@
 		recordsDue:      make(chan struct{}, 1),
 		versionsWritten: make(chan struct{}),
 	}
+	g.lateRefused, g.refuseLate = context.WithCancel(context.Background())
 	o.Metrics.Registry.MustRegister(g)
 	if hostRoom != nil {
 		o.Metrics.Registry.MustRegister(hostRoom)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -105,21 +105,25 @@
 		}
 	}
 	defer func() { g.finishRequest(req) }()
-	if err := g.prepare(w, r, req); err != nil {
+	if err := g.identify(r, req); err != nil {
+		g.writeProblem(w, req, errkind.From(err))
+		return
+	}
+	ctx, waits, release := g.requestContexts(r.Context(), req)
+	defer release()
+	if err := g.prepare(waits, w, r, req); err != nil {
 		if errors.Is(err, errCallerGone) {
 			panic(http.ErrAbortHandler)
 		}
 		g.writeProblem(w, req, errkind.From(err))
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
-	defer cancel()
-	reservation, err := g.reserveTokens(ctx, req)
+	reservation, err := g.reserveTokens(waits, req)
 	if err != nil {
-		g.writeProblem(w, req, errkind.From(err))
+		g.writeProblem(w, req, errkind.From(endOfWait(waits, err)))
 		return
 	}
-	err = g.endPresumed(r, req, g.forward(ctx, w, r, req))
+	err = g.endPresumed(r, req, g.forward(ctx, waits, w, r, req))
 	err = g.awaitDelivery(req, g.flushLast(w, req, err))
 	if err == nil {
 		err = g.endWithoutReset(req)
@@ -135,17 +139,14 @@
 	g.writeProblem(w, req, req.err)
 }
 
-// prepare finds the route, the team and the service of a request and reads its body. It
-// fails with errCallerGone if the caller leaves before it has sent the whole body, or
-// takes longer than bodyTimeout.
-func (g *Gateway) prepare(w http.ResponseWriter, r *http.Request, req *request) error {
-	err := g.identify(r, req)
+// prepare reads the body of an identified request and finds the service. It fails with
+// errCallerGone if the caller leaves before it has sent the whole body, or takes longer than
+// bodyTimeout.
+func (g *Gateway) prepare(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) error {
+	err := g.enterHost(ctx, w, r, req)
 	if err != nil {
 		return err
 	}
-	if err = g.enterHost(r.Context(), w, r, req); err != nil {
-		return err
-	}
 	if req.body, err = readBody(w, r, req.config.Limits.MaxBodyBytes); err != nil {
 		return err
 	}
@@ -179,8 +180,8 @@
 	if req.team, ok = req.config.Authenticate(req.route, req.meta.TeamKey); !ok {
 		return errkind.New(errkind.Unauthenticated, "unknown key")
 	}
-	if g.cannotFinish(req.route, req.arrived) {
-		return errkind.New(errkind.Stopping, "taken on a kept connection")
+	if err := g.checkPassOn(req, req.arrived); err != nil {
+		return refusedByStop(err)
 	}
 	return nil
 }
