gateway: requests in progress at the end of the grace period are answered

What callers saw: the connections of all requests in progress were closed at the end of the grace period, with no answer even where none had begun, so that callers could not tell what had run. Cause: nothing ended the requests; the end of their connections did. Change: the contexts of requests end with a cause when the grace period does. A request of which nothing was passed on is refused (503, stopping, not run), another whose answer has not begun gets 502, outcome unknown. Such a failure is still logged as stopping; a kind whose status promises that nothing has run is never told for a request that may have. An answer that has begun breaks off as before. Then reads from callers end: a request whose body is not whole is refused, and one whose head is not whole gets a plain 503. All of this takes at most 0.2 s of the time that was reserved at the end. Evidence: TestRequestsInProgressAreAnsweredAtTheEndOfTheGracePeriod fails in 3 of 3 runs before (unexpected EOF) and passes; TestLogTellsWhoEndedAnAnswer and TestCutOffAnswersDoNotLookComplete pass.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -14,6 +14,13 @@
 // writeProblem answers a request with an error of the router itself.
 func (g *Gateway) writeProblem(w http.ResponseWriter, req *request, err *errkind.Error) {
 	answer := err.Response()
+	if promisesNoRun(answer.Status) && answer.Ran != errkind.RanNo {
+		told := errkind.Wrap(err, errkind.OutcomeUnknown, "%s", err.Detail)
+		told.Ran = err.Ran
+		g.writeProblem(w, req, told)
+		req.err = err
+		return
+	}
 	h := w.Header()
 	h.Set("Content-Type", httpapi.ProblemMediaType)
 	if answer.RetryAfter > 0 && answer.Ran == errkind.RanNo {
--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -59,6 +60,19 @@
 	return left
 }
 
+// endReads ends the reads from all connections. Those of which a part of a head was read get
+// the answer.
+func (cs *callerConns) endReads(answer []byte) {
+	for _, c := range cs.all() {
+		if c.state.CompareAndSwap(connPartial, connEnded) {
+			_, writeErr := c.Write(answer)
+			_ = errors.Join(writeErr, c.Close()) // the caller may have left
+			continue
+		}
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
+	}
+}
+
 // observeCallerConn notes that a connection waits for its next request.
 func observeCallerConn(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -21,6 +21,11 @@
 	// closeReserve is the part of the grace period that is reserved for returning the
 	// budget shares.
 	closeReserve = 1200 * time.Millisecond
+	// cutOffWait is how long, at most, the requests that are cut off at the end have to
+	// answer by themselves, and as long again those whose callers have not sent all of
+	// them.
+	cutOffWait         = 100 * time.Millisecond
+	cutOffPollInterval = 5 * time.Millisecond
 )
 
 // stopSchedule says what a stopping gateway does when.
@@ -33,14 +38,20 @@
 	return stopSchedule{acceptUntil: start.Add(acceptAfterStop), end: start.Add(grace - closeReserve)}
 }
 
-var errMayNotEnd = errors.New("the request may not end within the grace period")
+// Causes of the end of a request's contexts.
+var (
+	errMayNotEnd = errors.New("the request may not end within the grace period")
+	errCutOff    = errors.New("the grace period has ended")
+)
 
 // requestContexts returns the context of a request and that of its waits, which ends when
 // a request that may not end in time is no longer passed on. Both have the request's
 // deadline.
 func (g *Gateway) requestContexts(parent context.Context, req *request) (ctx, waits context.Context, release func()) {
-	ctx, cancel := context.WithDeadline(parent, req.deadline)
+	ctx, cancel := context.WithCancelCause(parent)
+	ctx, cancelDeadline := context.WithDeadline(ctx, req.deadline)
 	waits, cancelWaits := context.WithCancelCause(ctx)
+	keepAll := context.AfterFunc(g.cutOff, func() { cancel(errCutOff) })
 	keepWaits := context.AfterFunc(g.lateRefused, func() {
 		if req.deadline.After(g.stop.end) {
 			cancelWaits(errMayNotEnd)
@@ -48,8 +59,10 @@
 	})
 	return ctx, waits, func() {
 		keepWaits()
+		keepAll()
 		cancelWaits(nil)
-		cancel()
+		cancelDeadline()
+		cancel(nil)
 	}
 }
 
@@ -75,7 +88,7 @@
 
 // endOfWait returns the error of a request that has not run and whose wait has failed.
 func endOfWait(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); errors.Is(cause, errMayNotEnd) {
+	if cause := context.Cause(ctx); errors.Is(cause, errMayNotEnd) || errors.Is(cause, errCutOff) {
 		return refusedByStop(cause)
 	}
 	return err
@@ -95,7 +108,7 @@
 	for g.inProgress.Load() > 0 || g.callers.closeQuiet() > 0 {
 		left := time.Until(g.stop.end)
 		if left <= 0 {
-			g.opt.Logger.Warn("grace period ended with requests in progress", "open", g.inProgress.Load())
+			g.cutOffRest()
 			break
 		}
 		time.Sleep(min(drainPollInterval, left))
@@ -103,3 +116,24 @@
 	g.phase.Store(phaseClosing)
 	_ = server.Close() // the listener was closed before, which is the only error
 }
+
+// cutOffRest ends the requests in progress. Those whose head was not sent are answered.
+func (g *Gateway) cutOffRest() {
+	g.opt.Logger.Warn("grace period ended with requests in progress", "open", g.inProgress.Load())
+	g.phase.Store(phaseClosing)
+	g.cutOffAll()
+	await(func() bool { return g.inProgress.Load() == 0 })
+	// What is left waits for its caller.
+	g.callers.endReads(refusalOfPart)
+	await(func() bool { return g.callers.closeQuiet() == 0 })
+}
+
+// await waits until done returns true, at most for cutOffWait.
+func await(done func() bool) {
+	for deadline := time.Now().Add(cutOffWait); !done() && time.Now().Before(deadline); {
+		time.Sleep(cutOffPollInterval)
+	}
+}
+
+// refusalOfPart answers a request of which a part of the head was read.
+var refusalOfPart = []byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -52,7 +52,7 @@
 	unsent := 0
 	for {
 		if err := ctx.Err(); err != nil {
-			return g.endedError(r, req, err)
+			return g.endedError(ctx, r, req, err)
 		}
 		if err := g.checkPassOn(req, time.Now()); err != nil {
 			return g.finalError(req, refusedByStop(err))
@@ -82,7 +82,7 @@
 			g.recordWholeAnswer(req)
 			return nil
 		case outcomeAbandoned:
-			return g.endedError(r, req, cause)
+			return g.endedError(ctx, r, req, cause)
 		case outcomeNotSent:
 			if unsent++; unsent > maxUnsentAttempts {
 				return g.finalError(req, errkind.Wrap(cause, errkind.NoTarget, "targets cannot be reached"))
@@ -145,14 +145,17 @@
 	return unknown
 }
 
-// endedError returns the error of a request whose caller has left or whose
-// deadline has passed.
-func (g *Gateway) endedError(r *http.Request, req *request, cause error) error {
-	if r.Context().Err() != nil || errors.Is(cause, errCallerGone) {
+// endedError returns the error of a request that was cut off, whose caller has left or
+// whose deadline has passed.
+func (g *Gateway) endedError(ctx context.Context, r *http.Request, req *request, cause error) error {
+	callerGone := r.Context().Err() != nil || errors.Is(cause, errCallerGone)
+	if errors.Is(context.Cause(ctx), errCutOff) || callerGone && g.phase.Load() == phaseClosing {
+		e := errkind.Wrap(cause, errkind.Stopping, "cut off at the end of the grace period")
+		e.Ran = req.ran
+		return e
+	}
+	if callerGone {
 		e := errkind.Wrap(cause, errkind.Canceled, "the caller has left")
-		if g.phase.Load() == phaseClosing {
-			e = errkind.Wrap(cause, errkind.Stopping, "cut off at the end of the grace period")
-		}
 		e.Ran = req.ran
 		return e
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -133,7 +133,7 @@
 		return
 	}
 	req.err = errkind.From(err)
-	if req.headSent || r.Context().Err() != nil {
+	if req.headSent || r.Context().Err() != nil && g.phase.Load() != phaseClosing {
 		panic(http.ErrAbortHandler) // an answer that ends early must not look complete
 	}
 	g.writeProblem(w, req, req.err)
@@ -148,6 +148,9 @@
 		return err
 	}
 	if req.body, err = readBody(w, r, req.config.Limits.MaxBodyBytes); err != nil {
+		if g.phase.Load() == phaseClosing && errors.Is(err, errCallerGone) {
+			return refusedByStop(errCutOff) // which ends the reads
+		}
 		return err
 	}
 	g.classify(r, req)
