gateway: a short grace period leaves requests in progress five sixths of it

What callers saw: a gateway with a grace period of 4 s cut off its requests after 2.8 s, 0.3 s after it took the last connection; with less than 1.2 s, which no settings file allows, at once. Cause: the 1.2 s that are reserved for returning the budget shares, and the 2.5 s in which connections are accepted, did not depend on the grace period. Change: the reserve is a sixth of the grace period at most, and connections are accepted for three quarters of the rest at most. Nothing changes from 7.2 s on; with 4 s requests have 3.33 s.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -19,8 +19,9 @@
 	// second apart.
 	acceptAfterStop = 2500 * time.Millisecond
 	// closeReserve is the part of the grace period that is reserved for returning the
-	// budget shares.
-	closeReserve = 1200 * time.Millisecond
+	// budget shares, a closeReserveDivisor-th at most.
+	closeReserve        = 1200 * time.Millisecond
+	closeReserveDivisor = 6
 	// cutOffWait is how long, at most, the requests that are cut off at the end have to
 	// answer by themselves, and as long again those whose callers have not sent all of
 	// them.
@@ -35,7 +36,9 @@
 }
 
 func newStopSchedule(start time.Time, grace time.Duration) stopSchedule {
-	return stopSchedule{acceptUntil: start.Add(acceptAfterStop), end: start.Add(grace - closeReserve)}
+	inProgress := grace - min(closeReserve, grace/closeReserveDivisor)
+	// In a short grace period, what is accepted last still has a quarter of the time.
+	return stopSchedule{acceptUntil: start.Add(min(acceptAfterStop, inProgress*3/4)), end: start.Add(inProgress)}
 }
 
 // Causes of the end of a request's contexts.
