router: a request that was read in part at a planned stop is answered

What callers saw: a caller that had sent a part of a head when the router shut down got no answer to the rest, on a kept connection or a new one. Cause: as at the gateway, http.Server.Shutdown takes such a connection for idle, or drops the request once its head is whole. Change: the router counts the connections on which a part of a head was read and waits for them before Shutdown, as long as a head may take. Idle ones are closed at once as before.

--- a/internal/router/bootstrap_test.go
+++ b/internal/router/bootstrap_test.go
@@ -65,6 +65,7 @@
 // routerProcess is a running router.
 type routerProcess struct {
 	callers, peers, metrics string // addresses
+	stop                    context.CancelFunc
 }
 
 func listen(t *testing.T) net.Listener {
@@ -96,6 +97,7 @@
 		Timeline: timeline.New(timeline.Options{Process: "router/" + host, Clock: clock}),
 	}, ln)
 	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -180,5 +180,6 @@
 		ReadTimeout:       time.Duration(limits.ReadTimeoutMS) * time.Millisecond,
 		IdleTimeout:       time.Duration(limits.IdleTimeoutMS) * time.Millisecond,
 		MaxHeaderBytes:    int(limits.HeaderBytes),
+		ConnState:         r.partialHeads.observe,
 	}
 }
--- a/internal/router/process.go
+++ b/internal/router/process.go
@@ -91,7 +91,7 @@
 	group.Go(func() error { r.refreshConfigOnTrigger(groupCtx); return nil })
 	group.Go(func() error { r.loadQuarantineWithRetry(groupCtx); return nil })
 	group.Go(func() error { r.archiveLedger(groupCtx); return nil })
-	group.Go(func() error { return serveHTTP(srv, r.limitConnections(r.listeners.Callers)) })
+	group.Go(func() error { return serveHTTP(srv, r.partialHeads.listen(r.limitConnections(r.listeners.Callers))) })
 	group.Go(func() error { r.fetchConfigFromPeers(groupCtx); return nil })
 	if r.listeners.Metrics != nil {
 		group.Go(func() error { return r.serveMetrics(groupCtx) })
@@ -166,6 +166,10 @@
 	time.Sleep(rejectPeriod)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
+	// Shutdown closes these connections without an answer.
+	headsCtx, cancelHeads := context.WithTimeout(ctx, srv.ReadHeaderTimeout)
+	defer cancelHeads()
+	r.partialHeads.await(headsCtx)
 	err := srv.Shutdown(ctx)
 	r.waitForRuns(ctx)
 	if drainErr := r.drainBudgets(); drainErr != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -64,6 +64,7 @@
 	table       platform.Table // the table, relayed through peers when the direct path fails
 	relayServer *platform.RelayServer
 
+	partialHeads         partialHeads
 	stopBreaker          func()
 	memberScanTrigger    chan struct{}
 	configRefreshTrigger chan struct{}
