gateway: text that is no event breaks a stream off

A stream of three events broke off, and the next target answered with status 200 and the target's signature, but no events: a JSON document, a page, a sentence, or the head of an error as text, ending in a blank line. Callers found the text in the middle of their stream, and the stream ended as complete.

Everything up to a blank line was forwarded as an event. A line must now be a comment or a field, of whatever name, and the answer that goes on a stream must not name another media type than the one that began it. Other text counts as an answer that is broken off there: another target goes on where that is allowed, else the caller sees the end.

A first answer on a streaming route that holds such text is now replaced by another target's or by 502, as one without a blank line at its end was before.

--- a/internal/core/sse/sse.go
+++ b/internal/core/sse/sse.go
@@ -22,9 +22,25 @@
 // NewSplitter returns a splitter for events of at most maxEventBytes.
 func NewSplitter(maxEventBytes int) *Splitter { return &Splitter{maxEventBytes: maxEventBytes} }
 
-// Add adds the next bytes of the stream and returns the events that they complete.
-// The result is valid until the next call and while p is not changed.
+// Add adds the next bytes of the stream and returns the events that they complete. On an
+// error these are the events before the text that is none. The result is valid until the
+// next call and while p is not changed.
 func (s *Splitter) Add(p []byte) ([]byte, error) {
+	complete, err := s.add(p)
+	if err != nil {
+		return nil, err
+	}
+	checked := 0
+	for event := range Events(complete) {
+		if !wellFormed(event) {
+			return complete[:checked], errkind.New(errkind.TargetFailed, "text that is no event")
+		}
+		checked += len(event)
+	}
+	return complete, nil
+}
+
+func (s *Splitter) add(p []byte) ([]byte, error) {
 	if len(s.pending) == 0 {
 		if end := completeLen(p); end > 0 {
 			s.keep(append(s.pending, p[end:]...))
@@ -82,6 +98,22 @@
 	}
 }
 
+// notInNames are the characters other than control characters that no name of a field holds.
+const notInNames = " \"(),/;<=>?@[\\]{}\x7f"
+
+// wellFormed reports whether all lines of an event are comments or fields, of whatever name.
+// The standard takes any line for a field, but a status line, a document and a sentence
+// are the text of an error, whose reader would take a broken stream for a complete one.
+func wellFormed(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if bytes.ContainsAny(name, notInNames) || bytes.ContainsFunc(name, func(r rune) bool { return r < ' ' }) {
+			return false
+		}
+	}
+	return true
+}
+
 // HasData reports whether an event has data. A comment has none.
 func HasData(event []byte) bool {
 	for line := range bytes.Lines(event) {
--- a/internal/core/sse/sse_test.go
+++ b/internal/core/sse/sse_test.go
@@ -75,3 +75,33 @@
 	_, err := s.Add([]byte("data: 0123456789"))
 	assert.ErrorContains(t, err, "exceeds 10 bytes")
 }
+
+// Guards against text that is no event and is taken for a part of the stream, and against a
+// proper stream that is refused: one with comments, and with fields that are not known.
+func TestTextThatIsNoEvent(t *testing.T) {
+	for text, proper := range map[string]bool{
+		": ping\n\n":                             true,
+		"\n\n":                                   true,
+		"event\ndata\n\n":                        true,
+		"weights-version: 3\nid: 1\ndata: x\n\n": true,
+		"x_y.z:{\"a\": 1}\n\n":                   true,
+		"data: no \"engine\": x/y\n\n":           true,
+		"données: x\n\n":                         true,
+		"HTTP/1.1 500 Oops\nX: y\n\n":            false,
+		"no engine\n\n":                          false,
+		"<html>\n\n":                             false,
+		"{\"error\":1}\n\n":                      false,
+		"id: 1\nno engine\ndata: x\n\n":          false,
+		"\x00\n\n":                               false,
+	} {
+		const before = "id: 0\ndata: a\n\n"
+		got, err := NewSplitter(1 << 10).Add([]byte(before + text))
+		if proper {
+			assert.NilError(t, err, "%q", text)
+			assert.Equal(t, string(got), before+text)
+			continue
+		}
+		assert.ErrorContains(t, err, "no event", "%q", text)
+		assert.Equal(t, string(got), before)
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
@@ -313,6 +314,9 @@
 	if answer.Header.Get("Content-Encoding") != "" || (answer.StatusCode < 300 && !info.Signed) {
 		return outcomeBroken, errForeignAnswer
 	}
+	if req.headSent && isOtherType(w.Header().Get("Content-Type"), answer.Header.Get("Content-Type")) {
+		return outcomeBroken, errFailedAnswer
+	}
 	if req.route.Kind == httproute.Streaming && answer.StatusCode == http.StatusOK {
 		return g.sendStream(ctx, w, req, answer, t)
 	}
@@ -332,6 +336,15 @@
 	errFalsePromise   = fmt.Errorf("%w that promises its caller that the request has not run", errFailedAnswer)
 )
 
+// isOtherType reports whether a Content-Type names another media type than that of the
+// stream that it would go on.
+func isOtherType(begun, rest string) bool {
+	begun, _, _ = strings.Cut(begun, ";")
+	rest, _, _ = strings.Cut(rest, ";")
+	begun, rest = strings.TrimSpace(begun), strings.TrimSpace(rest)
+	return begun != "" && rest != "" && !strings.EqualFold(begun, rest)
+}
+
 // promisesNoRun reports whether a status tells a caller that its request has not run and
 // never will.
 func promisesNoRun(status int) bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -153,14 +153,14 @@
 		}
 		n, readErr := answer.Body.Read(buf)
 		if n > 0 {
-			complete, err := splitter.Add(buf[:n])
-			if err != nil {
-				return g.classifyBrokenAnswer(ctx, req, err)
-			}
+			complete, splitErr := splitter.Add(buf[:n])
 			sentBefore := req.eventsSent
 			if err := g.sendEvents(w, control, req, answer, t, complete); err != nil {
 				return outcomeAbandoned, err
 			}
+			if splitErr != nil {
+				return g.classifyBrokenAnswer(ctx, req, splitErr)
+			}
 			if silentBytes += n; req.eventsSent > sentBefore {
 				silentBytes, stallDeadline = 0, g.stallDeadline(req)
 			}
