sse: lines may end with CR or CRLF

A stream whose lines end with CRLF or CR, as the standard of event streams allows, was read to its end and answered with 502: only two LF ended an event. An extra blank line at the end of a stream without a length also counted as the start of an event that was cut off.

A blank line now ends an event, whatever ends the line, and blank lines that follow are passed on as they come. The bytes stay as they are. A CR that ends an event is passed on at once; the LF of its CRLF may follow.

--- a/internal/core/sse/sse.go
+++ b/internal/core/sse/sse.go
@@ -5,18 +5,41 @@
 import (
 	"bytes"
 	"iter"
+	"slices"
 	"strconv"
+	"strings"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 )
 
-var separator = []byte("\n\n")
+// eventEnds finds the ends of events. A blank line ends an event, and CR, LF or CRLF ends a
+// line. Further blank lines count as events of their own.
+type eventEnds struct {
+	inLine  bool // the line has a byte
+	blank   bool // the line before had none
+	afterCR bool // the line before has ended with CR, which may be the start of CRLF
+}
+
+// next reads a byte and reports whether an event ends after it. After CR, the event ends
+// there, and again after the LF of a CRLF.
+func (e *eventEnds) next(b byte) bool {
+	switch {
+	case b == '\n' && e.afterCR:
+		e.afterCR = false
+		return e.blank
+	case b == '\n' || b == '\r':
+		e.blank, e.inLine, e.afterCR = !e.inLine, false, b == '\r'
+		return e.blank
+	}
+	e.inLine, e.afterCR = true, false
+	return false
+}
 
 // Splitter splits a stream of bytes at the ends of its events.
 type Splitter struct {
 	maxEventBytes int
 	pending       []byte // start of an incomplete event
-	searched      int    // length of the part of pending that has no end of an event
+	ends          eventEnds
 }
 
 // NewSplitter returns a splitter for events of at most maxEventBytes.
@@ -41,74 +64,79 @@
 }
 
 func (s *Splitter) add(p []byte) ([]byte, error) {
-	if len(s.pending) == 0 {
-		if end := completeLen(p); end > 0 {
-			s.keep(append(s.pending, p[end:]...))
-			return p[:end], nil
+	end := 0
+	for i, b := range p {
+		if s.ends.next(b) {
+			end = i + 1
 		}
 	}
-	s.pending = append(s.pending, p...)
-	if !bytes.Contains(s.pending[s.searched:], separator) {
+	if end == 0 {
+		s.pending = append(s.pending, p...)
 		if len(s.pending) > s.maxEventBytes {
 			return nil, errkind.New(errkind.TargetFailed, "event exceeds %d bytes", s.maxEventBytes)
 		}
-		s.keep(s.pending)
 		return nil, nil
 	}
-	end := completeLen(s.pending)
-	complete := bytes.Clone(s.pending[:end])
-	s.keep(append(s.pending[:0], s.pending[end:]...))
-	return complete, nil
-}
-
-// keep sets the start of an incomplete event. Its last byte may begin a separator.
-func (s *Splitter) keep(pending []byte) {
-	s.pending, s.searched = pending, max(len(pending)-1, 0)
-}
-
-// completeLen returns the length of the complete events at the start of p. Like
-// Events it searches from the start. A search for the last separator could cut at
-// another place: in a run of newlines, the last separator may overlap the one that
-// ends the event.
-func completeLen(p []byte) int {
-	end := 0
-	for event := range Events(p) {
-		end += len(event)
+	complete := p[:end]
+	if len(s.pending) > 0 {
+		complete = slices.Concat(s.pending, complete)
 	}
-	return end
+	s.pending = append(s.pending[:0], p[end:]...)
+	return complete, nil
 }
 
 // PendingBytes returns the length of the incomplete event.
 func (s *Splitter) PendingBytes() int { return len(s.pending) }
 
-// Events yields the complete events of p, each including its separator.
+// Events yields the complete events of p, each including the blank line that ends it.
 func Events(p []byte) iter.Seq[[]byte] {
 	return func(yield func([]byte) bool) {
-		for len(p) > 0 {
-			end := bytes.Index(p, separator)
-			if end < 0 {
+		var ends eventEnds
+		start := 0
+		for i, b := range p {
+			if !ends.next(b) || b == '\r' && i+1 < len(p) && p[i+1] == '\n' {
+				continue
+			}
+			if !yield(p[start : i+1]) {
 				return
 			}
-			end += len(separator)
-			if !yield(p[:end]) {
+			start = i + 1
+		}
+	}
+}
+
+// lines yields the lines of an event that are not blank, without what ends them.
+func lines(event []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		start := 0
+		for i, b := range event {
+			if b != '\n' && b != '\r' {
+				continue
+			}
+			if start < i && !yield(event[start:i]) {
 				return
 			}
-			p = p[end:]
+			start = i + 1
 		}
 	}
 }
 
-// notInNames are the characters other than control characters that no name of a field holds.
-const notInNames = " \"(),/;<=>?@[\\]{}\x7f"
+// notInNames are the characters, other than control characters and blanks, that no name of a
+// field holds.
+const notInNames = "\"(),/;<=>?@[\\]{}\x7f"
 
 // wellFormed reports whether all lines of an event are comments or fields, of whatever name.
 // The standard takes any line for a field, but a status line, a document and a sentence
 // are the text of an error, whose reader would take a broken stream for a complete one.
 func wellFormed(event []byte) bool {
-	for line := range bytes.Lines(event) {
-		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
-		if bytes.ContainsAny(name, notInNames) || bytes.ContainsFunc(name, func(r rune) bool { return r < ' ' }) {
-			return false
+	for line := range lines(event) {
+		for _, b := range line {
+			if b == ':' {
+				break
+			}
+			if b <= ' ' || strings.IndexByte(notInNames, b) >= 0 {
+				return false
+			}
 		}
 	}
 	return true
@@ -116,7 +144,7 @@
 
 // HasData reports whether an event has data. A comment has none.
 func HasData(event []byte) bool {
-	for line := range bytes.Lines(event) {
+	for line := range lines(event) {
 		if bytes.HasPrefix(line, []byte("data")) {
 			return true
 		}
@@ -126,7 +154,7 @@
 
 // ID returns the id of an event and reports whether it has one that is an integer.
 func ID(event []byte) (int64, bool) {
-	for line := range bytes.Lines(event) {
+	for line := range lines(event) {
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
 		if !ok {
 			continue
--- a/internal/core/sse/sse_test.go
+++ b/internal/core/sse/sse_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -10,7 +11,7 @@
 )
 
 // Guards against losing, repeating or cutting an event when a read of the stream
-// ends within it.
+// ends within it, whatever ends its lines.
 func TestAnyCutsGiveTheSameEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var stream []byte
@@ -19,9 +20,12 @@
 			stream = fmt.Appendf(stream, "id: %d\ndata: %s\n\n", i, rapid.StringMatching(`[a-z.\n]{0,3}[a-z]{1,30}`).Draw(t, "data"))
 		}
 		tail := rapid.SampledFrom([]string{"", "id", "id: 7\ndata: x\n"}).Draw(t, "tail")
-		stream = append(stream, tail...)
+		lineEnd := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "line end")
+		stream = bytes.ReplaceAll(append(stream, tail...), []byte("\n"), []byte(lineEnd))
+		tail = strings.ReplaceAll(tail, "\n", lineEnd)
 		s := NewSplitter(1 << 10)
 		var got []byte
+		var ids []int64
 		for rest := stream; len(rest) > 0; {
 			cut := rapid.IntRange(1, len(rest)).Draw(t, "cut")
 			complete, err := s.Add(rest[:cut])
@@ -30,9 +34,13 @@
 			}
 			for event := range Events(complete) {
 				got = append(got, event...)
+				if id, ok := ID(event); ok {
+					ids = append(ids, id)
+				}
 			}
 			rest = rest[cut:]
 		}
+		assert.Equal(t, len(ids), n)
 		if want := stream[:len(stream)-s.PendingBytes()]; !bytes.Equal(got, want) {
 			t.Fatalf("got %q, want %q", got, want)
 		}
@@ -47,14 +55,14 @@
 func TestBlankLinesBetweenEvents(t *testing.T) {
 	s := NewSplitter(1 << 10)
 	var got []byte
-	for _, read := range []string{"data: a\n\n\n", "data: b\n\n"} {
+	for _, read := range []string{"data: a\n\n\n", "data: b\n\n", "\n", "\r\n"} {
 		complete, err := s.Add([]byte(read))
 		assert.NilError(t, err)
 		for event := range Events(complete) {
 			got = append(got, event...)
 		}
 	}
-	assert.Equal(t, string(got), "data: a\n\n\ndata: b\n\n")
+	assert.Equal(t, string(got), "data: a\n\n\ndata: b\n\n\n\r\n")
 	assert.Equal(t, s.PendingBytes(), 0)
 }
 
@@ -105,3 +113,15 @@
 		assert.Equal(t, string(got), before)
 	}
 }
+
+// Guards against an event that waits for the next one: the CR that ends it may be the start of
+// CRLF.
+func TestEventIsCompleteWithItsCR(t *testing.T) {
+	s := NewSplitter(1 << 10)
+	for _, read := range []string{"data: a\r\n\r", "\n", "data: b\r\r"} {
+		complete, err := s.Add([]byte(read))
+		assert.NilError(t, err)
+		assert.Equal(t, string(complete), read)
+		assert.Equal(t, s.PendingBytes(), 0)
+	}
+}
