upstream: refuse chunks from a target that speaks HTTP/1.0

A target that answers with HTTP/1.0 and Transfer-Encoding: chunked breaks the protocol, as that version has no chunks. net/http drops the header, so that the sizes of the chunks reached callers as text: in the middle of a stream that went on at such a target, and in documents.

The head of an HTTP/1.0 response is now checked before it is parsed, and one with Transfer-Encoding is refused, as RFC 9112 (6.1) demands. Other HTTP/1.0 responses are as before, also on kept connections.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -218,6 +219,9 @@
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.boundHead()
 	defer c.liftBound()
+	if err := c.checkOldHead(); err != nil {
+		return nil, err
+	}
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err == nil && len(resp.Header) > MaxHeaderFields {
 		err = &TooLongError{"number of headers", MaxHeaderFields}
@@ -225,6 +229,40 @@
 	return resp, err
 }
 
+// oldVersion begins the responses that have no chunks.
+const oldVersion = "HTTP/1.0"
+
+var errChunksOfOldVersion = errors.New("target sent chunks, which its version of HTTP does not have")
+
+// checkOldHead refuses a response of an old version with Transfer-Encoding, whose end
+// nothing tells. http.ReadResponse would drop the header and read the chunks as text.
+func (c *conn) checkOldHead() error {
+	if start, _ := c.reader.Peek(len(oldVersion)); string(start) != oldVersion {
+		return nil // http.ReadResponse meets the error again
+	}
+	var head []byte
+	for {
+		line, err := c.reader.ReadBytes('\n')
+		if err != nil {
+			return err
+		}
+		head = append(head, line...)
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding")) {
+			return errChunksOfOldVersion
+		}
+		if len(bytes.TrimSpace(line)) == 0 {
+			break
+		}
+	}
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	c.reader.Reset(io.MultiReader(bytes.NewReader(append(head, buffered...)), c.bound))
+	return nil
+}
+
 // framed reports whether a response has a Content-Length or is chunked, or has no body as the
 // answer to HEAD, so that its end is distinct from the end of the connection.
 func framed(r *http.Response) bool {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -363,3 +363,42 @@
 		t.Fatal("the connection is still open")
 	}
 }
+
+// Guards against chunks that are read as the text of the response: HTTP/1.0 has none, so that
+// nothing tells how such a response ends.
+func TestChunksOfAnOldVersionAreRefused(t *testing.T) {
+	for name, head := range map[string]string{
+		"chunks":            "Transfer-Encoding: chunked\r\n",
+		"chunks and length": "Content-Length: 14\r\nX: y\r\ntransfer-encoding : chunked\r\nConnection: keep-alive\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := startTarget(t, func(c net.Conn) {
+				req, err := http.ReadRequest(bufio.NewReader(c))
+				assert.Check(t, err)
+				_, _ = io.Copy(io.Discard, req.Body)
+				fmt.Fprintf(c, "HTTP/1.0 200 OK\r\nId: %s\r\n%s\r\n4\r\nbody\r\n0\r\n\r\n", req.Header.Get("Id"), head)
+			})
+			body, err := do(t, NewPool(Options{}), request(address, "a", "x"))
+			assert.ErrorContains(t, err, "chunks", "%q", body)
+			assert.Assert(t, asFailure(t, err).Sent)
+		})
+	}
+}
+
+// Guards against a response of HTTP/1.0 that is refused, or loses bytes.
+func TestResponsesOfAnOldVersion(t *testing.T) {
+	address := startTarget(t,
+		respondToEach("HTTP/1.0 200 OK\r\nId: %s\r\nContent-Length: 2\r\nConnection: keep-alive\r\n\r\nok", "HTTP/1.0 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok"),
+		func(c net.Conn) {
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			assert.Check(t, err)
+			_, _ = io.Copy(io.Discard, req.Body)
+			fmt.Fprintf(c, "HTTP/1.0 200 OK\r\nId: %s\r\n\r\n%s", req.Header.Get("Id"), strings.Repeat("x", 3*readBufferBytes))
+		})
+	p := NewPool(Options{})
+	for _, want := range []string{"ok", "ok", strings.Repeat("x", 3*readBufferBytes)} {
+		body, err := do(t, p, request(address, "a", "x"))
+		assert.NilError(t, err)
+		assert.Equal(t, body, want)
+	}
+}
