--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -97,10 +97,11 @@
 func (g *Gateway) beginPlain(w http.ResponseWriter, req *request, answer *upstream.Response, body []byte, isWhole bool) error {
 	g.setAnswerHeaders(w, req, answer)
 	hasLength := isWhole && answer.Framed()
-	switch length := answer.ContentLength; {
-	case answer.Request.Method != http.MethodHead && hasLength:
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	case answer.Request.Method == http.MethodHead && length >= 0:
+	length := int64(len(body))
+	if answer.Request.Method == http.MethodHead {
+		length = answer.ContentLength // of the body that GET would get
+	}
+	if hasLength && length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	req.status = answer.StatusCode
