router: JSON answers and answers of services state their length

A caller of HTTP/1.0 got an answer over 2 KB without a length, so that only the end of its connection ended it. A router that is killed while it writes ends it as if it were whole; a document of a service then looks complete. Both sinks hold the whole answer before they write it and now state its length.

Streams end with [DONE] and are not affected.

--- a/internal/router/sink.go
+++ b/internal/router/sink.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/httpapi"
@@ -118,9 +119,7 @@
 	h := s.w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(httpapi.HeaderRequestID, s.requestID)
-	s.w.WriteHeader(http.StatusOK)
-	_, err = s.w.Write(doc)
-	return err
+	return writeWhole(s.w, http.StatusOK, doc)
 }
 
 // serviceSink collects the answer of a plain service. The HTTP status is known
@@ -151,7 +150,16 @@
 		h.Set("Content-Type", contentType)
 	}
 	h.Set(httpapi.HeaderRequestID, s.requestID)
-	s.w.WriteHeader(status)
-	_, err := s.w.Write(body)
+	return writeWhole(s.w, status, body)
+}
+
+// writeWhole writes an answer with its length. Without it, the end of the connection alone
+// would end an answer to a caller that knows no chunks, also one that is cut off.
+func writeWhole(w http.ResponseWriter, status int, body []byte) error {
+	if status != http.StatusNoContent && status != http.StatusNotModified {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	w.WriteHeader(status)
+	_, err := w.Write(body)
 	return err
 }
