Transfer what a few stripes have to a router whose requests wait

Callers of a hot team were refused (budget_busy) or waited for 0.2 to 0.4 s although stripes had tokens. A transfer was planned only if the three fullest stripes covered all that the home stripe lacked, which includes the share's target and every waiting request; otherwise nothing was sent, in each of the six attempts of a round.

Requests that wait now get what the three have, and the next attempt takes from further stripes. Tokens that are drawn ahead are transferred if they cover what makes a transfer worth it (minCover), not the whole target.

--- a/internal/prepaid/fetch.go
+++ b/internal/prepaid/fetch.go
@@ -56,6 +56,17 @@
 	return stripes[:min(len(stripes), maxRefreshedStripes)]
 }
 
+// leastTransfer returns the tokens below which a transfer to the home stripe, of which a
+// share lacks shortfall, is not worth its transactions. Requests that wait are worth each:
+// the next attempt takes from further stripes. m.mu is held.
+func (m *Manager) leastTransfer(t *team, shortfall int64) int64 {
+	if len(t.waiters) > 0 {
+		return 1
+	}
+	covered := max(t.share.Available(), 0) + m.stripeTotal(t, m.home).Left()
+	return min(shortfall, m.minCover(t, m.opt.Clock())-covered)
+}
+
 // planTransfers returns one operation for each stripe that is to send tokens, by
 // stripe. m.mu is held.
 func (m *Manager) planTransfers(shortfalls map[*team]int64) map[int]*operation {
@@ -73,7 +84,7 @@
 		for _, sender := range senders {
 			available += m.stripeTotal(t, sender).Left()
 		}
-		if available < shortfall {
+		if available < m.leastTransfer(t, shortfall) {
 			continue
 		}
 		for _, sender := range senders {
--- a/internal/prepaid/load_test.go
+++ b/internal/prepaid/load_test.go
@@ -76,7 +76,7 @@
 func newFleetOf(load fleetLoad, seed uint64, budgetTime time.Duration) *fleet {
 	f := &fleet{
 		load:  load,
-		table: &simulatedTable{inner: platform.NewMemoryTable(), busyUntil: map[string]time.Time{}}, prepaid: map[string]int64{}, random: rand.New(rand.NewPCG(seed, 1)),
+		table: newSimulatedTable(), prepaid: map[string]int64{}, random: rand.New(rand.NewPCG(seed, 1)),
 		spent: map[string]int64{}, openTokens: map[string]int64{},
 		managers: make([]*Manager, load.routers), cancels: make([]context.CancelFunc, load.routers),
 	}
--- /dev/null
+++ b/internal/prepaid/shortage_test.go
@@ -0,0 +1,47 @@
+package prepaid
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// newShortageFleet starts routers that share the budget of one team, and waits until they
+// have read it.
+func newShortageFleet(routers, stripes int, prepaid int64) *fleet {
+	f := &fleet{
+		load: fleetLoad{routers: routers, teams: 1, perSecond: 10, stripes: stripes}, prepaid: map[string]int64{"t": prepaid},
+		table:    newSimulatedTable(),
+		managers: make([]*Manager, routers), cancels: make([]context.CancelFunc, routers),
+	}
+	for i := range routers {
+		f.start(i)
+	}
+	time.Sleep(time.Second)
+	return f
+}
+
+// Guards against requests that are refused although the tokens are left, because the three
+// fullest stripes do not cover all of them together and therefore send none.
+func TestWaitingRequestsGetWhatAFewStripesHave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const part = 10_000 // of each stripe
+		f := newShortageFleet(1, 8, 8*part)
+		defer f.stop()
+		m := f.managers[0]
+		_, err := m.Reserve(context.Background(), "t", 4*part) // takes four stripes' tokens
+		assert.NilError(t, err)
+		var waiting sync.WaitGroup
+		errs := make([]error, 2)
+		for i := range errs {
+			waiting.Go(func() { _, errs[i] = m.Reserve(context.Background(), "t", 2*part) })
+		}
+		waiting.Wait()
+		assert.NilError(t, errs[0])
+		assert.NilError(t, errs[1])
+	})
+}
--- a/internal/prepaid/simulated_table_test.go
+++ b/internal/prepaid/simulated_table_test.go
@@ -23,6 +23,10 @@
 	slowness  int // factor of all durations; 0 counts as 1
 }
 
+func newSimulatedTable() *simulatedTable {
+	return &simulatedTable{inner: platform.NewMemoryTable(), busyUntil: map[string]time.Time{}}
+}
+
 // times returns a duration, multiplied while the table is slow. s.mu is held.
 func (s *simulatedTable) times(d time.Duration) time.Duration {
 	return d * time.Duration(max(s.slowness, 1))
