Read the other stripes again before a request is refused as busy

Requests were refused although other routers had returned tokens: in traced failures of TestHotTeamAtOneRouterGetsItsBudget, 0.6 to 1.3% of the hot budget lay in a stripe that the refusing router had read 0.15 to 0.9 s before. Totals of other stripes were read again after a second, three at a time, and a refusal without a round looked only at the age of the home stripe's totals.

A shortage counts as known while all stripes were read within shortageValidFor (longer for a slow table). Else a waiting request that they do not cover has those that are older read again before it is refused, also if the shortage shows only during the round. A budget that is known to be spent is refused without reading.

--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -347,7 +347,7 @@
 			// Later rounds of an outage hold no requests: the refusal is already known.
 			m.setTriesAgain(wasReachable && failures <= maxRoundFailures)
 		}
-		if result == exchangeDone && !m.hasCoverableWaiter() || failures > maxRoundFailures {
+		if result == exchangeDone && !m.hasServableWaiter() || failures > maxRoundFailures {
 			break
 		}
 	}
@@ -363,12 +363,15 @@
 	m.triesAgain = again
 }
 
-// hasCoverableWaiter reports whether a waiting request of this round could still
+// hasServableWaiter reports whether a waiting request of this round could still
 // get its tokens, for instance because a transfer from another stripe failed with a
-// write conflict.
-func (m *Manager) hasCoverableWaiter() bool {
+// write conflict, or because stripes were not read since they may have got tokens back.
+func (m *Manager) hasServableWaiter() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.hasUncoveredWaiter() && !m.totalsShowShortage() {
+		return true
+	}
 	for _, t := range m.teams {
 		first := slices.IndexFunc(t.waiters, func(w *waiter) bool { return w.inRound })
 		if first >= 0 && t.waiters[first].tokens <= min(m.coverableTokens(t), m.spendableSoon(t)) {
--- a/internal/prepaid/reading.go
+++ b/internal/prepaid/reading.go
@@ -15,6 +15,11 @@
 func (m *Manager) maxTotalsAge() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.totalsAge()
+}
+
+// totalsAge is maxTotalsAge with m.mu held.
+func (m *Manager) totalsAge() time.Duration {
 	return max(homeRefreshInterval, refreshLatencyFactor*m.lastSuccessDuration)
 }
 
@@ -98,10 +103,13 @@
 // to run out. Apart from
 // the first time, it returns a few stripes, so that reads do not grow with their number.
 func (m *Manager) stripesToRefresh() []int {
-	age := m.maxTotalsAge()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.hasUncoveredWaiter() && !m.hasScarceHome() {
+	age, limit := m.totalsAge(), maxRefreshedStripes
+	switch {
+	case m.hasUncoveredWaiter():
+		age, limit = m.shortageAge(), m.stripes // tells whether tokens came back
+	case !m.hasScarceHome():
 		age = max(age, otherRefreshInterval*time.Duration(max(m.stripes/maxRefreshedStripes, 1)))
 	}
 	now := m.opt.Clock()
@@ -110,20 +118,33 @@
 		return due
 	}
 	slices.SortFunc(due, func(a, b int) int { return m.others[a].readAt.Compare(m.others[b].readAt) })
-	return due[:min(len(due), maxRefreshedStripes)]
+	return due[:min(len(due), limit)]
 }
 
 // hasUncoveredWaiter reports whether a request waits for more tokens than its
-// budget has left as far as is known. m.mu is held.
+// budget has left as far as is known, but not for more than are unspent. m.mu is held.
 func (m *Manager) hasUncoveredWaiter() bool {
 	for _, t := range m.teams {
-		if len(t.waiters) > 0 && t.waiters[0].tokens > m.coverableTokens(t) {
+		if len(t.waiters) > 0 && t.waiters[0].tokens > m.coverableTokens(t) && !m.isSpent(t, t.waiters[0].tokens) {
 			return true
 		}
 	}
 	return false
 }
 
+// shortageAge returns the age up to which totals show that tokens are short. Those of a
+// slow table are not read again as soon.
+func (m *Manager) shortageAge() time.Duration {
+	return max(shortageValidFor, refreshLatencyFactor*m.lastSuccessDuration)
+}
+
+// totalsShowShortage reports whether the totals of all stripes are new enough to tell that
+// no more tokens are left: holders return tokens all the time. m.mu is held.
+func (m *Manager) totalsShowShortage() bool {
+	now, age := m.opt.Clock(), m.shortageAge()
+	return now.Sub(m.homeReadAt) < age && !slices.ContainsFunc(m.otherStripes(), func(stripe int) bool { return now.Sub(m.others[stripe].readAt) >= age })
+}
+
 // hasScarceHome reports whether the home stripe has few tokens left of a budget of which
 // this router holds a part. m.mu is held.
 func (m *Manager) hasScarceHome() bool {
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -95,7 +95,7 @@
 		m.mu.Unlock()
 		return nil, err
 	}
-	if m.tableReachable && m.otherStripesReadable() && m.opt.Clock().Sub(m.homeReadAt) < shortageValidFor && m.coverableTokens(t) < tokens {
+	if m.tableReachable && m.otherStripesReadable() && m.coverableTokens(t) < tokens && (m.totalsShowShortage() || m.isSpent(t, tokens)) {
 		err := m.refusalError(t, tokens)
 		m.mu.Unlock()
 		return nil, err
@@ -217,10 +217,8 @@
 	if !m.tableReachable || !m.otherStripesReadable() || m.holdingsReadAt.IsZero() || m.fenced {
 		return m.unavailableError(t, tokens)
 	}
-	// A final refusal requires that the tokens are known to be spent, which is not so
-	// for those that were written off when routers ended.
-	if spent := m.teamTotal(t).Spent(); m.prepaidTotals[t.name]-spent < tokens {
-		return errkind.New(errkind.BudgetExhausted, "%s, %d known to be spent", m.describeBudget(t, tokens), spent)
+	if m.isSpent(t, tokens) {
+		return errkind.New(errkind.BudgetExhausted, "%s, %d known to be spent", m.describeBudget(t, tokens), m.teamTotal(t).Spent())
 	}
 	if tokens <= t.share.Available() {
 		return busyError("the table may lose the latest draws; " + m.describeBudget(t, tokens))
@@ -228,6 +226,13 @@
 	return busyError("the rest of the budget is held; " + m.describeBudget(t, tokens))
 }
 
+// isSpent reports whether too much of a budget is spent for a request. It requires that
+// the tokens are known to be spent, which is not so for those that were written off when
+// routers ended. m.mu is held.
+func (m *Manager) isSpent(t *team, tokens int64) bool {
+	return m.prepaidTotals[t.name]-m.teamTotal(t).Spent() < tokens
+}
+
 // describeBudget describes the state of a budget for the log and for the caller.
 // m.mu is held.
 func (m *Manager) describeBudget(t *team, need int64) string {
--- a/internal/prepaid/shortage_test.go
+++ b/internal/prepaid/shortage_test.go
@@ -45,3 +45,33 @@
 		assert.NilError(t, errs[1])
 	})
 }
+
+// Guards against requests that are refused by totals that were read before another router
+// returned its tokens.
+func TestReturnedTokensAreFoundBeforeARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const prepaid = 80_000
+		f := newShortageFleet(2, 8, prepaid)
+		defer f.stop()
+		asking, holding := f.managers[0], f.managers[1]
+		asking.mu.Lock()
+		home := asking.home
+		asking.mu.Unlock()
+		holding.mu.Lock()
+		assert.Assert(t, holding.home != home)
+		holding.mu.Unlock()
+		held, err := holding.Reserve(context.Background(), "t", prepaid*7/10)
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		for i := range int64(3) { // reads all stripes, a few each time
+			_, err = asking.Reserve(context.Background(), "t", prepaid/2-i)
+			assert.ErrorContains(t, err, "held")
+			time.Sleep(shortageValidFor)
+		}
+		held.Settle(0)
+		holding.Drain()
+		time.Sleep(busyRetryAfter)
+		_, err = asking.Reserve(context.Background(), "t", prepaid/2)
+		assert.NilError(t, err)
+	})
+}
