Tell that a budget runs out before all stripes are read again

A router kept a share for 12 s of its demand (1% of the hot budget in two traced failures of TestHotTeamAtOneRouterGetsItsBudget) while requests elsewhere were refused. It learns of scarce tokens from the sum over all stripes, and reads three of them in a round: with 8 stripes the last third comes 1.5 s after the home stripe tells that tokens are scarce, with 20 stripes 3.5 s. A hot team spends a sixth of its budget in that time.

While the home stripe has few tokens left, what all have left is estimated by those read lately; routers take from the fullest stripes, so that these are alike.

TestScarceTokensComeBackBeforeAllStripesAreRead failed in 3 of 3 runs before.

--- a/internal/prepaid/pool.go
+++ b/internal/prepaid/pool.go
@@ -89,11 +89,32 @@
 	return home.Left() < home.ToppedUp/scarceDivisor
 }
 
+// estimatedLeft estimates what all stripes have left by those that were read lately. A budget
+// may run out before all are read again, a few at a time. It sets no bound while the home
+// stripe has enough. m.mu is held.
+func (m *Manager) estimatedLeft(t *team) int64 {
+	if !m.homeIsScarce(t) {
+		return math.MaxInt64
+	}
+	now, age := m.opt.Clock(), m.totalsAge()
+	left, others := int64(0), int64(0)
+	for _, stripe := range m.otherStripes() {
+		if m.others[stripe].readable && now.Sub(m.others[stripe].readAt) < age {
+			left += m.stripeTotal(t, stripe).Left()
+			others++
+		}
+	}
+	if others == 0 {
+		return math.MaxInt64 // the home stripe alone may be emptied by one router
+	}
+	return m.stripeTotal(t, m.home).Left() + left*int64(m.stripes-1)/others
+}
+
 // horizon returns how long a share should cover its demand, and whether more than that is
 // to be returned at once, because few tokens of the team were left in all stripes lately
 // or the router ends. left are the tokens that it can draw. m.mu is held.
 func (m *Manager) horizon(t *team, left int64, now time.Time) (horizon time.Duration, returnsRest bool) {
-	left, limit := left+max(t.share.Available(), 0), m.prepaidTotals[t.name]/scarceDivisor
+	left, limit := min(left, m.estimatedLeft(t))+max(t.share.Available(), 0), m.prepaidTotals[t.name]/scarceDivisor
 	if left < limit {
 		t.scarceAt = now
 	}
--- a/internal/prepaid/shortage_test.go
+++ b/internal/prepaid/shortage_test.go
@@ -75,3 +75,23 @@
 		assert.NilError(t, err)
 	})
 }
+
+// Guards against a router that keeps its share of a budget that runs out, until it has read
+// all stripes again, a few in each round.
+func TestScarceTokensComeBackBeforeAllStripesAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const prepaid = 20_000_000
+		f := newShortageFleet(2, 20, prepaid)
+		defer f.stop()
+		spender, idle := f.managers[0], f.managers[1]
+		time.Sleep(20 * time.Second)
+		before := idle.heldTokens()
+		for range 38 { // leaves a twentieth
+			r, err := spender.ReserveWithin(context.Background(), "t", Need{Tokens: prepaid / 40, Wait: 2 * time.Second})
+			assert.NilError(t, err)
+			r.Settle(prepaid / 40)
+		}
+		time.Sleep(homeRefreshInterval + 2*settleInterval)
+		assert.Assert(t, idle.heldTokens() <= before/10, "%d of %d held", idle.heldTokens(), before)
+	})
+}
