Go on to the next stripe when a transfer fails with a write conflict

A request at a router with few requests was refused after 0.3 s although several stripes had the 882 tokens that it lacked (traced). Each of four attempts asked the fullest stripe, which was the home of the hot router, whose totals change every 20 ms, and failed with a write conflict; a longer pause followed each.

For requests that wait, the transfer goes on to the next of the three stripes at once. Not where more routers share a stripe than may contend: that would only move the conflicts.

--- a/internal/prepaid/fetch.go
+++ b/internal/prepaid/fetch.go
@@ -3,40 +3,79 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 
 	"tarragonridge.example/tarragonridge/internal/core/budget"
 )
 
 // transferToHome transfers the tokens that the home stripe lacks from the stripes
-// with the most tokens left. If the answer to a transfer is lost, the next read of
-// the sending stripe's totals shows whether it took effect.
+// with the most tokens left. For requests that wait, it goes on to the next stripes after a
+// write conflict: the fullest stripe may be the one whose totals change most often. Where
+// each stripe has many holders, that would only move the conflicts. If the answer to a
+// transfer is lost, the next read of the sending stripe's totals shows whether it took effect.
 func (m *Manager) transferToHome(ctx context.Context, shortfalls map[*team]int64) {
-	m.mu.Lock()
-	ops := m.planTransfers(shortfalls)
-	m.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, m.nextCallTimeout())
 	defer cancel()
-	for sender, op := range ops {
-		res, err := m.opt.Table.Commit(ctx, op.txn)
+	tried := map[int]bool{}
+	for len(tried) < maxRefreshedStripes {
 		m.mu.Lock()
-		switch {
-		case m.beginEra():
-			m.others[sender].readable = false
-		case err != nil:
-			m.others[sender].readable = false
-			m.opt.Logger.Warn("failed to transfer tokens from another stripe", "teams", len(op.totals), "err", err)
-		case !res.Committed:
-			for _, row := range res.Current {
-				m.adoptTotal(row)
-			}
-		default:
-			m.adoptTotals(op, res.Versions)
+		before := m.homeLeft(shortfalls)
+		ops := m.planTransfers(shortfalls, tried)
+		m.mu.Unlock()
+		conflicts := false
+		for sender, op := range ops {
+			tried[sender] = true
+			conflicts = m.transfer(ctx, sender, op) || conflicts
+		}
+		if !conflicts {
+			return
+		}
+		m.mu.Lock()
+		if m.homeHolders() > uncontendedHolders {
+			m.mu.Unlock()
+			return
+		}
+		maps.DeleteFunc(shortfalls, func(t *team, _ int64) bool { return len(t.waiters) == 0 })
+		for t, left := range m.homeLeft(shortfalls) {
+			shortfalls[t] -= left - before[t]
 		}
 		m.mu.Unlock()
 	}
 }
 
+// homeLeft returns the tokens left in the home stripe, by team. m.mu is held.
+func (m *Manager) homeLeft(teams map[*team]int64) map[*team]int64 {
+	left := map[*team]int64{}
+	for t := range teams {
+		left[t] = m.stripeTotal(t, m.home).Left()
+	}
+	return left
+}
+
+// transfer sends a transfer from another stripe. It reports whether it failed with a write
+// conflict.
+func (m *Manager) transfer(ctx context.Context, sender int, op *operation) (conflict bool) {
+	res, err := m.opt.Table.Commit(ctx, op.txn)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.beginEra():
+		m.others[sender].readable = false
+	case err != nil:
+		m.others[sender].readable = false
+		m.opt.Logger.Warn("failed to transfer tokens from another stripe", "teams", len(op.totals), "err", err)
+	case !res.Committed:
+		for _, row := range res.Current {
+			m.adoptTotal(row)
+		}
+		return true
+	default:
+		m.adoptTotals(op, res.Versions)
+	}
+	return false
+}
+
 // maxRefreshedStripes bounds the other stripes that are read again at once.
 const maxRefreshedStripes = 3
 
@@ -68,15 +107,15 @@
 }
 
 // planTransfers returns one operation for each stripe that is to send tokens, by
-// stripe. m.mu is held.
-func (m *Manager) planTransfers(shortfalls map[*team]int64) map[int]*operation {
+// stripe, without those that were tried. m.mu is held.
+func (m *Manager) planTransfers(shortfalls map[*team]int64, tried map[int]bool) map[int]*operation {
 	ops := map[int]*operation{}
 	for t, shortfall := range shortfalls {
 		if m.restorable() {
 			shortfall -= m.inTransit(t)
 		}
 		homeLeft := m.stripeTotal(t, m.home).Left()
-		senders := slices.DeleteFunc(m.otherStripes(), func(stripe int) bool { return !m.others[stripe].readable })
+		senders := slices.DeleteFunc(m.otherStripes(), func(stripe int) bool { return tried[stripe] || !m.others[stripe].readable })
 		slices.SortFunc(senders, func(a, b int) int { return cmp.Compare(m.stripeTotal(t, b).Left(), m.stripeTotal(t, a).Left()) })
 		// A few tokens from each of many stripes are not worth their transactions.
 		senders = senders[:min(len(senders), maxRefreshedStripes)]
--- a/internal/prepaid/shortage_test.go
+++ b/internal/prepaid/shortage_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/platform"
 )
 
 // newShortageFleet starts routers that share the budget of one team, and waits until they
@@ -95,3 +99,39 @@
 		assert.Assert(t, idle.heldTokens() <= before/10, "%d of %d held", idle.heldTokens(), before)
 	})
 }
+
+// busySender is a table in which another router changes the totals of one stripe all the
+// time: every transfer from the first stripe that is asked fails with a write conflict.
+type busySender struct {
+	platform.Table
+	home   string // prefix of the home stripe's keys; "" before the transfer
+	sender string // prefix of the busy stripe's keys; "" until one was asked
+}
+
+func (b *busySender) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	prefix, _, _ := strings.Cut(txn.Conditions[0].Key, "/")
+	if b.sender == "" && b.home != "" && prefix+"/" != b.home {
+		b.sender = prefix + "/"
+	}
+	if b.sender == "" || prefix+"/" != b.sender {
+		return b.Table.Commit(ctx, txn)
+	}
+	row, err := b.Get(ctx, txn.Conditions[0].Key)
+	if errkind.Is(err, errkind.NotFound) {
+		return platform.TxnResult{}, nil
+	}
+	return platform.TxnResult{Current: []platform.Row{row}}, err
+}
+
+// Guards against a request that is refused although other stripes have the tokens, because
+// each transfer for it is tried at the fullest one, whose totals change too often.
+func TestTransferGoesOnToTheNextStripeAfterAConflict(t *testing.T) {
+	c := newClock()
+	table := &busySender{Table: platform.NewMemoryTable()}
+	m := c.newManager(table, "h", "1", 400_000)
+	m.round(context.Background(), true)
+	table.home = stripePrefix(m.home)
+	_, err := m.reserveInRound(context.Background(), 120_000)
+	assert.NilError(t, err)
+	assert.Assert(t, table.sender != "")
+}
