router: refused connections do not use up the attempts of a request

Refused connections are counted by themselves, up to four; the retry quota applies to them as before.

--- a/internal/router/outcome.go
+++ b/internal/router/outcome.go
@@ -62,7 +62,7 @@
 func (r *Router) handleEnd(req *request, rd *reader, end *wire.RunEnd) attemptResult {
 	if end.Kind == errkind.NoTarget {
 		r.coolDown(rd.run.target)
-		return attemptResult{err: errkind.New(errkind.NoTarget, "target %s refused the connection", rd.run.target.id), retry: true}
+		return attemptResult{err: errkind.New(errkind.NoTarget, "target %s refused the connection", rd.run.target.id), retry: true, refused: true}
 	}
 	if end.Record.Billable() && int64(rd.pos) != end.Chunks {
 		return attemptResult{err: errkind.New(errkind.TargetFailed, "the answer is incomplete: %d of %d parts", rd.pos, end.Chunks)}
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -19,7 +19,7 @@
 	errSidecarReplaced = errkind.New(errkind.TargetCrashed, "the sidecar was replaced during the run")
 )
 
-// maxAttempts bounds the attempts per request.
+// maxAttempts bounds the attempts per request, and those among them that are refused.
 const maxAttempts = 4
 
 // maxExplainedCrashes bounds the attempts that do not count towards maxAttempts
@@ -67,6 +67,7 @@
 	retryCounted bool  // the retry is already deducted from the retry quota
 	noCapacity   bool  // the sidecar temporarily has no room for the run
 	allBusy      bool  // with noCapacity: all other usable targets have refused the request as well
+	refused      bool  // the target accepted no connection
 	// crashExplained means that the target crashed because of another request,
 	// which was already a suspect.
 	crashExplained bool
@@ -84,14 +85,13 @@
 	tried := newTriedTargets()
 	r.countRequestForRetries()
 	var errs attemptErrors
-	explainedCrashes := 0
-	for attempts := 0; attempts < maxAttempts; attempts++ {
+	var count attemptCount
+	for {
 		result := r.attempt(ctx, startCtx, req, tried)
 		if result.err == nil {
 			return nil
 		}
 		if result.noCapacity && r.isSuspect(req) {
-			attempts--
 			if result.allBusy {
 				_ = waitFor(startCtx, nil, suspectRetryDelay) // if startCtx ends, the next attempt fails
 			}
@@ -104,16 +104,32 @@
 		if err := r.quarantineError(req, errkind.RanYes); err != nil {
 			return err
 		}
-		if result.crashExplained && explainedCrashes < maxExplainedCrashes {
-			explainedCrashes++
-			attempts--
-			continue
-		}
-		if !result.retryCounted && !r.mayRetry(req, result.err) {
-			break
+		if !count.add(result) || !result.retryCounted && !r.mayRetry(req, result.err) {
+			return errs.callerError()
 		}
 	}
-	return errs.callerError()
+}
+
+// attemptCount counts the attempts of a request.
+type attemptCount struct {
+	counted   int // towards maxAttempts
+	explained int // that ended with a crash because of another request
+	refused   int // for which the target accepted no connection
+}
+
+// add counts an attempt and reports whether another one may follow. A crashed target
+// accepts no connections until it has restarted, so that refused attempts must not use up
+// those of a request that was beside the crashes.
+func (c *attemptCount) add(result attemptResult) bool {
+	switch {
+	case result.crashExplained && c.explained < maxExplainedCrashes:
+		c.explained++
+	case result.refused && c.refused < maxAttempts:
+		c.refused++
+	default:
+		c.counted++
+	}
+	return c.counted < maxAttempts
 }
 
 // attemptErrors collects the errors of a request's attempts.
--- a/internal/router/submit_test.go
+++ b/internal/router/submit_test.go
@@ -120,3 +120,20 @@
 	assert.Assert(t, targetNotAtFault(attemptResult{err: errkind.New(errkind.Overloaded, "full"), noCapacity: true}))
 	assert.Assert(t, targetNotAtFault(attemptResult{err: errkind.New(errkind.TargetCrashed, "another request"), crashExplained: true}))
 }
+
+// Guards against an innocent request that fails because engines which restart after crashes
+// refuse its connections, which used up its attempts.
+func TestRefusedConnectionsDoNotUseUpTheAttempts(t *testing.T) {
+	crash, refusal := attemptResult{}, attemptResult{refused: true}
+	var count attemptCount
+	for _, result := range []attemptResult{{crashExplained: true}, refusal, crash, refusal, crash, crash} {
+		assert.Assert(t, count.add(result), "%+v after %+v", result, count)
+	}
+	assert.Assert(t, !count.add(crash), "%+v", count)
+	count = attemptCount{}
+	attempts := 1
+	for count.add(refusal) {
+		attempts++
+	}
+	assert.Equal(t, attempts, 2*maxAttempts)
+}
