escrow: let requests wait for a lost draw once the table answers again

A draw or settlement whose answer was lost marks its team as unresolved until the next attempt to read it back, up to 0.2 s or 0.5 s later; until then each request that the share did not cover was refused.

Such a request now waits for the operation if a read was answered since. If the next attempt fails too, it is refused as before.

TestRequestsAfterAnOutageWaitForALostDraw failed in 5 of 5 runs before and passes in 10 of 10 with the race detector.

--- a/internal/escrow/account.go
+++ b/internal/escrow/account.go
@@ -149,7 +149,7 @@
 // unknown because the table cannot be reached, and fails all waiters of the
 // team. m.mu is held.
 func (m *Manager) markUnresolved(t *team, cause error) {
-	t.unresolved = true
+	t.unresolved, t.unresolvedAt = true, m.opt.Clock()
 	t.failWaiters(unavailableError(cause), everyWaiter)
 }
 
--- a/internal/escrow/faults_test.go
+++ b/internal/escrow/faults_test.go
@@ -64,6 +64,23 @@
 	assert.Equal(t, c.account().Held(), int64(0))
 }
 
+// Guards against requests that are refused, as if the table could not be reached, after it
+// has answered again, until the next attempt to read back a draw whose answer was lost.
+func TestRequestsAfterAnOutageWaitForALostDraw(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	c.topUp(1000)
+	n := c.nodes[0]
+	n.table.LoseAnswerThenFail(accountPrefix)
+	_, err := c.reserve(n, 50, 5*time.Second)
+	assert.Equal(t, errkind.Of(err), errkind.PlatformUnavailable)
+	time.Sleep(300 * time.Millisecond) // the attempts are rare by now
+	n.table.SetDown(false)
+	_, err = n.Account(t.Context(), teamName)
+	assert.NilError(t, err)
+	assert.NilError(t, c.run(n, 50, 50, 5*time.Second))
+}
+
 // Guards against a recovery that stores a record twice because the crashed
 // router never learned that its flush was applied.
 func TestRecoveryAfterUnconfirmedFlush(t *testing.T) {
--- a/internal/escrow/manager.go
+++ b/internal/escrow/manager.go
@@ -129,6 +129,8 @@
 	wg       sync.WaitGroup
 	topUps   map[string]topUpCount // top-ups by this router, by team
 
+	lastReadAt time.Time // when the table last answered a read
+
 	observer observer // used only by the observation loop
 }
 
@@ -157,6 +159,7 @@
 	waiters       []*waiter      // in order of arrival
 	serving       bool           // a goroutine is serving the waiters
 	unresolved    bool           // the result of an operation is unknown and cannot be read back
+	unresolvedAt  time.Time      // when unresolved was last set
 	deadlineKind  errkind.Kind   // error kind for waiters that reach their deadline
 	cachedAccount *storedAccount // nil if unknown
 	idleSince     time.Time      // zero unless idle share waits to be returned
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -112,7 +112,7 @@
 	if len(t.waiters) == 0 && t.share.Reserve(tokens) {
 		return &Reservation{m: m, team: t, tokens: tokens}, nil, nil
 	}
-	if t.unresolved {
+	if t.unresolved && !m.lastReadAt.After(t.unresolvedAt) {
 		return nil, nil, errkind.New(errkind.PlatformUnavailable, "local share is short and the table cannot be reached")
 	}
 	if len(t.waiters) >= maxWaitersPerTeam {
--- a/internal/escrow/rows.go
+++ b/internal/escrow/rows.go
@@ -45,7 +45,13 @@
 func (m *Manager) get(ctx context.Context, key string) (platform.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return m.opt.Table.Get(ctx, key)
+	row, err := m.opt.Table.Get(ctx, key)
+	if err == nil || errkind.Is(err, errkind.NotFound) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.lastReadAt = m.opt.Clock()
+	}
+	return row, err
 }
 
 // commit applies a transaction with the call timeout. PlatformUnavailable means
