Transfer only what serves the first request that waits

A transfer now has to cover the first request that waits, and takes from more than three stripes if these do not.

--- a/internal/prepaid/fetch.go
+++ b/internal/prepaid/fetch.go
@@ -96,13 +96,13 @@
 }
 
 // leastTransfer returns the tokens below which a transfer to the home stripe, of which a
-// share lacks shortfall, is not worth its transactions. Requests that wait are worth each:
-// the next attempt takes from further stripes. m.mu is held.
+// share lacks shortfall, is not worth its transactions: those of the first request that
+// waits, or what a share must cover. m.mu is held.
 func (m *Manager) leastTransfer(t *team, shortfall int64) int64 {
+	covered := max(t.share.Available(), 0) + m.stripeTotal(t, m.home).Left()
 	if len(t.waiters) > 0 {
-		return 1
+		return min(shortfall, t.waiters[0].tokens-covered)
 	}
-	covered := max(t.share.Available(), 0) + m.stripeTotal(t, m.home).Left()
 	return min(shortfall, m.minCover(t, m.opt.Clock())-covered)
 }
 
@@ -117,13 +117,17 @@
 		homeLeft := m.stripeTotal(t, m.home).Left()
 		senders := slices.DeleteFunc(m.otherStripes(), func(stripe int) bool { return tried[stripe] || !m.others[stripe].readable })
 		slices.SortFunc(senders, func(a, b int) int { return cmp.Compare(m.stripeTotal(t, b).Left(), m.stripeTotal(t, a).Left()) })
-		// A few tokens from each of many stripes are not worth their transactions.
-		senders = senders[:min(len(senders), maxRefreshedStripes)]
-		var available int64
-		for _, sender := range senders {
+		// A few tokens from each of many stripes are not worth their transactions, unless a
+		// request waits for them.
+		least, available := m.leastTransfer(t, shortfall), int64(0)
+		for i, sender := range senders {
+			if i >= maxRefreshedStripes && (available >= least || len(t.waiters) == 0) {
+				senders = senders[:i]
+				break
+			}
 			available += m.stripeTotal(t, sender).Left()
 		}
-		if available < m.leastTransfer(t, shortfall) {
+		if available < least {
 			continue
 		}
 		for _, sender := range senders {
