sidecar: an unframed answer of a service that has crashed is not whole

Seen: found while following the ends of connections that are taken for whole answers. A service without a length that crashes in the middle of its answer ends it with a plain close; the run was recorded as complete, and the router stated a length for the part. Change: after such an end the sidecar asks whether its target still accepts connections, as it does for connections that break.

--- a/internal/sidecar/execute.go
+++ b/internal/sidecar/execute.go
@@ -203,7 +203,7 @@
 				return failedEnding(err)
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && (isFramed(resp) || x.server.target.isAlive()) {
 			return ending
 		}
 		if err != nil {
@@ -212,6 +212,12 @@
 	}
 }
 
+// isFramed reports whether the end of a response is distinct from the end of its connection.
+// The kernel ends the connections of a target that has crashed as if they were done.
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // connectionLostEnding returns the ending of a run whose connection to the
 // target ended early, either because the sidecar canceled the run's context or
 // with err. In the second case, unless an event was too long, it checks whether
