gateway: watch targets that leave at shorter intervals

An answer that ended less than about 60 ms after its target had stopped listening was cut off, though whole; now it is about 30 ms.

--- a/internal/gateway/targetend.go
+++ b/internal/gateway/targetend.go
@@ -21,7 +21,7 @@
 	endCheckTimeout = 800 * time.Millisecond
 	// leaveCheckInterval is the pause between two checks whether a target that leaves still
 	// accepts connections.
-	leaveCheckInterval = 50 * time.Millisecond
+	leaveCheckInterval = 20 * time.Millisecond
 )
 
 var (
