gateway: the process ends with its grace period though the store is silent

Seen: a stop while the store answers nothing: 9.5 to 10.7 s after the signal, with a grace period of 6 s (the platform would kill the process before). Cause: the tasks were waited for without a bound; the round of budgets that is under way is not ended with them. Change: the wait ends when the time to return the shares does.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -182,9 +182,16 @@
 		return err
 	}
 	stopTasks()
-	tasks.Wait()
 	closeCtx, cancel := context.WithDeadline(context.Background(), <-closeDeadline)
 	defer cancel()
+	ended := make(chan struct{})
+	go func() { tasks.Wait(); close(ended) }()
+	select {
+	case <-ended:
+	case <-closeCtx.Done():
+		log.Warn("stopped without returning the budget shares: the store does not answer")
+		return nil
+	}
 	g.LeaveFleet(closeCtx)
 	budgets.Close(closeCtx)
 	log.Info("stopped")
