gateway: a stop does not wait for connections that the server has answered

Seen: after OPTIONS * on a kept connection a stop in calm took 5.0 s of a grace period of 6 s, and the idle caller got a 503 that it had not asked for. Cause: net/http answers such requests without the handler, so that the connection stayed one of which a part of a request was read. Change: it is quiet when the server says that it is idle. The last answer to a part of a request has a write deadline.

--- a/internal/gateway/callerconn_test.go
+++ b/internal/gateway/callerconn_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -61,3 +62,12 @@
 		})
 	}
 }
+
+// Guards against a stop that waits for a connection on which nothing is asked, because the
+// server has answered its last request without the gateway, as it does OPTIONS *.
+func TestConnectionIsQuietAfterAnAnswerOfTheServer(t *testing.T) {
+	c := &callerConn{}
+	c.state.Store(connPartial)
+	observeCallerConn(c, http.StateIdle)
+	assert.Equal(t, c.state.Load(), connQuiet)
+}
--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -65,8 +65,11 @@
 func (cs *callerConns) endReads(answer []byte) {
 	for _, c := range cs.all() {
 		if c.state.CompareAndSwap(connPartial, connEnded) {
-			_, writeErr := c.Write(answer)
-			_ = errors.Join(writeErr, c.Close()) // the caller may have left
+			err := c.SetWriteDeadline(time.Now().Add(cutOffWait))
+			if err == nil {
+				_, err = c.Write(answer)
+			}
+			_ = errors.Join(err, c.Close()) // the caller may have left
 			continue
 		}
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
@@ -75,8 +78,8 @@
 
 // observeCallerConn notes that a connection waits for its next request.
 func observeCallerConn(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
-		c.state.CompareAndSwap(connServing, connQuiet)
+	if c, ok := conn.(*callerConn); ok && state == http.StateIdle && !c.state.CompareAndSwap(connServing, connQuiet) {
+		c.state.CompareAndSwap(connPartial, connQuiet) // the server has answered by itself
 	}
 }
 
