--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -41,34 +41,6 @@
 	return stopSchedule{acceptUntil: start.Add(min(acceptAfterStop, inProgress*3/4)), end: start.Add(inProgress)}
 }
 
-// Causes of the end of a request's contexts.
-var (
-	errMayNotEnd = errors.New("the request may not end within the grace period")
-	errCutOff    = errors.New("the grace period has ended")
-)
-
-// requestContexts returns the context of a request and that of its waits, which ends when
-// a request that may not end in time is no longer passed on. Both have the request's
-// deadline.
-func (g *Gateway) requestContexts(parent context.Context, req *request) (ctx, waits context.Context, release func()) {
-	ctx, cancel := context.WithCancelCause(parent)
-	ctx, cancelDeadline := context.WithDeadline(ctx, req.deadline)
-	waits, cancelWaits := context.WithCancelCause(ctx)
-	keepAll := context.AfterFunc(g.cutOff, func() { cancel(errCutOff) })
-	keepWaits := context.AfterFunc(g.lateRefused, func() {
-		if req.deadline.After(g.stop.end) {
-			cancelWaits(errMayNotEnd)
-		}
-	})
-	return ctx, waits, func() {
-		keepWaits()
-		keepAll()
-		cancelWaits(nil)
-		cancelDeadline()
-		cancel(nil)
-	}
-}
-
 // checkPassOn returns errMayNotEnd if a request may no longer be passed on, because the
 // gateway is stopping and the request's deadline lies beyond the grace period. A request that
 // may have run before is passed on again until the end: its caller could not be told to
@@ -107,7 +79,7 @@
 	time.Sleep(time.Until(g.stop.acceptUntil))
 	_ = listener.Close() // the server notices this; nothing else uses the listener
 	<-accepted
-	g.refuseLate()
+	g.openRequests.refuseLate(g.stop.end)
 	for g.inProgress.Load() > 0 || g.callers.closeQuiet() > 0 {
 		left := time.Until(g.stop.end)
 		if left <= 0 {
@@ -124,7 +96,7 @@
 func (g *Gateway) cutOffRest() {
 	g.opt.Logger.Warn("grace period ended with requests in progress", "open", g.inProgress.Load())
 	g.phase.Store(phaseClosing)
-	g.cutOffAll()
+	g.openRequests.cutOffAll()
 	await(func() bool { return g.inProgress.Load() == 0 })
 	// What is left waits for its caller.
 	g.callers.endReads(refusalOfPart)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,20 +120,16 @@
 
 // Gateway serves callers. Create one with New.
 type Gateway struct {
-	opt        Options
-	pool       *upstream.Pool
-	room       *hostRoom // nil if nothing is watched
-	backlogs   *backlog.Pool
-	config     atomic.Pointer[httproute.Config]
-	phase      atomic.Int32
-	inProgress atomic.Int64 // requests in progress
-	stop       stopSchedule // set before phase becomes phaseDraining
-	callers    callerConns
-	// Contexts of requests end with these two, see requestContexts.
-	lateRefused context.Context // ends when requests that may not end in time are refused
-	refuseLate  context.CancelFunc
-	cutOff      context.Context // ends with the grace period
-	cutOffAll   context.CancelFunc
+	opt          Options
+	pool         *upstream.Pool
+	room         *hostRoom // nil if nothing is watched
+	backlogs     *backlog.Pool
+	config       atomic.Pointer[httproute.Config]
+	phase        atomic.Int32
+	inProgress   atomic.Int64 // requests in progress
+	stop         stopSchedule // set before phase becomes phaseDraining
+	callers      callerConns
+	openRequests openRequests
 
 	mu           sync.Mutex
 	targetView   *targets.View
@@ -191,8 +187,6 @@
 		recordsDue:      make(chan struct{}, 1),
 		versionsWritten: make(chan struct{}),
 	}
-	g.lateRefused, g.refuseLate = context.WithCancel(context.Background())
-	g.cutOff, g.cutOffAll = context.WithCancel(context.Background())
 	o.Metrics.Registry.MustRegister(g)
 	if hostRoom != nil {
 		o.Metrics.Registry.MustRegister(hostRoom)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -109,8 +109,8 @@
 		g.writeProblem(w, req, errkind.From(err))
 		return
 	}
-	ctx, waits, release := g.requestContexts(r.Context(), req)
-	defer release()
+	ctx, waits, end := g.openRequests.begin(r.Context(), req.deadline)
+	defer end()
 	if err := g.prepare(waits, w, r, req); err != nil {
 		if errors.Is(err, errCallerGone) {
 			panic(http.ErrAbortHandler)
