gateway: one watch of a target that leaves for all its answers

Seen: a review counted 53 new connections in 1.1 s to a target that drains for one stream without a length, and 540 for ten; they counted towards the limit of connections to the target. Change: the answers of a target share one watch, with 50 ms between two connections, which are closed at once and count towards no limit. Whole answers that end less than about 60 ms after their target has stopped listening are cut off.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,6 +138,7 @@
 	parts        *suspects                // prompt parts that were in flight at crashes
 	requests     *suspects                // whole requests
 	brokenRuns   map[string]*brokenRuns   // by target
+	leaveWatches map[*targets.Target]*leaveWatch
 	fleet        *fleet.State
 	streams      *fleet.Streams
 	// severalVersions are the services whose streams are recorded, because targets of
@@ -178,6 +179,7 @@
 		parts:        &suspects{PartTracker: quarantine.NewPartTracker(), subject: fleet.PromptParts, name: "prompt part"},
 		requests:     &suspects{PartTracker: quarantine.NewRequestTracker(), subject: fleet.WholeRequests, name: "request"},
 		brokenRuns:   map[string]*brokenRuns{},
+		leaveWatches: map[*targets.Target]*leaveWatch{},
 		fleet:        fleet.NewState(o.Host),
 		streams:      fleet.NewStreams(o.Host, o.Incarnation),
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/sse"
@@ -50,8 +51,8 @@
 // sendPlain forwards an answer that is not a stream. Answers with status 500 or
 // higher are discarded while a further run is allowed.
 func (g *Gateway) sendPlain(ctx context.Context, w http.ResponseWriter, req *request, answer *upstream.Response, t *targets.Target) (outcome, error) {
-	watch := g.watchLeave(ctx, answer, t)
-	defer watch.stop()
+	endWatch := sync.OnceValue(g.watchLeave(answer, t))
+	defer endWatch()
 	if err := answer.SetReadDeadline(req.deadline); err != nil {
 		return g.classifyBrokenAnswer(ctx, req, err)
 	}
@@ -62,7 +63,7 @@
 	isWhole := len(body) <= maxBufferedBytes
 	end := targets.EndWhole
 	if isWhole {
-		if end, err = g.judgeEnd(ctx, req, answer, t, watch); err != nil {
+		if end, err = g.judgeEnd(ctx, req, answer, t, endWatch()); err != nil {
 			return g.classifyBrokenAnswer(ctx, req, err)
 		}
 	}
@@ -86,7 +87,7 @@
 	case n > maxRest:
 		return outcomeBroken, &upstream.TooLongError{What: "plain answer", Limit: maxPlainBytes}
 	}
-	if _, err := g.judgeEnd(ctx, req, answer, t, watch); err != nil {
+	if _, err := g.judgeEnd(ctx, req, answer, t, endWatch()); err != nil {
 		return g.classifyBrokenAnswer(ctx, req, err)
 	}
 	return outcomeServed, nil
@@ -141,8 +142,8 @@
 // sendStream forwards complete events as they arrive. The head of the answer is
 // sent with the first event, so that until then another target may answer.
 func (g *Gateway) sendStream(ctx context.Context, w http.ResponseWriter, req *request, answer *upstream.Response, t *targets.Target) (outcome, error) {
-	watch := g.watchLeave(ctx, answer, t)
-	defer watch.stop()
+	endWatch := sync.OnceValue(g.watchLeave(answer, t))
+	defer endWatch()
 	control := http.NewResponseController(w)
 	splitter := sse.NewSplitter(maxEventBytes)
 	buf := make([]byte, streamReadBytes)
@@ -187,7 +188,7 @@
 			// stream may have all events already.
 			return g.classifyBrokenAnswer(ctx, req, io.ErrUnexpectedEOF)
 		default:
-			end, err := g.judgeEnd(ctx, req, answer, t, watch)
+			end, err := g.judgeEnd(ctx, req, answer, t, endWatch())
 			if err != nil {
 				return g.classifyBrokenAnswer(ctx, req, err)
 			}
--- a/internal/gateway/targetend.go
+++ b/internal/gateway/targetend.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,7 +20,7 @@
 	endCheckTimeout = 800 * time.Millisecond
 	// leaveCheckInterval is the pause between two checks whether a target that leaves still
 	// accepts connections.
-	leaveCheckInterval = 20 * time.Millisecond
+	leaveCheckInterval = 50 * time.Millisecond
 )
 
 var (
@@ -53,43 +52,69 @@
 	return targets.ProbeUnreachable, err
 }
 
-// leaveWatch notices that a target which leaves refuses connections while it goes on with an
-// answer. It shows that the target did not end when it stopped to listen.
+// leaveWatch notices that a target which leaves refuses connections while it goes on with its
+// answers. It shows that the target did not end when it stopped listening.
 type leaveWatch struct {
-	refused atomic.Bool
-	stop    context.CancelFunc
+	target *targets.Target
+	// answers are those in progress that only the end of their connection ends. The value
+	// says that the target has refused connections while that of the answer was open.
+	answers map[*upstream.Response]bool
+	cancel  context.CancelFunc
 }
 
 // watchLeave watches the target of an answer that only the end of its connection ends, until
-// the watch is stopped.
-func (g *Gateway) watchLeave(ctx context.Context, answer *upstream.Response, t *targets.Target) *leaveWatch {
+// stop is called. stop reports whether the target has refused connections while that of the
+// answer was open.
+func (g *Gateway) watchLeave(answer *upstream.Response, t *targets.Target) (stop func() bool) {
 	if answer.Framed() {
-		return &leaveWatch{stop: func() {}}
+		return func() bool { return false }
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	watch := &leaveWatch{stop: cancel}
-	go func() {
-		for timing.Sleep(ctx, leaveCheckInterval) {
-			g.mu.Lock()
-			leaving := t.Leaving()
-			g.mu.Unlock()
-			if !leaving {
-				continue
-			}
-			// The start does not matter: what accepts connections has not stopped to listen.
-			probe, _ := g.probeStart(ctx, t, 0, false)
-			if probe == targets.ProbeRefused && timing.Sleep(ctx, endCheckDelay) && answer.Open() {
-				watch.refused.Store(true)
-				return
-			}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.leaveWatches[t]
+	if w == nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		w = &leaveWatch{target: t, answers: map[*upstream.Response]bool{}, cancel: cancel}
+		g.leaveWatches[t] = w
+		go g.runLeaveWatch(ctx, w)
+	}
+	w.answers[answer] = false
+	return func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		refused := w.answers[answer]
+		delete(w.answers, answer)
+		if len(w.answers) == 0 {
+			w.cancel()
+			delete(g.leaveWatches, t)
+		}
+		return refused
+	}
+}
+
+// runLeaveWatch tries connections to a target that leaves until it refuses one, or no answer is
+// in progress any more.
+func (g *Gateway) runLeaveWatch(ctx context.Context, w *leaveWatch) {
+	for timing.Sleep(ctx, leaveCheckInterval) {
+		g.mu.Lock()
+		leaving := w.target.Leaving()
+		g.mu.Unlock()
+		if !leaving || !errors.Is(g.pool.TryConnect(ctx, w.target.Address), syscall.ECONNREFUSED) || !timing.Sleep(ctx, endCheckDelay) {
+			continue
 		}
-	}()
-	return watch
+		g.mu.Lock()
+		for answer := range w.answers {
+			w.answers[answer] = answer.Open()
+		}
+		g.mu.Unlock()
+		return
+	}
 }
 
 // judgeEnd says whether an answer is whole that has come to its end. One that has ended with
-// its connection is whole if the start of the target that sent it is still there.
-func (g *Gateway) judgeEnd(ctx context.Context, req *request, answer *upstream.Response, t *targets.Target, watch *leaveWatch) (targets.End, error) {
+// its connection is whole if the start of the target that sent it is still there. refusedBefore
+// is the result of the watch of the answer.
+func (g *Gateway) judgeEnd(ctx context.Context, req *request, answer *upstream.Response, t *targets.Target, refusedBefore bool) (targets.End, error) {
 	req.end = targets.EndWhole
 	if answer.Framed() {
 		return req.end, nil
@@ -106,7 +131,7 @@
 	}
 	g.mu.Lock()
 	othersBrokeOff := g.brokenRuns[t.ID] != nil
-	end := t.JudgeEnd(req.targetStart, probe, watch.refused.Load() && !othersBrokeOff)
+	end := t.JudgeEnd(req.targetStart, probe, refusedBefore && !othersBrokeOff)
 	req.end = end
 	state := t.Availability(time.Now(), targets.Query{})
 	g.mu.Unlock()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -189,6 +189,16 @@
 	return &IdentityError{err}
 }
 
+// TryConnect reports whether the address accepts a connection, which is closed at once. It
+// counts towards no limit.
+func (p *Pool) TryConnect(ctx context.Context, address string) error {
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // Conns returns the number of connections, idle and in use.
 func (p *Pool) Conns() (n int) {
 	p.mu.Lock()
