--- a/internal/prepaid/reading.go
+++ b/internal/prepaid/reading.go
@@ -11,14 +11,7 @@
 	"tarragonridge.example/tarragonridge/internal/platform"
 )
 
-// maxTotalsAge returns the age at which totals are read again.
-func (m *Manager) maxTotalsAge() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.totalsAge()
-}
-
-// totalsAge is maxTotalsAge with m.mu held.
+// totalsAge returns the age at which totals are read again. m.mu is held.
 func (m *Manager) totalsAge() time.Duration {
 	return max(homeRefreshInterval, refreshLatencyFactor*m.lastSuccessDuration)
 }
