router: a repeat that joins a run before its start is told when it is replaced

Cause: the id of a run is in its claim before the run is registered; a repeat at the same router that reads the claim in between registers the run itself, and its registration is then replaced, with nobody to wake its reader. Change: the readers of the replaced registration fail with the error that has them read the claim again. Evidence: TestRepeatThatJoinsARunBeforeItsStartIsToldOfIt failed before (no answer in 1 s) and passes; the package passes with the race detector.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -148,6 +148,12 @@
 func (r *Router) addRun(run *run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if joined := r.runs[run.id]; joined != nil {
+		// A repeat has read the run's id from its claim before the run was registered here.
+		// What the sidecar sends goes to the run from now on.
+		joined.target.openRuns.Add(-1)
+		defer joined.fail(errRunReplaced)
+	}
 	r.runs[run.id] = run
 	run.target.openRuns.Add(1)
 	if !run.keepChunks {
--- a/internal/router/run_test.go
+++ b/internal/router/run_test.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -40,3 +42,18 @@
 	_, _, err := (&reader{run: joined}).next(t.Context())
 	assert.ErrorIs(t, err, errRunReplaced)
 }
+
+// Guards against a repeat that waits forever, because it has read the id of a run from its claim
+// and joined the run before the router registered it.
+func TestRepeatThatJoinsARunBeforeItsStartIsToldOfIt(t *testing.T) {
+	r := &Router{runs: map[string]*run{}, runsByIdentity: map[ledger.Identity]*run{}}
+	at := &target{}
+	joined, isNew := r.findOrAddRun("r1", &request{}, at, "s1")
+	assert.Assert(t, isNew)
+	r.addRun(newRun("r1", ledger.Identity{}, at))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, _, err := (&reader{run: joined}).next(ctx)
+	assert.ErrorIs(t, err, errRunReplaced)
+	assert.Equal(t, at.openRuns.Load(), int32(1))
+}
