gateway: a start that registers late, and one that comes after an orderly end

Change: if a target that tells no start accepts the connection, the judgement waits 20 ms for a registration. A target that refused connections while the answer was open has left in order, whatever has come to its address since; it is asked more often whether it does.

--- a/internal/core/targets/ending.go
+++ b/internal/core/targets/ending.go
@@ -28,15 +28,12 @@
 // connections before while it still had this one open, as one does that stops once it has sent
 // what it has begun.
 func (t *Target) JudgeEnd(startedMS int64, probe Probe, leftInOrder bool) End {
+	started := t.StartedMS != startedMS || t.replaced
 	switch {
-	case probe == ProbeSameStart:
+	case probe == ProbeSameStart, probe == ProbeAccepted && !started:
 		return EndWhole
-	case probe == ProbeOtherStart, t.StartedMS != startedMS:
-		return EndCutOff
-	case probe == ProbeAccepted && !t.replaced:
-		return EndWhole
-	case leftInOrder && (probe == ProbeRefused || probe == ProbeUnreachable):
-		return EndPresumed
+	case leftInOrder:
+		return EndPresumed // whatever has come to its address since
 	}
 	return EndCutOff
 }
--- a/internal/gateway/targetend.go
+++ b/internal/gateway/targetend.go
@@ -18,9 +18,12 @@
 const (
 	endCheckDelay   = 10 * time.Millisecond // a process that ends closes its sockets one by one
 	endCheckTimeout = 800 * time.Millisecond
+	// registrationDelay is the time in which the registration of another start, which
+	// accepts connections, comes.
+	registrationDelay = 20 * time.Millisecond
 	// leaveCheckInterval is the pause between two checks whether a target that leaves still
 	// accepts connections.
-	leaveCheckInterval = 50 * time.Millisecond
+	leaveCheckInterval = 20 * time.Millisecond
 )
 
 var (
@@ -126,8 +129,11 @@
 	defer cancel()
 	engine := req.service.Slots > 0
 	probe, err := g.probeStart(checkCtx, t, req.targetStart, engine)
-	if probe == targets.ProbeUnidentified {
+	switch probe {
+	case targets.ProbeUnidentified:
 		probe, err = g.probeStart(checkCtx, t, req.targetStart, engine)
+	case targets.ProbeAccepted:
+		timing.Sleep(checkCtx, registrationDelay)
 	}
 	g.mu.Lock()
 	othersBrokeOff := g.brokenRuns[t.ID] != nil
