scenarios: the set-up tops up again when the platform limits the rate

Cause: the platform of this scenario takes 40 writes a second, and the set-up makes more on a fast machine. What the scenario checks comes after that. Change: a call of the set-up that carries an idempotency key is sent again until it succeeds, for up to the time that routers have to become ready.

--- a/scenarios/topology_test.go
+++ b/scenarios/topology_test.go
@@ -275,6 +275,9 @@
 	}
 	c := &call{method: method, url: "router1" + admin.BasePath + path, bearer: operatorKey, headers: headers,
 		body: data, wantStatus: "200,201", timeout: defaultCallTimeout}
+	if slices.ContainsFunc(headers, func(h string) bool { return strings.HasPrefix(h, "Idempotency-Key:") }) {
+		c.retryFor = readyTimeout // the platform may limit the rate of writes
+	}
 	if err := s.resolve(c); err != nil {
 		return nil, err
 	}
