gateway: bytes that were sent long ago leave the link free

Cause, now proved: what callers and targets were sent is told to the pace of the link only when the next request enters, and counted as sent at that moment (TestBytesSentLongAgoLeaveTheLinkFree fails before: refused 3 s after the bytes). Change: counters of bytes know when the last of them were sent, and the pace records them at that time. Bytes that were sent just now still count, which the test checks too.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -167,10 +167,18 @@
 	}
 }
 
-// recordSent tells the pace what was sent since the last call. h.mu is held.
+// recordSent tells the pace what was sent since the last call, as sent when the last of it
+// was: that may be long ago. h.mu is held.
 func (h *hostRoom) recordSent(now time.Time, pace *room.Pace) {
 	callers, targets := h.callers.Out(), h.targets.Out()
-	pace.Sent(now, callers-h.sent.callers, targets-h.sent.targets)
+	at := h.callers.LastOut()
+	if other := h.targets.LastOut(); other.After(at) {
+		at = other
+	}
+	if at.IsZero() || at.After(now) {
+		at = now
+	}
+	pace.Sent(at, callers-h.sent.callers, targets-h.sent.targets)
 	h.sent.callers, h.sent.targets = callers, targets
 }
 
--- a/internal/gateway/entry_test.go
+++ b/internal/gateway/entry_test.go
@@ -177,3 +177,17 @@
 		})
 	}
 }
+
+// Guards against a request that is refused because of bytes that were sent seconds before it
+// came and have long passed, and against one that is taken while the link is full.
+func TestBytesSentLongAgoLeaveTheLinkFree(t *testing.T) {
+	for pause, free := range map[time.Duration]bool{0: false, 3 * time.Second: true} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHostRoom(room.Limits{LinkBytesPerS: testLink}, nil)
+			h.targets.AddOut(testLink)
+			time.Sleep(pause)
+			_, wait, ok := h.enter(t.Context(), entryOf(0, 50*time.Millisecond))
+			assert.Equal(t, ok, free, "%v after %d bytes the wait is %v", pause, testLink, wait)
+		})
+	}
+}
--- a/internal/netcount/netcount.go
+++ b/internal/netcount/netcount.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -12,6 +13,9 @@
 // Counter counts bytes. The zero value is ready to use.
 type Counter struct {
 	in, out atomic.Int64
+
+	mu      sync.Mutex
+	lastOut time.Time
 }
 
 // In returns the number of bytes received.
@@ -20,6 +24,25 @@
 // Out returns the number of bytes sent.
 func (c *Counter) Out() int64 { return c.out.Load() }
 
+// LastOut returns when bytes were last sent, the zero time if none were.
+func (c *Counter) LastOut() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastOut
+}
+
+// AddOut counts bytes that were sent now.
+func (c *Counter) AddOut(n int64) {
+	if n <= 0 {
+		return
+	}
+	now := time.Now()
+	c.out.Add(n)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastOut = now
+}
+
 // Conn counts the bytes of a TCP connection, for the connection and in its Counter. It
 // hides net.TCPConn.ReadFrom and WriteTo, which would pass by the count.
 type Conn struct {
@@ -70,7 +93,7 @@
 // CountSent counts bytes that were written to TCP.
 func (c *Conn) CountSent(n int) {
 	c.own.out.Add(int64(n))
-	c.total.out.Add(int64(n))
+	c.total.AddOut(int64(n))
 }
 
 // Close implements net.Conn.
