logqueue: the queue of lines is bounded by bytes

The queue held up to 4,096 lines, which were taken for about 1 MB. A line may name what a caller has sent, such as a request id of 16 KB: 64 MB while the log is slow. Found by reading, while each way to hold memory was looked for. Lines beyond 1 MiB are dropped and counted like those beyond the number (TestLongLinesAreBounded; it fails before, as 1,000 lines of 16 KB are kept).

--- a/internal/logqueue/logqueue.go
+++ b/internal/logqueue/logqueue.go
@@ -10,8 +10,12 @@
 	"time"
 )
 
-// maxQueuedLines limits the lines in the queue, to about 1 MB.
-const maxQueuedLines = 4096
+// maxQueuedLines and maxQueuedBytes limit the lines in the queue. A line may hold what a
+// caller has sent, and be long.
+const (
+	maxQueuedLines = 4096
+	maxQueuedBytes = 1 << 20
+)
 
 // maxBatchBytes limits a batch: a batch that has reached this size gets no further
 // line and is written. Batches save system calls.
@@ -23,6 +27,7 @@
 	lines     chan []byte
 	closing   chan struct{} // closed by Close
 	done      chan struct{} // closed when the lines queued before Close are written
+	queued    atomic.Int64  // bytes of lines
 	dropped   atomic.Int64  // lines dropped since the start
 	closeOnce sync.Once
 }
@@ -43,12 +48,15 @@
 		return len(p), nil
 	default:
 	}
-	line := append([]byte(nil), p...)
-	select {
-	case w.lines <- line:
-	default:
-		w.dropped.Add(1)
+	if w.queued.Add(int64(len(p))) <= maxQueuedBytes {
+		select {
+		case w.lines <- append([]byte(nil), p...):
+			return len(p), nil
+		default:
+		}
 	}
+	w.queued.Add(-int64(len(p)))
+	w.dropped.Add(1)
 	return len(p), nil
 }
 
@@ -80,6 +88,7 @@
 				return
 			}
 		}
+		w.queued.Add(-int64(len(line)))
 		batch := w.appendQueued(line)
 		if dropped := w.dropped.Load(); dropped > reported {
 			batch = fmt.Appendf(batch, "time=%s level=WARN msg=\"log lines dropped\" lines=%d in_all=%d\n",
@@ -97,6 +106,7 @@
 	for len(batch) < maxBatchBytes {
 		select {
 		case line := <-w.lines:
+			w.queued.Add(-int64(len(line)))
 			batch = append(batch, line...)
 		default:
 			return batch
--- a/internal/logqueue/logqueue_test.go
+++ b/internal/logqueue/logqueue_test.go
@@ -79,3 +79,20 @@
 	assert.Assert(t, strings.HasPrefix(b.String(), "first\n"))
 	assert.Assert(t, !strings.Contains(b.String(), "last"))
 }
+
+// Guards against a queue of few but long lines that uses up the memory, as what callers send
+// is logged.
+func TestLongLinesAreBounded(t *testing.T) {
+	out := &blockingWriter{writing: make(chan struct{}, 100), unblock: make(chan struct{})}
+	w := New(out)
+	fmt.Fprintln(w, "first")
+	<-out.writing // from here on no line leaves the queue
+	long := strings.Repeat("x", 16<<10)
+	for range 1000 {
+		fmt.Fprintln(w, long)
+	}
+	assert.Equal(t, w.Dropped(), int64(1000-maxQueuedBytes/(16<<10+1)))
+	close(out.unblock)
+	assert.NilError(t, w.Close())
+	assert.Equal(t, strings.Count(out.written.String(), long), maxQueuedBytes/(16<<10+1))
+}
