rpc: a lack of descriptors does not end the server, and strangers yield to peers

Cause: Serve returned every error of Accept but time-outs, so that a router or a sidecar ended when its descriptors were used up for a moment, by whomever (TestServeOutlivesALackOfDescriptors fails before). A connection without a hello kept its descriptor and 64 KiB of buffer, and the length of a message alone made the receiver reserve up to 1 MiB for it (TestStrangersYieldToPeers fails before). Change: Accept goes on after a pause. Of connections without a hello there are 64, the oldest is closed for a new one, and their messages have up to 64 KiB. Peers of earlier builds are not affected: their hello is some hundred bytes.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -19,6 +19,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/listen"
 	"tarragonridge.example/tarragonridge/internal/wire"
 )
 
@@ -139,6 +141,9 @@
 	return c, nil
 }
 
+// maxUngreeted bounds the connections whose peers have not sent their hello.
+const maxUngreeted = 64
+
 // Serve accepts connections until ctx is done or the listener fails. It closes
 // all connections when it returns.
 func Serve(ctx context.Context, ln net.Listener, opts Options, h Handler) error {
@@ -150,19 +155,25 @@
 		_ = k.(*Conn).Close()
 		return true
 	})
+	var waiting []*Conn // that have not sent their hello, the oldest first
 	for {
 		sock, err := ln.Accept()
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
 			}
-			var netErr net.Error
-			if errors.As(err, &netErr) && netErr.Timeout() {
+			if listen.Again(ctx, err) {
 				continue
 			}
 			return errkind.Wrap(err, errkind.Internal, "accept on %s", ln.Addr())
 		}
 		c := newConn(sock, opts, h, false)
+		waiting = slices.DeleteFunc(waiting, func(w *Conn) bool { return w.opened.Load() || w.ended() })
+		if len(waiting) >= maxUngreeted {
+			_ = waiting[0].Close() // it is of no use to anyone
+			waiting = slices.Delete(waiting, 0, 1)
+		}
+		waiting = append(waiting, c)
 		conns.Store(c, struct{}{})
 		go func() {
 			<-c.done
@@ -183,6 +194,9 @@
 	}
 	c.noteAnswer()
 	c.stream = newStream(c.sock, c.handleNotification)
+	if !dialled {
+		c.stream.greeted = &c.opened
+	}
 	c.jsonrpc = jsonrpc2.NewConn(context.Background(), c.stream, dispatcher{c}, jsonrpc2.SetLogger(discardLogger{}))
 	close(c.initialised)
 	go c.watch()
@@ -209,6 +223,15 @@
 // Done returns a channel that is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
+func (c *Conn) ended() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Close ends the connection.
 func (c *Conn) Close() error { return c.jsonrpc.Close() }
 
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -9,6 +9,7 @@
 	"io"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -20,6 +21,7 @@
 const (
 	readBufferBytes      = 64 << 10
 	maxFrameBytes        = 64 << 20               // of a message
+	maxHelloBytes        = 64 << 10               // of a message of a peer that has not sent its hello
 	maxKeptBufferBytes   = 256 << 10              // larger buffers are released after use
 	maxQueuedBytes       = 256 << 10              // waiting to be written; senders block while there are more
 	closeFlushTimeout    = 100 * time.Millisecond // for messages that are queued when the connection is closed
@@ -50,6 +52,8 @@
 	frame  []byte // reused for each message
 	notify func(method string, params json.RawMessage)
 	queue  sendQueue
+	// greeted says that the peer may send long messages; nil if it always may.
+	greeted *atomic.Bool
 }
 
 var _ jsonrpc2.ObjectStream = (*stream)(nil)
@@ -123,8 +127,12 @@
 	if err != nil {
 		return err
 	}
-	if size > maxFrameBytes {
-		return errkind.New(errkind.InvalidRequest, "message of %d bytes exceeds %d", size, maxFrameBytes)
+	limit := uint64(maxFrameBytes)
+	if s.greeted != nil && !s.greeted.Load() {
+		limit = maxHelloBytes
+	}
+	if size > limit {
+		return errkind.New(errkind.InvalidRequest, "message of %d bytes exceeds %d", size, limit)
 	}
 	if cap(s.frame) > maxKeptBufferBytes {
 		s.frame = nil
