placement: the shared parts that a relay remembers are bounded

Parts are forgotten when their tokens exceed what the engine holds. Callers name the parts and their tokens: parts of none are never forgotten, and parts of one token only after as many as the engine has tokens (TestPartsAreBounded; before, 98,304 parts are kept). There are 16,384 now, more than an engine holds of ordinary ones.

--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -44,6 +44,9 @@
 	maxRun = 20 * time.Second
 	// maxRequests bounds the requests that a queue counts.
 	maxRequests = 4096
+	// maxParts bounds the shared parts that the engine is taken to hold. Parts may have few
+	// tokens or none.
+	maxParts = 16384
 	// cacheDivisor is the part of the engine's memory that is taken to hold shared parts;
 	// running requests use the rest.
 	cacheDivisor = 2
@@ -216,7 +219,7 @@
 		}
 		before = part.Tokens
 	}
-	for q.cached > q.capacity && q.recency.Len() > 0 {
+	for q.recency.Len() > maxParts || q.cached > q.capacity && q.recency.Len() > 0 {
 		c := q.recency.Remove(q.recency.Back()).(cachedPart)
 		delete(q.parts, c.hash)
 		q.cached -= c.tokens
--- a/internal/core/placement/queue_test.go
+++ b/internal/core/placement/queue_test.go
@@ -112,3 +112,16 @@
 	near(q.Load(now.Add(20*time.Millisecond), promptOf(1)).Wait, 20*time.Millisecond)
 	near(q.Load(now.Add(400*time.Millisecond), promptOf(1)).Wait, 360*time.Millisecond)
 }
+
+// Guards against a queue whose memory is used up by parts that have no tokens, or few, as
+// callers name them.
+func TestPartsAreBounded(t *testing.T) {
+	q := NewQueue()
+	q.SetMemory(1 << 30)
+	for i := range uint64(3 * maxParts) {
+		q.Begin(start, i, Prompt{Tokens: 10, Parts: []Part{{Hash: 2 * i, Tokens: 0}, {Hash: 2*i + 1, Tokens: 1}}})
+		q.End(i)
+	}
+	assert.Equal(t, len(q.parts), maxParts)
+	assert.Equal(t, q.recency.Len(), maxParts)
+}
