callers: one place owns the memory and descriptors that callers may take

Cause: what strangers make a gateway hold was bounded for each request and counted for none. A body grew by appending (two to three times its bytes), a head of 13 kB in small fields held 230 kB, also before its end, and connections were bounded by the descriptors of the process alone. A full memory refused whoever came next, and so kept those who held it. max-header-bytes, header-timeout-ms and idle-timeout-ms of the configuration were not read. Change: internal/core/intake decides what connections and requests cost and which yield; internal/callers (the code for callers' connections moves there from gateway) counts before memory is allocated, passes a head on once it is whole, receives bodies in blocks, and closes the connection that holds most for longest. Requests that have come in whole stay; small ones have a share for themselves. Readiness and metrics get a pool of their own. The limits of the configuration are in force, with 431 and 408; empty lines before a request are skipped. Lines about requests that fail without a key are limited. Why it works: nothing is held for a caller that is not counted first, and whoever asks for more makes room instead of being refused.

--- a/internal/gateway/callerconn_test.go
+++ b/internal/callers/conn_test.go
@@ -1,9 +1,10 @@
-package gateway
+package callers
 
 import (
 	"cmp"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"syscall"
@@ -16,9 +17,20 @@
 	"tarragonridge.example/tarragonridge/internal/core/backlog"
 )
 
+// newTestPool returns a pool with the limits on requests that a test leaves open.
+func newTestPool(o Options) *Pool {
+	o.Listener, o.Logger = "test", slog.New(slog.DiscardHandler)
+	if o.Requests == nil {
+		o.Requests = func() RequestLimits {
+			return RequestLimits{HeaderBytes: 16 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}
+		}
+	}
+	return NewPool(o)
+}
+
 // callerPair returns a connection to a caller that does not read, whose bytes fill its
 // buffers and then a backlog, and the caller's end.
-func callerPair(t *testing.T) (*callerConn, net.Conn) {
+func callerPair(t *testing.T) (*Conn, net.Conn) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -37,10 +49,10 @@
 	assert.NilError(t, tcp.SetWriteBuffer(4<<10))
 	raw, err := tcp.SyscallConn()
 	assert.NilError(t, err)
-	c := newCallerConn(tcp, tcp, nil, raw, backlog.NewPool(backlog.MaxBytes), NewMetrics())
+	c := newTestPool(Options{Backlogs: backlog.NewPool(backlog.MaxBytes)}).newConn(tcp, tcp, nil, raw)
 	t.Cleanup(func() { _ = tcp.Close() })
 	chunk := make([]byte, 1<<10)
-	for held := 0; held < backlog.MaxBytes/2; _, held = c.progress() {
+	for held := 0; held < backlog.MaxBytes/2; _, held = c.Progress() {
 		_, err := c.Write(chunk)
 		assert.NilError(t, err)
 	}
@@ -50,12 +62,12 @@
 // Guards against an answer without a length whose end looks complete to its caller though a
 // part of it was never written.
 func TestBacklogThatFailsEndsInAReset(t *testing.T) {
-	for name, end := range map[string]func(*callerConn) error{"closed": (*callerConn).Close, "closed for writes": (*callerConn).CloseWrite} {
+	for name, end := range map[string]func(*Conn) error{"closed": (*Conn).Close, "closed for writes": (*Conn).CloseWrite} {
 		t.Run(name, func(t *testing.T) {
 			c, caller := callerPair(t)
 			assert.NilError(t, c.SetWriteDeadline(time.Now().Add(50*time.Millisecond)))
 			assert.NilError(t, end(c))
-			assert.ErrorContains(t, c.awaitWritten(), "timeout")
+			assert.ErrorContains(t, c.AwaitWritten(), "timeout")
 			assert.NilError(t, caller.SetReadDeadline(time.Now().Add(5*time.Second)))
 			n, err := io.Copy(io.Discard, caller)
 			assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "the answer ends after %d bytes with %v", n, err)
@@ -66,8 +78,8 @@
 // Guards against a stop that waits for a connection on which nothing is asked, because the
 // server has answered its last request without the gateway, as it does OPTIONS *.
 func TestConnectionIsQuietAfterAnAnswerOfTheServer(t *testing.T) {
-	c := &callerConn{}
+	c := newTestPool(Options{}).newConn(nil, nil, nil, nil)
 	c.state.Store(connPartial)
-	observeCallerConn(c, http.StateIdle)
+	observeConn(c, http.StateIdle)
 	assert.Equal(t, c.state.Load(), connQuiet)
 }
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -17,15 +15,17 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"tarragonridge.example/tarragonridge/internal/callers"
+	"tarragonridge.example/tarragonridge/internal/core/intake"
 	"tarragonridge.example/tarragonridge/internal/core/retry"
 	"tarragonridge.example/tarragonridge/internal/core/room"
 	"tarragonridge.example/tarragonridge/internal/gateway"
+	"tarragonridge.example/tarragonridge/internal/listen"
 	"tarragonridge.example/tarragonridge/internal/logqueue"
 	"tarragonridge.example/tarragonridge/internal/netcount"
 	"tarragonridge.example/tarragonridge/internal/placement"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
-	"tarragonridge.example/tarragonridge/internal/readlimit"
 	"tarragonridge.example/tarragonridge/internal/settings"
 	adapter "tarragonridge.example/tarragonridge/platform"
 )
@@ -39,9 +39,11 @@
 	// memoryLimitFraction is the fraction of the platform's memory limit that the
 	// Go runtime may use. The rest is for socket buffers and the binary itself.
 	memoryLimitFraction = 0.6
-	// backlogDivisor is the part of the process's memory that may be held for callers that
-	// read slowly. The soft limit of the runtime leaves 0.4 of it, and as much is used at
-	// most by connections and requests.
+	// callersDivisor gives the part of the process's memory that callers may make it hold:
+	// connections, requests, and answers that they have not read. The soft limit of the
+	// runtime has room for it and for what the process needs by itself.
+	callersDivisor = 3
+	// backlogDivisor gives the part that may be held for callers that read slowly.
 	backlogDivisor = 4
 	// budgetCloseMargin is how long before the end of the grace period the process
 	// gives up handing back its budgets.
@@ -143,25 +145,27 @@
 		defer placements.Close()
 		go placements.Run()
 	}
+	descriptors := intake.Descriptors{Limit: openFiles(cfg.Limits.Descriptors), SideListeners: 2}
 	g := gateway.New(gateway.Options{
 		Codec: adapter.Headers{}, Budgets: budgets, Paths: storePaths, Logger: log, Metrics: metrics, GracePeriod: cfg.GracePeriod(),
 		FleetTable: instrumented, Placement: placements, Host: cfg.Host, Incarnation: incarnation,
 		Room: roomLimits(cfg.Limits), FailureDomain: cfg.FailureDomain, StoreBytes: storeBytes, BacklogBytes: cfg.Limits.MemoryMB << 20 / backlogDivisor,
+		CallerBytes: cfg.Limits.MemoryMB << 20 / callersDivisor, Descriptors: descriptors,
 		Retries: retry.Limits{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window()},
 	})
-	callers, err := net.Listen("tcp", cfg.Listen.Callers)
+	listener, err := listen.TCP(cfg.Listen.Callers, listen.CallerBuffer)
 	if err != nil {
 		return err
 	}
-	auxiliaryListeners := []auxiliaryListener{{cfg.Listen.Ready, http.HandlerFunc(g.ServeReady)}}
+	sideListeners := []sideListener{{"ready", cfg.Listen.Ready, http.HandlerFunc(g.ServeReady)}}
 	if cfg.Listen.Metrics != "" {
 		operators := http.NewServeMux()
-		operators.Handle("/", promhttp.HandlerFor(metrics.Registry, promhttp.HandlerOpts{}))
+		operators.Handle("/", promhttp.HandlerFor(metrics.Registry, promhttp.HandlerOpts{MaxRequestsInFlight: callers.MaxMetricsReads}))
 		operators.Handle(gateway.WherePath, g.WhereHandler())
-		auxiliaryListeners = append(auxiliaryListeners, auxiliaryListener{cfg.Listen.Metrics, operators})
+		sideListeners = append(sideListeners, sideListener{"metrics", cfg.Listen.Metrics, operators})
 	}
-	for _, l := range auxiliaryListeners {
-		if err := l.serve(log); err != nil {
+	for _, l := range sideListeners {
+		if err := l.serve(descriptors, log, metrics.Registry); err != nil {
 			return err
 		}
 	}
@@ -178,7 +182,7 @@
 	log.Info("started", "host", cfg.Host, "callers", cfg.Listen.Callers)
 	closeDeadline := make(chan time.Time, 1)
 	context.AfterFunc(ctx, func() { closeDeadline <- time.Now().Add(cfg.GracePeriod() - budgetCloseMargin) })
-	if err := g.Serve(ctx, callers); err != nil {
+	if err := g.Serve(ctx, listener); err != nil {
 		return err
 	}
 	stopTasks()
@@ -209,27 +213,3 @@
 		MemoryBytes: int64(memoryLimitFraction * float64(l.MemoryMB<<20)),
 	}
 }
-
-// auxiliaryListener serves readiness or metrics on an address of its own.
-type auxiliaryListener struct {
-	address string
-	handler http.Handler
-}
-
-// auxiliaryHeaderTimeout is the read header timeout of auxiliary listeners.
-const auxiliaryHeaderTimeout = 5 * time.Second
-
-// serve starts to listen and serves in the background.
-func (l auxiliaryListener) serve(log *slog.Logger) error {
-	ln, err := net.Listen("tcp", l.address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: auxiliaryHeaderTimeout, MaxHeaderBytes: readlimit.HeaderBytes}
-	go func() {
-		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			log.Error("auxiliary listener failed", "address", l.address, "err", err)
-		}
-	}()
-	return nil
-}
--- a/internal/core/backlog/backlog.go
+++ b/internal/core/backlog/backlog.go
@@ -19,8 +19,13 @@
 type Pool struct {
 	limit int64
 	held  atomic.Int64
+	room  func() int64
 }
 
+// BoundBy makes the pool take no more than there is room for besides it. It must be called
+// before the first use.
+func (p *Pool) BoundBy(room func() int64) { p.room = room }
+
 // NewPool returns a pool for a number of bytes.
 func NewPool(limit int64) *Pool { return &Pool{limit: limit} }
 
@@ -29,6 +34,9 @@
 
 // take takes up to n bytes and returns how many.
 func (p *Pool) take(n int64) int64 {
+	if n > 0 && p.room != nil {
+		n = min(n, p.room())
+	}
 	for {
 		held := p.held.Load()
 		n = min(n, p.limit-held)
--- a/internal/core/httproute/document.go
+++ b/internal/core/httproute/document.go
@@ -89,7 +89,10 @@
 
 // Limits bounds what a caller may send.
 type Limits struct {
-	MaxBodyBytes int64
+	MaxHeaderBytes int64
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration // from the first byte of a head to its end
+	IdleTimeout    time.Duration // without a request
 }
 
 // Config is one version of the configuration. It is immutable after Index.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -21,6 +21,9 @@
 		req.err = err
 		return
 	}
+	if req.delivery.conn != nil {
+		req.delivery.conn.Answered()
+	}
 	h := w.Header()
 	h.Set("Content-Type", httpapi.ProblemMediaType)
 	if answer.RetryAfter > 0 && answer.Ran == errkind.RanNo {
--- a/internal/gateway/callerend.go
+++ b/internal/gateway/callerend.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"tarragonridge.example/tarragonridge/internal/callers"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/upstream"
 )
@@ -11,11 +12,7 @@
 // chunks, so that one which is cut off would look complete. Such an answer begins with
 // SO_LINGER set to 0: then every end of the connection is a reset, also one by the kernel
 // after the process was killed. Once the connection has taken the whole answer, the option
-// is removed.
-const (
-	lingerReset   = 0
-	lingerDefault = -1
-)
+// is removed (callers.LingerReset).
 
 // framing says what ends an answer, in one word for logs and metrics.
 type framing string
@@ -54,7 +51,7 @@
 	if !req.endsWithConn || req.delivery.conn == nil {
 		return
 	}
-	if err := req.delivery.conn.SetLinger(lingerReset); err != nil {
+	if err := req.delivery.conn.SetLinger(callers.LingerReset); err != nil {
 		g.opt.Logger.Debug("failed to make the end of a caller's connection a reset", "err", err)
 	}
 }
@@ -77,7 +74,7 @@
 	if !req.endsWithConn || req.delivery.conn == nil {
 		return nil
 	}
-	if err := req.delivery.conn.SetLinger(lingerDefault); err != nil {
+	if err := req.delivery.conn.SetLinger(callers.LingerDefault); err != nil {
 		return g.notDelivered(req, err)
 	}
 	return nil
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -1,13 +1,17 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"tarragonridge.example/tarragonridge/internal/callers"
+)
 
 // delivery is what is known of the events that were written to a caller's connection, but
 // that the connection may not have taken yet.
 type delivery struct {
-	conn    *callerConn // nil if not served by Serve
-	batches []batch     // in order
-	missed  int64       // events that the connection did not take before it ended
+	conn    *callers.Conn // nil if not served by Serve
+	batches []batch       // in order
+	missed  int64         // events that the connection did not take before it ended
 }
 
 // batch is some events that were written at once.
@@ -21,7 +25,7 @@
 	if d.conn == nil {
 		return 0
 	}
-	written, held := d.conn.progress()
+	written, held := d.conn.Progress()
 	return written + int64(held)
 }
 
@@ -30,7 +34,7 @@
 	if d.conn == nil {
 		return
 	}
-	if d.conn.idle() {
+	if d.conn.Written() {
 		d.batches = nil
 		return
 	}
@@ -49,11 +53,11 @@
 		g.opt.Logger.Debug("failed to reset the write deadline", "err", resetErr)
 	}
 	began := time.Now()
-	writeErr := d.conn.awaitWritten()
+	writeErr := d.conn.AwaitWritten()
 	if len(d.batches) == 0 && writeErr == nil {
 		return err
 	}
-	written, _ := d.conn.progress()
+	written, _ := d.conn.Progress()
 	for _, b := range d.batches {
 		if b.start >= written {
 			d.missed += b.events
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -80,7 +80,7 @@
 	_ = listener.Close() // the server notices this; nothing else uses the listener
 	<-accepted
 	g.openRequests.refuseLate(g.stop.end)
-	for g.inProgress.Load() > 0 || g.callers.closeQuiet() > 0 {
+	for g.inProgress.Load() > 0 || g.callers.CloseQuiet() > 0 {
 		left := time.Until(g.stop.end)
 		if left <= 0 {
 			g.cutOffRest()
@@ -99,8 +99,8 @@
 	g.openRequests.cutOffAll()
 	await(func() bool { return g.inProgress.Load() == 0 })
 	// What is left waits for its caller.
-	g.callers.endReads(refusalOfPart)
-	await(func() bool { return g.callers.closeQuiet() == 0 })
+	g.callers.EndReads(cutOffWait)
+	await(func() bool { return g.callers.CloseQuiet() == 0 })
 }
 
 // await waits until done returns true, at most for cutOffWait.
@@ -109,6 +109,3 @@
 		time.Sleep(cutOffPollInterval)
 	}
 }
-
-// refusalOfPart answers a request of which a part of the head was read.
-var refusalOfPart = []byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/callers"
 	"tarragonridge.example/tarragonridge/internal/core/admit"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/room"
@@ -49,7 +50,7 @@
 		return nil
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return endOfWait(ctx, errCallerGone)
+		return endOfWait(ctx, callers.ErrGone)
 	}
 	// The server reads a short rest of the body before it answers, for which the caller
 	// has as long as for any body.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/callers"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/retry"
@@ -149,7 +150,7 @@
 // endedError returns the error of a request that was cut off, whose caller has left or
 // whose deadline has passed.
 func (g *Gateway) endedError(ctx context.Context, r *http.Request, req *request, cause error) error {
-	callerGone := r.Context().Err() != nil || errors.Is(cause, errCallerGone)
+	callerGone := r.Context().Err() != nil || errors.Is(cause, callers.ErrGone)
 	if errors.Is(context.Cause(ctx), errCutOff) || callerGone && g.phase.Load() == phaseClosing {
 		e := errkind.Wrap(cause, errkind.Stopping, "cut off at the end of the grace period")
 		e.Ran = req.ran
@@ -290,7 +291,7 @@
 			return matches
 		},
 		BeforeSend: func() error {
-			return cmp.Or(checkCaller(r.Context()), g.checkPassOn(req, time.Now()), g.checkBackpressure(t), g.checkQuarantineBeforeSend(req))
+			return cmp.Or(callers.CheckGone(r.Context()), g.checkPassOn(req, time.Now()), g.checkBackpressure(t), g.checkQuarantineBeforeSend(req))
 		},
 	})
 	if err != nil {
@@ -367,7 +368,7 @@
 		}
 	}
 	switch {
-	case ctx.Err() != nil || !time.Now().Before(req.deadline) || errors.Is(err, errCallerGone):
+	case ctx.Err() != nil || !time.Now().Before(req.deadline) || errors.Is(err, callers.ErrGone):
 		return outcomeAbandoned, err
 	case sent:
 		return outcomeBroken, err
@@ -418,7 +419,7 @@
 	b.Grow(1 << 10)
 	b.WriteString(r.Method + " " + r.RequestURI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(req.body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(req.body)) + "\r\n")
+		b.WriteString("Content-Length: " + strconv.FormatInt(req.body.Len(), 10) + "\r\n")
 	}
 	if err := header.Write(&b); err != nil {
 		return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,14 +14,17 @@
 	"sync/atomic"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/callers"
 	"tarragonridge.example/tarragonridge/internal/core/admit"
 	"tarragonridge.example/tarragonridge/internal/core/backlog"
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
+	"tarragonridge.example/tarragonridge/internal/core/intake"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/retry"
 	"tarragonridge.example/tarragonridge/internal/core/room"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
+	"tarragonridge.example/tarragonridge/internal/logqueue"
 	"tarragonridge.example/tarragonridge/internal/netcount"
 	"tarragonridge.example/tarragonridge/internal/placement"
 	"tarragonridge.example/tarragonridge/internal/platform"
@@ -112,12 +115,19 @@
 	// BacklogBytes bounds what is held for all callers that read slowly; 0 means
 	// DefaultBacklogBytes.
 	BacklogBytes int64
+	// CallerBytes bounds what all callers make the process hold, with BacklogBytes; 0 means
+	// DefaultCallerBytes.
+	CallerBytes int64
+	Descriptors intake.Descriptors // of the process
 }
 
 // DefaultBacklogBytes bounds what is held for callers that read slowly, unless the memory
 // of the process is known.
 const DefaultBacklogBytes = 64 << 20
 
+// DefaultCallerBytes bounds what callers make the process hold, unless its memory is known.
+const DefaultCallerBytes = 256 << 20
+
 // Gateway serves callers. Create one with New.
 type Gateway struct {
 	opt          Options
@@ -128,8 +138,10 @@
 	phase        atomic.Int32
 	inProgress   atomic.Int64 // requests in progress
 	stop         stopSchedule // set before phase becomes phaseDraining
-	callers      callerConns
+	callers      *callers.Pool
 	openRequests openRequests
+	// strangerLines bounds the log lines about requests that need no key to fail.
+	strangerLines logqueue.Limit
 
 	mu           sync.Mutex
 	targetView   *targets.View
@@ -183,13 +195,15 @@
 		fleet:        fleet.NewState(o.Host),
 		streams:      fleet.NewStreams(o.Host, o.Incarnation),
 
+		strangerLines:   logqueue.Limit{PerSecond: strangerLinesPerS, Burst: strangerLinesBurst},
 		severalVersions: map[string]bool{},
 		publications:    newPublications(),
 		activated:       make(chan struct{}, 1),
 		recordsDue:      make(chan struct{}, 1),
 		versionsWritten: make(chan struct{}),
 	}
-	o.Metrics.Registry.MustRegister(g)
+	g.callers = callers.NewPool(g.callerOptions())
+	o.Metrics.Registry.MustRegister(g, g.callers)
 	if hostRoom != nil {
 		o.Metrics.Registry.MustRegister(hostRoom)
 	}
@@ -288,13 +302,7 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// Limits on connections from callers. Callers reuse a connection for up to four fifths
-// of the idle timeout in the configuration; idleTimeout is longer than any that can be
-// configured.
 const (
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 90 * time.Second
-	maxHeaderBytes = 32 << 10
 	// idleCloseInterval is the pause between two scans that close the connections to
 	// targets which have been idle for too long.
 	idleCloseInterval = time.Second
@@ -304,16 +312,12 @@
 // have ended or the grace period is over.
 func (g *Gateway) Serve(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
-		Handler:           http.HandlerFunc(g.ServeHTTP),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       withCallerConn,
-		ConnState:         observeCallerConn,
-		ErrorLog:          slog.NewLogLogger(g.opt.Logger.Handler(), slog.LevelDebug),
+		Handler:  http.HandlerFunc(g.ServeHTTP),
+		ErrorLog: slog.NewLogLogger(g.opt.Logger.Handler(), slog.LevelDebug),
 	}
+	g.callers.Configure(server)
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(callerListener{g.room.listen(listener), g}) }()
+	go func() { done <- server.Serve(g.callers.Listener(g.room.listen(listener))) }()
 	idleTicker := time.NewTicker(idleCloseInterval)
 	defer idleTicker.Stop()
 	for {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,12 +10,14 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"tarragonridge.example/tarragonridge/internal/callers"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	coreplacement "tarragonridge.example/tarragonridge/internal/core/placement"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/explain"
+	"tarragonridge.example/tarragonridge/internal/logqueue"
 	"tarragonridge.example/tarragonridge/internal/netcount"
 	"tarragonridge.example/tarragonridge/internal/placement"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
@@ -32,7 +33,7 @@
 	arrived  time.Time
 	deadline time.Time // the caller's or the route's, whichever is earlier
 	path     string
-	body     []byte
+	body     callers.Body
 	prompt   coreplacement.Prompt
 	content  quarantine.Part // identifies the request by its team, path and body
 	parts    []quarantine.Part
@@ -98,13 +99,15 @@
 	defer g.inProgress.Add(-1)
 	req := newRequest(time.Now())
 	req.protocol, req.chunks = r.Proto, r.ProtoAtLeast(1, 1)
-	if conn, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok {
-		req.delivery.conn, req.conn = conn, conn.counted
-		if !conn.beginRequest() {
-			panic(http.ErrAbortHandler)
-		}
+	begun := req.beginRequest(r)
+	if errors.Is(begun, callers.ErrGone) {
+		panic(http.ErrAbortHandler)
 	}
 	defer func() { g.finishRequest(req) }()
+	if begun != nil {
+		g.writeProblem(w, req, errkind.From(begun))
+		return
+	}
 	if err := g.identify(r, req); err != nil {
 		g.writeProblem(w, req, errkind.From(err))
 		return
@@ -112,7 +115,7 @@
 	ctx, waits, end := g.openRequests.begin(r.Context(), req.deadline)
 	defer end()
 	if err := g.prepare(waits, w, r, req); err != nil {
-		if errors.Is(err, errCallerGone) {
+		if errors.Is(err, callers.ErrGone) {
 			panic(http.ErrAbortHandler)
 		}
 		g.writeProblem(w, req, errkind.From(err))
@@ -140,15 +143,14 @@
 }
 
 // prepare reads the body of an identified request and finds the service. It fails with
-// errCallerGone if the caller leaves before it has sent the whole body, or takes longer than
+// callers.ErrGone if the caller leaves before it has sent the whole body, or takes longer than
 // bodyTimeout.
 func (g *Gateway) prepare(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) error {
-	err := g.enterHost(ctx, w, r, req)
-	if err != nil {
+	if err := g.enterHost(ctx, w, r, req); err != nil {
 		return err
 	}
-	if req.body, err = readBody(w, r, req.config.Limits.MaxBodyBytes); err != nil {
-		if g.phase.Load() == phaseClosing && errors.Is(err, errCallerGone) {
+	if err := req.readBody(w, r); err != nil {
+		if g.phase.Load() == phaseClosing && errors.Is(err, callers.ErrGone) {
 			return refusedByStop(errCutOff) // which ends the reads
 		}
 		return err
@@ -194,55 +196,50 @@
 func (g *Gateway) classify(r *http.Request, req *request) {
 	hash := xxhash.New()
 	_, _ = hash.WriteString(r.RequestURI) // never fails
-	_, _ = hash.Write(req.body)
+	for _, block := range req.body {
+		_, _ = hash.Write(block)
+	}
 	req.content = quarantine.NewRequest(req.team.Name, strconv.FormatUint(hash.Sum64(), 16))
 	req.parts = promptParts(req.meta)
 	point := float64(xxhash.Sum64String(req.meta.RequestID)>>11) / (1 << 53) // from 0 to less than 1
 	req.service = req.config.Services[req.route.PickService(point)]
 }
 
-// readBody reads the body of a request. limit is its largest size in bytes; 0 means
-// defaultMaxBodyBytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// readBody reads the body of a request. It fails with callers.ErrGone if the caller leaves
+// before it has sent the whole body, or its connection is closed for others.
+func (req *request) readBody(w http.ResponseWriter, r *http.Request) error {
 	if r.ContentLength == 0 {
-		return nil, nil
+		return nil
 	}
+	limit := req.config.Limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
 	if r.ContentLength > limit {
 		w.Header().Set("Connection", "close")
-		return nil, errkind.New(errkind.BodyTooLarge, "%d bytes", r.ContentLength)
+		return errkind.New(errkind.BodyTooLarge, "%d bytes", r.ContentLength)
 	}
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return nil, errkind.Wrap(err, errkind.Internal, "read deadline")
-	}
-	src := http.MaxBytesReader(w, r.Body, limit)
-	var body []byte
-	var err error
-	if r.ContentLength > 0 {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(src, body)
-		if err == nil {
-			// The server notices that a caller leaves only after the body was read to
-			// its end.
-			_, err = io.Copy(io.Discard, src)
-		}
-	} else {
-		body, err = io.ReadAll(src)
+		return errkind.Wrap(err, errkind.Internal, "read deadline")
 	}
+	body, err := callers.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, req.take)
 	var tooLarge *http.MaxBytesError
+	var noRoom *errkind.Error
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, errkind.New(errkind.BodyTooLarge, "over %d bytes", tooLarge.Limit)
+		return errkind.New(errkind.BodyTooLarge, "over %d bytes", tooLarge.Limit)
+	case errors.As(err, &noRoom):
+		w.Header().Set("Connection", "close")
+		return noRoom
 	case err != nil:
-		return nil, errCallerGone
+		return callers.ErrGone
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return nil, errkind.Wrap(err, errkind.Internal, "read deadline")
+		return errkind.Wrap(err, errkind.Internal, "read deadline")
 	}
-	return body, nil
+	req.body = body
+	return req.received()
 }
 
 // budgetWaitDivisor gives the longest time that a request waits for tokens, as a fraction
@@ -313,8 +310,32 @@
 	if req.route != nil {
 		route = req.route.Name
 	}
-	g.opt.Logger.Info(explain.MessageNotServed, "request", req.meta.RequestID, "route", route, "team", req.team.Name,
+	var omitted int64
+	if req.route == nil || needsNoKey(req.err.Kind) {
+		var ok bool
+		if omitted, ok = g.strangerLines.Allow(time.Now()); !ok {
+			return
+		}
+	}
+	g.opt.Logger.Info(explain.MessageNotServed, "request", logqueue.Text(req.meta.RequestID), "route", route, "team", req.team.Name,
 		"kind", req.err.Kind, "detail", req.err.Detail, "status", req.status, "ran", req.ran, "runs", req.runs, "rejected", req.rejections,
 		"started", req.headSent, "protocol", req.protocol, "framing", req.callerFraming, "target_framing", req.targetFraming,
-		"ms", time.Since(req.arrived).Milliseconds(), "cause", req.err.Cause)
+		"ms", time.Since(req.arrived).Milliseconds(), "cause", req.err.Cause, "omitted", omitted)
+}
+
+const (
+	// strangerLinesPerS and strangerLinesBurst bound the log lines about requests that need
+	// no key to fail.
+	strangerLinesPerS  = 10
+	strangerLinesBurst = 50
+)
+
+// needsNoKey reports whether a request may fail with an error though its caller has no key.
+func needsNoKey(kind errkind.Kind) bool {
+	switch kind {
+	case errkind.NotFound, errkind.Unauthenticated, errkind.InvalidRequest, errkind.BodyTooLarge:
+		return true
+	default:
+		return false
+	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/callers"
 	"tarragonridge.example/tarragonridge/internal/core/sse"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/upstream"
@@ -16,7 +17,8 @@
 
 const (
 	// maxBufferedBytes is the size up to which a plain answer is buffered until it is
-	// complete, so that another attempt can replace an answer that breaks off.
+	// complete, so that another attempt can replace an answer that breaks off. Less is
+	// buffered while callers hold all of their memory.
 	maxBufferedBytes = 256 << 10
 	// streamReadBytes is the size of a read from a stream. Events have about ten bytes.
 	streamReadBytes = 2 << 10
@@ -56,11 +58,10 @@
 	if err := answer.SetReadDeadline(req.deadline); err != nil {
 		return g.classifyBrokenAnswer(ctx, req, err)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
+	body, isWhole, err := callers.ReadUpTo(answer.Body, answer.ContentLength, maxBufferedBytes, req.tryTake)
 	if err != nil {
 		return g.classifyBrokenAnswer(ctx, req, err)
 	}
-	isWhole := len(body) <= maxBufferedBytes
 	end := targets.EndWhole
 	if isWhole {
 		if end, err = g.judgeEnd(ctx, req, answer, t, endWatch()); err != nil {
@@ -80,7 +81,7 @@
 	if isWhole {
 		return outcomeServed, nil
 	}
-	const maxRest = maxPlainBytes - maxBufferedBytes - 1
+	maxRest := maxPlainBytes - body.Len()
 	switch n, err := io.Copy(w, io.LimitReader(answer.Body, maxRest+1)); {
 	case err != nil:
 		return g.classifyBrokenAnswer(ctx, req, err)
@@ -95,10 +96,10 @@
 
 // beginPlain sends the head of a plain answer and the first part of its body, or all of it, to
 // the caller.
-func (g *Gateway) beginPlain(w http.ResponseWriter, req *request, answer *upstream.Response, body []byte, isWhole bool) error {
+func (g *Gateway) beginPlain(w http.ResponseWriter, req *request, answer *upstream.Response, body callers.Body, isWhole bool) error {
 	g.setAnswerHeaders(w, req, answer)
 	hasLength := isWhole && answer.Framed()
-	length := int64(len(body))
+	length := body.Len()
 	if answer.Request.Method == http.MethodHead {
 		length = answer.ContentLength // of the body that GET would get
 	}
@@ -110,8 +111,12 @@
 	g.setWriteDeadline(http.NewResponseController(w), req)
 	g.beginAnswer(req, answer, hasLength)
 	w.WriteHeader(answer.StatusCode)
-	_, err := w.Write(body)
-	return err
+	for _, block := range body {
+		if _, err := w.Write(block); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // setAnswerHeaders sets the headers of the answer to the caller.
--- a/internal/gateway/where.go
+++ b/internal/gateway/where.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/callers"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	coreplacement "tarragonridge.example/tarragonridge/internal/core/placement"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
@@ -81,7 +82,7 @@
 	if err != nil {
 		return where.refuse(errkind.From(err))
 	}
-	req.body = []byte(wr.Body)
+	req.body = callers.Body{[]byte(wr.Body)}
 	g.classify(r, req)
 	where.Service = req.service.Name
 	if err := g.checkQuarantine(req); err != nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -150,6 +151,14 @@
 
 func (r bodyReader) Close() error { r.exchange.finish(); return nil }
 
+// bodyBytes returns the length of a body in blocks.
+func bodyBytes(body [][]byte) (n int) {
+	for _, block := range body {
+		n += len(block)
+	}
+	return n
+}
+
 // roundTrip sends the request and reads the headers of its response. It skips
 // responses for which req.Matches returns false, as they belong to earlier
 // requests.
@@ -166,8 +175,8 @@
 	if ctx.Err() != nil {
 		return fail(false, ctx.Err())
 	}
-	if len(req.Body) <= asyncBodyBytes {
-		n, err := c.Write(append(req.Head, req.Body...))
+	if bodyBytes(req.Body) <= asyncBodyBytes {
+		n, err := c.Write(slices.Concat(append([][]byte{req.Head}, req.Body...)...))
 		if err != nil {
 			return fail(n > 0, err)
 		}
@@ -177,7 +186,8 @@
 		}
 		x.bodySent = make(chan error, 1)
 		go func() {
-			_, err := c.Write(req.Body)
+			blocks := net.Buffers(slices.Clone(req.Body)) // WriteTo empties it
+			_, err := blocks.WriteTo(c)
 			x.bodySent <- err
 		}()
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -69,8 +69,8 @@
 type Request struct {
 	Address string
 	Method  string
-	Head    []byte // request line and headers, including the empty line at the end
-	Body    []byte // sent unchanged after Head
+	Head    []byte   // request line and headers, including the empty line at the end
+	Body    [][]byte // sent unchanged after Head
 	// ResponseHeaderDeadline is the time by which the headers of the response
 	// must have arrived.
 	ResponseHeaderDeadline time.Time
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -59,7 +59,7 @@
 
 func request(address, id string, body string) *Request {
 	return &Request{
-		Address: address, Method: "POST", Body: []byte(body),
+		Address: address, Method: "POST", Body: [][]byte{[]byte(body)},
 		Head:                   fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: x\r\nId: %s\r\nContent-Length: %d\r\n\r\n", id, len(body)),
 		ResponseHeaderDeadline: time.Now().Add(2 * time.Second),
 		Matches:                func(r *http.Response) bool { return r.Header.Get("Id") == id },
