relay: outlives a lack of descriptors, and closes the longest idle for a new one

Gateways saw: the relay of an engine's host gone, or connections that it closes. And 256 silent connections kept gateways out for up to 30 s, as the newest was closed. Change: Accept goes on after a pause; the number of connections follows from the descriptors; the one that has transferred nothing for longest is closed for a new one, those that never brought an answer first.

--- a/internal/cli/relay.go
+++ b/internal/cli/relay.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	coreplacement "tarragonridge.example/tarragonridge/internal/core/placement"
+	"tarragonridge.example/tarragonridge/internal/listen"
 	"tarragonridge.example/tarragonridge/internal/placement"
 	"tarragonridge.example/tarragonridge/internal/relay"
 	"tarragonridge.example/tarragonridge/internal/settings"
@@ -34,7 +35,7 @@
 	setMemoryLimit(cfg.Limits.MemoryMB)
 	ctx, stop := signalContext()
 	defer stop()
-	ln, err := net.Listen("tcp", cfg.Listen.Routers)
+	ln, err := listen.TCP(cfg.Listen.Routers, listen.CallerBuffer)
 	if err != nil {
 		return err
 	}
@@ -47,7 +48,7 @@
 		return err
 	}
 	log.Info("started", "host", cfg.Host, "listen", ln.Addr(), "store", cfg.Store.Address)
-	server := &relay.Server{StoreAddress: cfg.Store.Address, Logger: log}
+	server := &relay.Server{StoreAddress: cfg.Store.Address, Logger: log, OpenFiles: openFiles(0)}
 	queue := &placement.Server{Queue: coreplacement.NewQueue(), Logger: log}
 	servers, serversCtx := errgroup.WithContext(ctx)
 	servers.Go(func() error { return server.Serve(serversCtx, ln) })
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,24 +6,37 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/core/intake"
 	"tarragonridge.example/tarragonridge/internal/dial"
+	"tarragonridge.example/tarragonridge/internal/listen"
 )
 
 // Limits of the relay.
 const (
-	// MaxConnections limits the connections that are forwarded at once. A router
-	// needs three: one for each of two watches, and one for writes.
-	MaxConnections = 256
+	// maxConnections limits the connections that are forwarded at once. A router needs
+	// three: one for each of two watches, and one for writes.
+	maxConnections = 256
+	// ownDescriptors of the process are not for connections, each of which takes two.
+	ownDescriptors = 64
+	minConnections = 4
 	dialTimeout    = 500 * time.Millisecond
 	// idleTimeout closes connections that transfer nothing. It is well above the
 	// second within which the store responds to a watch.
 	idleTimeout = 30 * time.Second
 	bufferBytes = 16 << 10
+	// maxAcceptPause bounds the wait until a connection that was closed for a new one has
+	// ended.
+	maxAcceptPause = 50 * time.Millisecond
+	// warnInterval is the least time between two lines about connections that were closed
+	// for others.
+	warnInterval = 10 * time.Second
 )
 
 var storeDialer = dial.New(dial.Options{Timeout: dialTimeout})
@@ -32,7 +45,45 @@
 type Server struct {
 	StoreAddress string // host and port
 	Logger       *slog.Logger
-	openConns    atomic.Int64
+	OpenFiles    int // that the process may have; 0 if unknown
+
+	mu     sync.Mutex
+	conns  map[*forwarded]struct{}
+	closed int       // for others since the last line about them
+	warned time.Time // when it was written
+}
+
+// forwarded is a connection of a client and its connection to the store.
+type forwarded struct {
+	client   net.Conn
+	activeAt atomic.Int64 // when bytes last came, in nanoseconds since start
+	answered atomic.Bool  // the store has sent something on it
+	start    time.Time
+	ended    chan struct{} // closed when both sides are closed
+	closed   bool          // for others; guarded by the server's lock
+}
+
+func (f *forwarded) noteActive() { f.activeAt.Store(int64(time.Since(f.start))) }
+
+// holding returns what the connection holds. One that has brought no answer counts from its
+// start, however often it sends something.
+func (f *forwarded) holding() intake.Holding {
+	h := intake.Holding{State: intake.Quiet, Since: f.start, Served: f.answered.Load()}
+	if h.Served {
+		h.Since = f.start.Add(time.Duration(f.activeAt.Load()))
+	}
+	if f.closed {
+		h.State = intake.Ending
+	}
+	return h
+}
+
+// limit returns how many connections are forwarded at once.
+func (s *Server) limit() int {
+	if s.OpenFiles <= 0 {
+		return maxConnections
+	}
+	return min(max((s.OpenFiles-ownDescriptors)/2, minConnections), maxConnections)
 }
 
 // Serve accepts and forwards connections until ctx ends or ln is closed.
@@ -41,27 +92,77 @@
 	defer stop()
 	for {
 		c, err := ln.Accept()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return err
-		}
-		if s.openConns.Load() >= MaxConnections {
-			s.Logger.Warn("too many connections; closing a new one", "from", c.RemoteAddr(), "open", s.openConns.Load())
-			_ = c.Close()
+		switch {
+		case err == nil:
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+			return nil
+		case listen.Again(ctx, err):
 			continue
+		default:
+			return err
 		}
-		s.openConns.Add(1)
+		f := s.add(c)
 		go func() {
-			defer s.openConns.Add(-1)
-			s.forward(ctx, c)
+			defer s.remove(f)
+			s.forward(ctx, f)
 		}()
 	}
 }
 
-// forward connects to the store and forwards client until either side closes.
-func (s *Server) forward(ctx context.Context, client net.Conn) {
+// add lists a new connection. If there are too many, the one that has transferred nothing
+// for longest is closed.
+func (s *Server) add(c net.Conn) *forwarded {
+	f := &forwarded{client: c, start: time.Now(), ended: make(chan struct{})}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = map[*forwarded]struct{}{}
+	}
+	if len(s.conns) >= s.limit() {
+		if other := s.closeLongest(time.Now()); other != nil {
+			s.mu.Unlock()
+			select {
+			case <-other.ended:
+			case <-time.After(maxAcceptPause):
+			}
+			s.mu.Lock()
+		}
+	}
+	s.conns[f] = struct{}{}
+	return f
+}
+
+// closeLongest closes a connection for a new one, and returns it. s.mu is held.
+func (s *Server) closeLongest(now time.Time) *forwarded {
+	conns := slices.Collect(maps.Keys(s.conns))
+	holdings := make([]intake.Holding, len(conns))
+	for i, f := range conns {
+		holdings[i] = f.holding()
+	}
+	i, ok := intake.ForConnection(now, holdings)
+	if !ok {
+		return nil
+	}
+	conns[i].closed = true
+	_ = conns[i].client.Close() // its goroutine closes the other side
+	if s.closed++; now.Sub(s.warned) >= warnInterval {
+		s.Logger.Warn("too many connections; closed those that transferred nothing for longest", "limit", s.limit(), "closed", s.closed,
+			"last_from", conns[i].client.RemoteAddr(), "held_ms", now.Sub(holdings[i].Since).Milliseconds(), "answered", holdings[i].Served)
+		s.closed, s.warned = 0, now
+	}
+	return conns[i]
+}
+
+func (s *Server) remove(f *forwarded) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, f)
+	close(f.ended)
+}
+
+// forward connects to the store and forwards a client until either side closes.
+func (s *Server) forward(ctx context.Context, f *forwarded) {
+	client := f.client
 	defer client.Close()
 	store, err := storeDialer.DialContext(ctx, "tcp", s.StoreAddress)
 	if err != nil {
@@ -72,20 +173,20 @@
 	stop := context.AfterFunc(ctx, func() { _ = client.Close(); _ = store.Close() })
 	defer stop()
 	var directions sync.WaitGroup
-	forwardOneWay := func(dst, src net.Conn) {
-		copyBytes(dst, src)
+	forwardOneWay := func(dst, src net.Conn, transferred func()) {
+		copyBytes(dst, src, transferred)
 		// Without one direction the other is of no use, so both connections close.
 		_ = dst.Close()
 		_ = src.Close()
 	}
-	directions.Go(func() { forwardOneWay(store, client) })
-	directions.Go(func() { forwardOneWay(client, store) })
+	directions.Go(func() { forwardOneWay(store, client, f.noteActive) })
+	directions.Go(func() { forwardOneWay(client, store, func() { f.noteActive(); f.answered.Store(true) }) })
 	directions.Wait()
 }
 
 // copyBytes copies from src to dst until either fails, src ends or src is idle
-// for idleTimeout.
-func copyBytes(dst, src net.Conn) {
+// for idleTimeout. It calls transferred after each write.
+func copyBytes(dst, src net.Conn, transferred func()) {
 	buf := make([]byte, bufferBytes)
 	for {
 		if src.SetReadDeadline(time.Now().Add(idleTimeout)) != nil {
@@ -99,6 +200,7 @@
 			if _, writeErr := dst.Write(buf[:n]); writeErr != nil {
 				return
 			}
+			transferred()
 		}
 		if err != nil {
 			return // the other side sees a close in any case, so EOF and errors are treated alike
