router: the OpenAI entry counts what callers make it hold

Callers saw: nothing yet; the process grew. A list of messages was parsed into structures of 24 bytes and more for each: 50 bodies of 3.9 MB of empty messages took 3,148 MB. And connections were accepted only while there were fewer than limits.connections, so that silent ones kept others out. Change: callers' connections are those of a callers.Pool; limits.caller_memory_mb (default 64) bounds what they hold, with what a body costs while it is parsed. Messages and prompts are counted one by one and not kept. Reads of metrics are bounded. The count of partly read heads, for a stop, is the pool's.

--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -16,7 +16,7 @@
 // Run starts the fleet, prints example commands, and stops the fleet gracefully
 // at a signal. A second signal ends the process at once.
 func (c *devCmd) Run(s *Streams) error {
-	opts := dev.Options{Listen: c.Listen, Logger: newLogger(s.Err, c.LogLevel)}
+	opts := dev.Options{Listen: c.Listen, OpenFiles: openFiles(0), Logger: newLogger(s.Err, c.LogLevel)}
 	if err := opts.Validate(); err != nil {
 		return &UsageError{Err: err}
 	}
--- a/internal/cli/router.go
+++ b/internal/cli/router.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"tarragonridge.example/tarragonridge/internal/core/hlc"
+	"tarragonridge.example/tarragonridge/internal/core/intake"
+	"tarragonridge.example/tarragonridge/internal/listen"
 	"tarragonridge.example/tarragonridge/internal/router"
 	"tarragonridge.example/tarragonridge/internal/settings"
 	"tarragonridge.example/tarragonridge/internal/timeline"
@@ -51,7 +53,9 @@
 		Hosts:    client,
 		Logger:   log,
 		Clock:    clock,
-		Timeline: timeline.New(timeline.Options{Process: "router/" + cfg.Host, Clock: clock, Logger: log}),
+		// The listeners for peers and metrics count as side listeners.
+		Descriptors: intake.Descriptors{Limit: openFiles(0), SideListeners: 2},
+		Timeline:    timeline.New(timeline.Options{Process: "router/" + cfg.Host, Clock: clock, Logger: log}),
 	}, listeners)
 	if _, err := fmt.Fprintln(s.Out, routerReadyLine(listeners)); err != nil {
 		return err
@@ -70,7 +74,7 @@
 		if binding.addr == "" {
 			continue
 		}
-		if *binding.ln, err = net.Listen("tcp", binding.addr); err != nil {
+		if *binding.ln, err = listen.TCP(binding.addr, listen.CallerBuffer); err != nil {
 			closeRouterListeners(listeners)
 			return router.Listeners{}, err
 		}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/listen"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/standin/engine"
 	platformstandin "tarragonridge.example/tarragonridge/internal/standin/platform"
@@ -72,7 +73,7 @@
 func (f *Fleet) start(ctx context.Context) error {
 	// Listen for callers first: this address may already be in use, while all other
 	// listeners use any free port.
-	callerListener, err := net.Listen("tcp", f.opts.Listen)
+	callerListener, err := listen.TCP(f.opts.Listen, listen.CallerBuffer)
 	if err != nil {
 		return err
 	}
--- a/internal/dev/options.go
+++ b/internal/dev/options.go
@@ -43,6 +43,7 @@
 	Services      []string               // names of the services; default submissions
 	Teams         []TeamOptions          // default the team demo, with CallerKey and Budget
 	UseForwarders bool                   // put a forwarder in front of each engine's sidecar, to inject connection faults
+	OpenFiles     int                    // descriptors that the process may open; default unknown
 	Configure     func(*policy.Document) // changes the policy document before the routers start; default none
 }
 
--- a/internal/dev/parts.go
+++ b/internal/dev/parts.go
@@ -15,8 +15,10 @@
 	"tarragonridge.example/tarragonridge/internal/configstore"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/hlc"
+	"tarragonridge.example/tarragonridge/internal/core/intake"
 	"tarragonridge.example/tarragonridge/internal/core/policy"
 	"tarragonridge.example/tarragonridge/internal/escrow"
+	"tarragonridge.example/tarragonridge/internal/listen"
 	"tarragonridge.example/tarragonridge/internal/router"
 	"tarragonridge.example/tarragonridge/internal/settings"
 	"tarragonridge.example/tarragonridge/internal/sidecar"
@@ -189,7 +191,7 @@
 func (f *Fleet) newRouter(host string, callerListener net.Listener) (*router.Router, error) {
 	var err error
 	if callerListener == nil {
-		if callerListener, err = net.Listen("tcp", loopbackAnyPort); err != nil {
+		if callerListener, err = listen.TCP(loopbackAnyPort, listen.CallerBuffer); err != nil {
 			return nil, err
 		}
 	}
@@ -214,6 +216,8 @@
 		Logger:   f.logger,
 		Clock:    clock,
 		Timeline: timeline.New(timeline.Options{Process: "router/" + host, Clock: clock, Logger: f.logger}),
+		// Half of the descriptors are for the rest of the fleet in this process.
+		Descriptors: intake.Descriptors{Limit: f.opts.OpenFiles / (2 * f.opts.Routers)},
 	}, router.Listeners{Callers: callerListener, Peers: peerListener}), nil
 }
 
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -1,13 +1,15 @@
 package router
 
 import (
+	"cmp"
+	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v5"
 
+	"tarragonridge.example/tarragonridge/internal/callers"
 	"tarragonridge.example/tarragonridge/internal/core/admit"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
@@ -207,17 +209,34 @@
 }
 
 // readBody reads the request body up to the size limit and then removes the read
-// deadline of the connection.
+// deadline of the connection. What it costs is counted until the end of the request.
 func (r *Router) readBody(c *echo.Context) ([]byte, error) {
 	limit := r.opts.Settings.Limits.BodyBytes
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	httpReq := c.Request()
+	if httpReq.ContentLength > limit {
 		return nil, errkind.New(errkind.BodyTooLarge, "the body is larger than %d bytes", limit)
 	}
-	if err != nil {
+	take := func(bytes int64) error { return countBytes(httpReq.Context(), bytes) }
+	blocks, err := callers.ReadBody(http.MaxBytesReader(c.Response(), httpReq.Body, limit), httpReq.ContentLength, take)
+	var tooLarge *http.MaxBytesError
+	var noRoom *errkind.Error
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, errkind.New(errkind.BodyTooLarge, "the body is larger than %d bytes", limit)
+	case errors.As(err, &noRoom):
+		return nil, noRoom
+	case err != nil:
 		return nil, errkind.New(errkind.InvalidRequest, "the body could not be read: %v", err)
 	}
+	if conn := callers.FromContext(httpReq.Context()); conn != nil {
+		if err := conn.Received(); err != nil {
+			return nil, errkind.From(err)
+		}
+	}
+	if err := take(sentCopies * blocks.Len()); err != nil {
+		return nil, err
+	}
+	body := blocks.Join()
 	// The server's read timeout is meant for the request only. If it stayed in
 	// force, it would end a long answer as if the caller had disconnected.
 	if err := http.NewResponseController(c.Response()).SetReadDeadline(time.Time{}); err != nil {
@@ -225,3 +244,13 @@
 	}
 	return body, nil
 }
+
+// parseCounted parses the body of a completion request. What that costs is counted.
+func parseCounted(ctx context.Context, body []byte, chat bool) (*completionBody, error) {
+	size := int64(len(body))
+	if err := countBytes(ctx, parseCopies*size); err != nil {
+		return nil, err
+	}
+	parsed, err := parseCompletion(body, chat)
+	return parsed, cmp.Or(err, countBytes(ctx, -parseCopies*size))
+}
--- a/internal/router/completion.go
+++ b/internal/router/completion.go
@@ -13,6 +13,7 @@
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/policy"
+	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/route"
 	"tarragonridge.example/tarragonridge/internal/wire"
 )
@@ -32,7 +33,7 @@
 // fields that the sidecar sets.
 type completionBody struct {
 	Model               string          `json:"model"`
-	Messages            []chatMessage   `json:"messages"`
+	Messages            chatMessages    `json:"messages"`
 	Prompt              json.RawMessage `json:"prompt"`
 	Tools               json.RawMessage `json:"tools"`
 	Functions           json.RawMessage `json:"functions"`
@@ -47,6 +48,61 @@
 	} `json:"stream_options"`
 }
 
+// chatMessages is what the router needs of the messages of a chat. Most are not kept: a list
+// of small ones would cost many times its text.
+type chatMessages struct {
+	count      int64
+	tokenBound int64
+	prefix     []byte        // begins the texts, each with a NUL byte at its end
+	first      []chatMessage // up to maxKeptMessages
+}
+
+// maxKeptMessages are those that may identify parts of a prompt, and the request's own.
+const maxKeptMessages = quarantine.MaxParts + 1
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *chatMessages) UnmarshalJSON(raw []byte) error {
+	*l = chatMessages{}
+	return eachElement(raw, func(element json.RawMessage) error {
+		var m chatMessage
+		if err := m.UnmarshalJSON(element); err != nil {
+			return err
+		}
+		l.count++
+		l.tokenBound += m.bytes + templateTokensPerMessage
+		if len(l.first) < maxKeptMessages {
+			l.first = append(l.first, m)
+		}
+		if len(l.prefix) <= promptPrefixBytes {
+			l.prefix = append(append(l.prefix, m.text...), 0)
+		}
+		return nil
+	})
+}
+
+// eachElement calls a function with each element of a JSON list, which is valid only until it
+// returns. null has none.
+func eachElement(raw []byte, use func(json.RawMessage) error) error {
+	if string(bytes.TrimSpace(raw)) == "null" {
+		return nil
+	}
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	if start, err := decoder.Token(); err != nil || start != json.Delim('[') {
+		return errkind.New(errkind.InvalidRequest, "a list was expected")
+	}
+	var element json.RawMessage
+	for decoder.More() {
+		element = element[:0]
+		if err := decoder.Decode(&element); err != nil {
+			return err
+		}
+		if err := use(element); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // chatMessage is one message of a chat. Its token bound is derived from the raw
 // bytes, so that it also covers fields that this type does not know.
 type chatMessage struct {
@@ -88,7 +144,7 @@
 	switch {
 	case c.Model == "":
 		return nil, errkind.New(errkind.InvalidRequest, "model is missing")
-	case chat && len(c.Messages) == 0:
+	case chat && c.Messages.count == 0:
 		return nil, errkind.New(errkind.InvalidRequest, "messages is missing or empty")
 	case !chat && len(c.Prompt) == 0:
 		return nil, errkind.New(errkind.InvalidRequest, "prompt is missing")
@@ -121,10 +177,7 @@
 
 // promptTokenBound returns an upper bound of the prompt tokens.
 func (c *completionBody) promptTokenBound() int64 {
-	bound := int64(templateTokensPerRequest)
-	for _, m := range c.Messages {
-		bound += m.bytes + templateTokensPerMessage
-	}
+	bound := templateTokensPerRequest + c.Messages.tokenBound
 	bound += int64(len(c.Prompt) + len(c.Tools) + len(c.Functions) + len(c.ResponseFormat))
 	return bound
 }
@@ -164,12 +217,17 @@
 // may be a list of texts or of token lists, and the choices are generated for
 // each.
 func (c *completionBody) promptCount() int64 {
-	var list []json.RawMessage
-	if json.Unmarshal(c.Prompt, &list) != nil || len(list) == 0 {
-		return 1
-	}
-	if first := list[0][0]; first == '"' || first == '[' {
-		return int64(len(list))
+	var count int64
+	var first byte
+	err := eachElement(c.Prompt, func(element json.RawMessage) error {
+		if count == 0 {
+			first = element[0]
+		}
+		count++
+		return nil
+	})
+	if err == nil && (first == '"' || first == '[') {
+		return count
 	}
 	return 1
 }
@@ -178,13 +236,7 @@
 // groups requests.
 func (c *completionBody) promptPrefix() string {
 	var b bytes.Buffer
-	for _, m := range c.Messages {
-		b.WriteString(m.text)
-		b.WriteByte(0)
-		if b.Len() > promptPrefixBytes {
-			break
-		}
-	}
+	b.Write(c.Messages.prefix)
 	b.Write(c.Prompt)
 	return b.String()
 }
@@ -211,7 +263,7 @@
 	if err != nil {
 		return err
 	}
-	parsed, err := parseCompletion(body, chat)
+	parsed, err := parseCounted(c.Request().Context(), body, chat)
 	if err != nil {
 		return err
 	}
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v5"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"tarragonridge.example/tarragonridge/internal/callers"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/httpapi"
 )
@@ -39,7 +40,7 @@
 
 // registerMetrics registers the endpoint for Prometheus.
 func (r *Router) registerMetrics(e *echo.Echo) {
-	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{})))
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{MaxRequestsInFlight: callers.MaxMetricsReads})))
 }
 
 // serveMetrics serves metrics and health checks at their own address until ctx
@@ -48,15 +49,11 @@
 	e := echo.NewWithConfig(echo.Config{HTTPErrorHandler: httpapi.ErrorHandler})
 	r.registerHealth(e)
 	r.registerMetrics(e)
-	limits := r.opts.Settings.Limits
-	srv := &http.Server{
-		Handler:           e,
-		ReadHeaderTimeout: time.Duration(limits.ReadHeaderTimeoutMS) * time.Millisecond,
-		ReadTimeout:       time.Duration(limits.ReadTimeoutMS) * time.Millisecond,
-	}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	server := callers.NewSideServer("metrics", e, 0, r.opts.Logger)
+	r.metrics.registry.MustRegister(server.Pool)
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	return serveHTTP(srv, r.listeners.Metrics)
+	return server.Serve(r.listeners.Metrics)
 }
 
 // serveRequest runs a request. With an idempotency key, it may be served from
@@ -174,12 +171,11 @@
 // reading.
 func (r *Router) newServer() *http.Server {
 	limits := r.opts.Settings.Limits
-	return &http.Server{
-		Handler:           r.withConnectionClose(withWriteDeadline(r.newHandler())),
-		ReadHeaderTimeout: time.Duration(limits.ReadHeaderTimeoutMS) * time.Millisecond,
-		ReadTimeout:       time.Duration(limits.ReadTimeoutMS) * time.Millisecond,
-		IdleTimeout:       time.Duration(limits.IdleTimeoutMS) * time.Millisecond,
-		MaxHeaderBytes:    int(limits.HeaderBytes),
-		ConnState:         r.partialHeads.observe,
+	server := &http.Server{
+		Handler:     callers.Handler(r.withConnectionClose(withWriteDeadline(r.newHandler()))),
+		ReadTimeout: time.Duration(limits.ReadTimeoutMS) * time.Millisecond,
+		ErrorLog:    slog.NewLogLogger(r.opts.Logger.Handler(), slog.LevelDebug),
 	}
+	r.callers.Configure(server)
+	return server
 }
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -1,23 +1,69 @@
 package router
 
 import (
-	"net"
+	"context"
 	"net/http"
 	"time"
 
-	"golang.org/x/net/netutil"
+	"tarragonridge.example/tarragonridge/internal/callers"
 )
 
 // writeTimeout bounds each write to a caller. A caller that accepts no data for
 // this long is disconnected.
 const writeTimeout = 30 * time.Second
 
-// limitConnections limits the number of open caller connections.
-func (r *Router) limitConnections(ln net.Listener) net.Listener {
-	if n := r.opts.Settings.Limits.Connections; n > 0 {
-		return netutil.LimitListener(ln, int(n))
+const (
+	// parseCopies is what a body costs while it is parsed, besides itself and as a multiple
+	// of its bytes.
+	parseCopies = 3
+	// sentCopies is what it costs until the end of the request: its parts, and the message
+	// to the target.
+	sentCopies = 3
+)
+
+// callerOptions returns the options of the pool of callers' connections.
+func (r *Router) callerOptions() callers.Options {
+	limits := r.opts.Settings.Limits
+	o := callers.Options{
+		Listener: "callers", Logger: r.opts.Logger, Requests: r.requestLimits,
+		// One body of the largest size must fit.
+		MemoryBytes: max(limits.CallerMemoryMB<<20, minBodies*limits.BodyBytes),
+	}
+	descriptors := r.opts.Descriptors.Callers(0)
+	o.Connections = func() int {
+		if limits.Connections > 0 && (descriptors == 0 || int(limits.Connections) < descriptors) {
+			return int(limits.Connections)
+		}
+		return descriptors
+	}
+	return o
+}
+
+// minBodies is the memory for callers at least, in bodies of the largest size.
+const minBodies = 2 * (1 + parseCopies + sentCopies)
+
+// requestLimits returns the limits on what a caller sends.
+func (r *Router) requestLimits() callers.RequestLimits {
+	limits := r.opts.Settings.Limits
+	return callers.RequestLimits{
+		HeaderBytes:   limits.HeaderBytes,
+		HeaderTimeout: time.Duration(limits.ReadHeaderTimeoutMS) * time.Millisecond,
+		IdleTimeout:   time.Duration(limits.IdleTimeoutMS) * time.Millisecond,
+	}
+}
+
+// countBytes counts bytes that a caller makes the router hold, or no longer holds if they
+// are negative.
+func countBytes(ctx context.Context, bytes int64) error {
+	conn := callers.FromContext(ctx)
+	if conn == nil {
+		return nil
+	}
+	if bytes < 0 {
+		conn.Give(-bytes)
+		return nil
 	}
-	return ln
+	return conn.Take(bytes)
 }
 
 // withConnectionClose closes keep-alive connections after their next answer
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -15,10 +15,10 @@
 
 // promptParts identifies the messages before the last one, which other requests may share.
 func (c *completionBody) promptParts() []quarantine.Part {
-	if len(c.Messages) < 2 {
+	if c.Messages.count < 2 {
 		return nil
 	}
-	shared := c.Messages[:min(len(c.Messages)-1, quarantine.MaxParts)]
+	shared := c.Messages.first[:min(len(c.Messages.first)-1, quarantine.MaxParts)]
 	parts := make([]quarantine.Part, len(shared))
 	for i, m := range shared {
 		parts[i] = quarantine.NewPart(c.Model, m.text)
--- a/internal/router/process.go
+++ b/internal/router/process.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"tarragonridge.example/tarragonridge/internal/archive"
+	"tarragonridge.example/tarragonridge/internal/callers"
 	"tarragonridge.example/tarragonridge/internal/claims"
 	"tarragonridge.example/tarragonridge/internal/configstore"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
@@ -18,6 +19,7 @@
 	"tarragonridge.example/tarragonridge/internal/escrow"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/rpc"
+	"tarragonridge.example/tarragonridge/internal/timing"
 )
 
 // Listeners are the open listening sockets of a router.
@@ -53,6 +55,8 @@
 	r.claims = claims.NewStore(r.table, time.Now)
 	r.sched = newScheduler(uint64(time.Now().UnixNano()), r.activePreset, time.Now)
 	r.metrics = newMetrics(r)
+	r.callers = callers.NewPool(r.callerOptions())
+	r.metrics.registry.MustRegister(r.callers)
 	return r
 }
 
@@ -91,7 +95,7 @@
 	group.Go(func() error { r.refreshConfigOnTrigger(groupCtx); return nil })
 	group.Go(func() error { r.loadQuarantineWithRetry(groupCtx); return nil })
 	group.Go(func() error { r.archiveLedger(groupCtx); return nil })
-	group.Go(func() error { return serveHTTP(srv, r.partialHeads.listen(r.limitConnections(r.listeners.Callers))) })
+	group.Go(func() error { return serveHTTP(srv, r.callers.Listener(r.listeners.Callers)) })
 	group.Go(func() error { r.fetchConfigFromPeers(groupCtx); return nil })
 	if r.listeners.Metrics != nil {
 		group.Go(func() error { return r.serveMetrics(groupCtx) })
@@ -157,6 +161,9 @@
 // answers, so that only callers that have stopped reading are cut off.
 const shutdownTimeout = 10 * time.Minute
 
+// partialHeadPoll is the pause between two checks for heads that were read in part.
+const partialHeadPoll = 20 * time.Millisecond
+
 // shutdown stops the router without interrupting requests in progress.
 func (r *Router) shutdown(srv *http.Server) error {
 	r.opts.Logger.Info("stopping", "runs", r.openRunCount())
@@ -167,9 +174,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	// Shutdown closes these connections without an answer.
-	headsCtx, cancelHeads := context.WithTimeout(ctx, srv.ReadHeaderTimeout)
+	headsCtx, cancelHeads := context.WithTimeout(ctx, r.requestLimits().HeaderTimeout)
 	defer cancelHeads()
-	r.partialHeads.await(headsCtx)
+	for r.callers.PartialHeads() > 0 && timing.Sleep(headsCtx, partialHeadPoll) {
+	}
 	err := srv.Shutdown(ctx)
 	r.waitForRuns(ctx)
 	if drainErr := r.drainBudgets(); drainErr != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,10 +11,12 @@
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/archive"
+	"tarragonridge.example/tarragonridge/internal/callers"
 	"tarragonridge.example/tarragonridge/internal/claims"
 	"tarragonridge.example/tarragonridge/internal/configstore"
 	"tarragonridge.example/tarragonridge/internal/core/admit"
 	"tarragonridge.example/tarragonridge/internal/core/hlc"
+	"tarragonridge.example/tarragonridge/internal/core/intake"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
 	"tarragonridge.example/tarragonridge/internal/core/policy"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
@@ -43,6 +45,8 @@
 	Logger   *slog.Logger
 	Timeline *timeline.Ring
 	Clock    *hlc.Clock
+	// Descriptors that the process may open; the zero value stands for no limit.
+	Descriptors intake.Descriptors
 }
 
 // HostLister reads the platform's host list.
@@ -64,7 +68,7 @@
 	table       platform.Table // the table, relayed through peers when the direct path fails
 	relayServer *platform.RelayServer
 
-	partialHeads         partialHeads
+	callers              *callers.Pool
 	stopBreaker          func()
 	memberScanTrigger    chan struct{}
 	configRefreshTrigger chan struct{}
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -114,6 +114,7 @@
 	d.checkIntRange("limits.body_bytes", l.BodyBytes, 1, maxBytes)
 	d.checkIntRange("limits.header_bytes", l.HeaderBytes, 1024, maxBytes)
 	d.checkIntRange("limits.connections", l.Connections, 1, maxCount)
+	d.checkIntRange("limits.caller_memory_mb", l.CallerMemoryMB, 1, maxCount)
 	d.checkIntRange("limits.read_header_timeout_ms", l.ReadHeaderTimeoutMS, 1, maxTimeoutMS)
 	d.checkIntRange("limits.read_timeout_ms", l.ReadTimeoutMS, 1, maxTimeoutMS)
 	d.checkIntRange("limits.idle_timeout_ms", l.IdleTimeoutMS, 1, maxTimeoutMS)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,7 @@
 	BodyBytes           int64 `json:"body_bytes"`             // default 4 MiB
 	HeaderBytes         int64 `json:"header_bytes"`           // default 32 KiB
 	Connections         int64 `json:"connections"`            // default 4096
+	CallerMemoryMB      int64 `json:"caller_memory_mb"`       // that callers may make the process hold; default 64, and at least 14 times body_bytes
 	ReadHeaderTimeoutMS int64 `json:"read_header_timeout_ms"` // default 5000
 	ReadTimeoutMS       int64 `json:"read_timeout_ms"`        // header and body; default 30000
 	IdleTimeoutMS       int64 `json:"idle_timeout_ms"`        // between requests; default 120000
@@ -122,7 +123,7 @@
 	return Router{
 		Platform: Platform{TimeoutMS: 2000},
 		Limits: RouterLimits{
-			BodyBytes: 4 << 20, HeaderBytes: 32 << 10, Connections: 4096,
+			BodyBytes: 4 << 20, HeaderBytes: 32 << 10, Connections: 4096, CallerMemoryMB: 64,
 			ReadHeaderTimeoutMS: 5000, ReadTimeoutMS: 30000, IdleTimeoutMS: 120000,
 		},
 		ArchiveAfterS: 600,
