sidecar: the listener for metrics has the bounds of the others

A crowd there could take the descriptors and the memory of the process: its server bounded neither connections nor the time of an answer. By reading; the same server at a gateway is shown by TestCrowdAtTheOtherListenersOfTheGateway.

--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -13,15 +11,14 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
+	"tarragonridge.example/tarragonridge/internal/callers"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
+	"tarragonridge.example/tarragonridge/internal/listen"
 	"tarragonridge.example/tarragonridge/internal/rpc"
 )
 
-const (
-	httpReadHeaderTimeout = 5 * time.Second
-	httpShutdownTimeout   = 1 * time.Second
-)
+const httpShutdownTimeout = 1 * time.Second
 
 // metrics holds the collectors of a sidecar. All label values come from fixed
 // sets, so the number of time series is bounded.
@@ -82,26 +79,22 @@
 	if s.opts.HTTPListen == "" {
 		return nil
 	}
-	ln, err := net.Listen("tcp", s.opts.HTTPListen)
+	ln, err := listen.TCP(s.opts.HTTPListen, listen.SideBuffer)
 	if err != nil {
 		return errkind.Wrap(err, errkind.InvalidRequest, "listen on %s", s.opts.HTTPListen)
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{MaxRequestsInFlight: callers.MaxMetricsReads}))
 	mux.HandleFunc("GET /healthz", s.serveHealth)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: httpReadHeaderTimeout}
+	server := callers.NewSideServer("metrics", mux, 0, s.log)
+	s.metrics.registry.MustRegister(server.Pool)
 	group.Go(func() error {
 		<-ctx.Done()
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), httpShutdownTimeout)
 		defer cancel()
 		return server.Shutdown(shutdownCtx)
 	})
-	group.Go(func() error {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	group.Go(func() error { return server.Serve(ln) })
 	s.log.Info("serving metrics", "addr", ln.Addr().String())
 	return nil
 }
