callers: deciding who yields costs less

Each decision copied what all connections hold and sorted it; each count of bytes asked the pool of targets for its connections, of all addresses, and made a channel. Now a decision looks through the connections once for each that is closed, in memory that is kept; the limit of connections is asked for only when one is accepted, from a count that is kept; a channel is made only if somebody waits. What is decided has not changed (the tables of internal/core/intake).

--- a/internal/callers/metrics.go
+++ b/internal/callers/metrics.go
@@ -54,7 +54,8 @@
 	p.metrics.refused.Collect(ch)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, holdings := p.holdings(time.Now())
+	_, holdings := p.list(time.Now())
+	defer p.release()
 	states := map[intake.State]int{}
 	for _, h := range holdings {
 		states[h.State]++
--- a/internal/callers/pool.go
+++ b/internal/callers/pool.go
@@ -74,6 +74,7 @@
 // with NewPool.
 type Pool struct {
 	opt     Options
+	limits  intake.Limits
 	start   time.Time
 	metrics *metrics
 	log     closeLog
@@ -86,8 +87,12 @@
 	ending   int64 // bytes that closed connections have not given back yet
 	unread   int64 // bytes that the kernel holds of these, as last measured
 	unreadAt time.Time
-	freed    chan struct{} // closed and replaced when bytes are given back
+	freed    chan struct{} // closed and replaced when bytes are given back and somebody waits
+	waiting  int           // goroutines that wait for freed
 	closedAt time.Time     // when a connection was last closed for others
+	// The results of list, kept to save allocations.
+	listed   []*Conn
+	holdings []intake.Holding
 }
 
 // NewPool returns a pool without connections.
@@ -95,7 +100,7 @@
 	if o.Backlogs == nil {
 		o.Backlogs = backlog.NewPool(0)
 	}
-	p := &Pool{opt: o, start: time.Now(), open: map[*Conn]struct{}{}, freed: make(chan struct{}), metrics: newMetrics(o.Listener)}
+	p := &Pool{opt: o, limits: intake.Limits{Bytes: o.MemoryBytes}, start: time.Now(), open: map[*Conn]struct{}{}, freed: make(chan struct{}), metrics: newMetrics(o.Listener)}
 	if p.opt.Slow == nil {
 		p.opt.Slow = prometheus.NewCounter(prometheus.CounterOpts{Name: "slow"})
 	}
@@ -128,15 +133,6 @@
 	return err
 }
 
-// limits returns the limits that are in force.
-func (p *Pool) limits() intake.Limits {
-	l := intake.Limits{Bytes: p.opt.MemoryBytes}
-	if p.opt.Connections != nil {
-		l.Connections = p.opt.Connections()
-	}
-	return l
-}
-
 // used returns the bytes that all connections hold. p.mu is held.
 func (p *Pool) used() int64 { return p.held + p.unread + p.opt.Backlogs.Held() }
 
@@ -147,52 +143,75 @@
 	return p.opt.MemoryBytes - p.used()
 }
 
-// holdings returns what the connections hold. p.mu is held.
-func (p *Pool) holdings(now time.Time) ([]*Conn, []intake.Holding) {
-	conns := slices.Collect(maps.Keys(p.open))
-	holdings := make([]intake.Holding, len(conns))
-	for i, c := range conns {
-		holdings[i] = c.holding(now)
+// list returns the connections and what they hold, until release is called. p.mu is held.
+func (p *Pool) list(now time.Time) ([]*Conn, []intake.Holding) {
+	p.listed, p.holdings = p.listed[:0], p.holdings[:0]
+	for c := range p.open {
+		p.listed, p.holdings = append(p.listed, c), append(p.holdings, c.holding(now))
 	}
-	return conns, holdings
+	return p.listed, p.holdings
+}
+
+// release forgets the connections that were listed. p.mu is held.
+func (p *Pool) release() { clear(p.listed) }
+
+// await waits until bytes are given back, at most for a time, or until ended is closed.
+func (p *Pool) await(freed <-chan struct{}, timeout <-chan time.Time, ended <-chan struct{}) (inTime bool) {
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.waiting--
+	}()
+	select {
+	case <-freed:
+	case <-ended:
+	case <-timeout:
+		return false
+	}
+	return true
 }
 
 // add admits a new connection. It closes another one where the limits demand it, and
 // reports false if there is none that may be closed.
 func (p *Pool) add(c *Conn) bool {
-	limits := p.limits()
+	most := 0
+	if p.opt.Connections != nil {
+		most = p.opt.Connections()
+	}
 	p.mu.Lock()
 	now := time.Now()
 	p.measureUnread(now)
 	var victims []*Conn
-	if limits.Connections > 0 && len(p.open) >= limits.Connections {
-		conns, holdings := p.holdings(now)
-		if countOpen(holdings) >= limits.Connections {
+	if most > 0 && len(p.open) >= most {
+		conns, holdings := p.list(now)
+		if countOpen(holdings) >= most {
 			i, ok := intake.ForConnection(now, holdings)
 			if !ok {
+				p.release()
 				p.mu.Unlock()
 				p.refuse(c, limitDescriptors)
 				return false
 			}
 			victims = p.close(victims, limitDescriptors, conns[i])
 		}
+		p.release()
 	}
-	victims, ok := p.makeRoom(now, limits, victims, c, intake.ConnectionBytes)
+	victims, ok := p.makeRoom(now, victims, c, intake.ConnectionBytes)
 	if ok {
 		p.open[c] = struct{}{}
 		p.hold(c, intake.ConnectionBytes)
 	}
-	freed, behind := p.freed, p.opt.MemoryBytes > 0 && p.ending > p.opt.MemoryBytes/endingDivisor
+	freed, behind := p.freed, ok && p.opt.MemoryBytes > 0 && p.ending > p.opt.MemoryBytes/endingDivisor
+	if behind {
+		p.waiting++
+	}
 	p.mu.Unlock()
 	p.finish(victims)
 	switch {
 	case !ok:
 		p.refuse(c, limitMemory)
 	case behind:
-		select {
-		case <-freed:
-		case <-time.After(maxAcceptPause):
-		}
+		p.await(freed, time.After(maxAcceptPause), nil)
 	case len(victims) > 0:
 		time.Sleep(closePause)
 	}
@@ -211,12 +230,13 @@
 
 // makeRoom marks connections as closed so that a connection may take more bytes, which may
 // become free only later. It reports false if there are not enough. p.mu is held.
-func (p *Pool) makeRoom(now time.Time, limits intake.Limits, victims []*Conn, c *Conn, more int64) ([]*Conn, bool) {
-	need := limits.Excess(p.used()-p.ending, c.held, more)
+func (p *Pool) makeRoom(now time.Time, victims []*Conn, c *Conn, more int64) ([]*Conn, bool) {
+	need := p.limits.Excess(p.used()-p.ending, c.held, more)
 	if need == 0 {
 		return victims, true
 	}
-	conns, holdings := p.holdings(now)
+	conns, holdings := p.list(now)
+	defer p.release()
 	closed, ok := intake.ForBytes(now, holdings, need)
 	if !ok {
 		return victims, false
@@ -278,7 +298,7 @@
 	if c.state.Load() == connEnded && c.marked {
 		p.ending += bytes
 	}
-	if bytes < 0 {
+	if bytes < 0 && p.waiting > 0 {
 		close(p.freed)
 		p.freed = make(chan struct{})
 	}
@@ -289,28 +309,30 @@
 func (p *Pool) take(c *Conn, bytes int64) error {
 	var timeout <-chan time.Time
 	for {
-		limits := p.limits()
 		p.mu.Lock()
 		if c.state.Load() == connEnded {
 			p.mu.Unlock()
 			return errEnded
 		}
 		now := time.Now()
-		if limits.Excess(p.used(), c.held, bytes) == 0 {
+		if p.limits.Excess(p.used(), c.held, bytes) == 0 {
 			p.hold(c, bytes)
 			p.mu.Unlock()
 			return nil
 		}
 		p.measureUnread(now)
-		victims, ok := p.makeRoom(now, limits, nil, c, bytes)
-		freed := p.freed
+		victims, ok := p.makeRoom(now, nil, c, bytes)
+		freed, wait := p.freed, ok && !slices.Contains(victims, c)
+		if wait {
+			p.waiting++
+		}
 		p.mu.Unlock()
 		p.finish(victims)
-		if !ok {
+		switch {
+		case !ok:
 			p.metrics.refused.WithLabelValues(string(limitMemory)).Inc()
 			return errNoRoom("memory")
-		}
-		if slices.Contains(victims, c) {
+		case !wait:
 			return errEnded
 		}
 		if timeout == nil {
@@ -318,11 +340,7 @@
 			defer timer.Stop()
 			timeout = timer.C
 		}
-		select {
-		case <-freed:
-		case <-c.ended:
-			return errEnded
-		case <-timeout:
+		if !p.await(freed, timeout, c.ended) {
 			p.metrics.refused.WithLabelValues(string(limitMemory)).Inc()
 			return errNoRoom("memory")
 		}
@@ -332,9 +350,8 @@
 // tryTake lets a connection hold more bytes if there is room, or there will be soon because
 // others were closed.
 func (p *Pool) tryTake(c *Conn, bytes int64) bool {
-	limits := p.limits()
 	p.mu.Lock()
-	victims, ok := p.makeRoom(time.Now(), limits, nil, c, bytes)
+	victims, ok := p.makeRoom(time.Now(), nil, c, bytes)
 	if ok {
 		p.hold(c, bytes)
 	}
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -40,8 +40,7 @@
 
 // Limits bound what all connections hold together. 0 means no limit.
 type Limits struct {
-	Bytes       int64
-	Connections int
+	Bytes int64
 }
 
 const (
@@ -96,51 +95,48 @@
 // bytes becomes free: those first that hold most for longest. If they do not hold as much,
 // none is closed, and ok is false.
 func ForBytes(now time.Time, holdings []Holding, need int64) (closed []int, ok bool) {
-	for _, stalled := range []bool{false, true} {
-		left := closable(holdings, stalled)
-		for need > 0 && len(left) > 0 {
-			i := heaviest(left, func(i int) float64 { return holdings[i].weight(now, holdings[i].Bytes) })
-			closed = append(closed, left[i])
-			need -= holdings[left[i]].Bytes
-			left = slices.Delete(left, i, i+1)
+	left := need
+	for _, h := range holdings {
+		if h.closable(false) || h.closable(true) {
+			left -= h.Bytes
 		}
 	}
-	if need > 0 {
+	if left > 0 {
 		return nil, false
 	}
-	return closed, true
-}
-
-// heaviest returns the position of the connection with the largest weight, the first of
-// several.
-func heaviest(indexes []int, weight func(int) float64) (position int) {
-	largest := weight(indexes[0])
-	for p, i := range indexes {
-		if w := weight(i); w > largest {
-			position, largest = p, w
-		}
+	for need > 0 {
+		i := heaviest(holdings, closed, func(h Holding) float64 { return h.weight(now, h.Bytes) })
+		closed = append(closed, i)
+		need -= holdings[i].Bytes
 	}
-	return position
+	return closed, true
 }
 
 // ForConnection returns the index of the connection that is to be closed for a new one: that
 // which has held its descriptor for longest without a whole request.
 func ForConnection(now time.Time, holdings []Holding) (closed int, ok bool) {
-	for _, stalled := range []bool{false, true} {
-		if left := closable(holdings, stalled); len(left) > 0 {
-			return left[heaviest(left, func(i int) float64 { return holdings[i].weight(now, 1) })], true
-		}
-	}
-	return 0, false
+	closed = heaviest(holdings, nil, func(h Holding) float64 { return h.weight(now, 1) })
+	return max(closed, 0), closed >= 0
 }
 
-func closable(holdings []Holding, stalled bool) (indexes []int) {
-	for i, h := range holdings {
-		if h.closable(stalled) {
-			indexes = append(indexes, i)
+// heaviest returns the index of the connection with the largest weight, besides those that
+// are closed already, -1 if there is none. Connections whose callers have stalled come last.
+func heaviest(holdings []Holding, closed []int, weight func(Holding) float64) int {
+	for _, stalled := range []bool{false, true} {
+		found, largest := -1, 0.0
+		for i, h := range holdings {
+			if !h.closable(stalled) || slices.Contains(closed, i) {
+				continue
+			}
+			if w := weight(h); found < 0 || w > largest {
+				found, largest = i, w
+			}
+		}
+		if found >= 0 {
+			return found
 		}
 	}
-	return indexes
+	return -1
 }
 
 // Costs of what callers make the process hold, in bytes.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -41,6 +41,7 @@
 	mu        sync.Mutex
 	idle      map[string][]*conn // by address, least recently used first
 	connCount map[string]int     // connections by address, idle and in use
+	conns     int                // of all addresses
 }
 
 // NewPool returns an empty pool.
@@ -117,6 +118,7 @@
 				return nil, ErrConnLimit
 			}
 			p.connCount[req.Address]++
+			p.conns++
 			p.mu.Unlock()
 			return p.dial(ctx, req)
 		}
@@ -166,6 +168,7 @@
 func (p *Pool) Probe(ctx context.Context, address string, identity *Identity) error {
 	p.mu.Lock()
 	p.connCount[address]++
+	p.conns++
 	p.mu.Unlock()
 	now := time.Now()
 	req := &Request{Address: address, ResponseHeaderDeadline: now.Add(p.opt.DialTimeout), Identity: identity}
@@ -200,17 +203,15 @@
 }
 
 // Conns returns the number of connections, idle and in use.
-func (p *Pool) Conns() (n int) {
+func (p *Pool) Conns() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, count := range p.connCount {
-		n += count
-	}
-	return n
+	return p.conns
 }
 
 // countClosed removes a closed connection from connCount. p.mu must be held.
 func (p *Pool) countClosed(address string) {
+	p.conns--
 	if p.connCount[address]--; p.connCount[address] <= 0 {
 		delete(p.connCount, address)
 		delete(p.idle, address)
