callers: the time for a body begins with the body

Found by reading: the server's read timeout counts from when a connection is accepted, as the server does not see that a head is awaited. Now the pool sets the deadline when a handler begins (TestBodyTimeoutBeginsWithTheBody), and the server sets none. A request that is refused before its handler reads it counts as answered, and one that the server answers by itself (OPTIONS *) gives its memory back (TestAnswersOfTheServerGiveTheirMemoryBack).

--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -27,17 +27,16 @@
 type headReader struct {
 	awaited bool // the head of a request is awaited; all else is passed on as it comes
 	scan    intake.Head
-	buf     []byte       // read and not passed on
-	taken   int64        // bytes that are counted for buf
-	skipped int64        // bytes of empty lines before the head
-	ahead   atomic.Int64 // bytes that are counted for a request whose handler has not begun
-	stopped atomic.Bool  // all reads have ended
-	// deadline is the server's. That of a head holds in its place while one is awaited.
-	deadline time.Time
+	buf     []byte      // read and not passed on
+	taken   int64       // bytes that are counted for buf
+	skipped int64       // bytes of empty lines before the head
+	counted bool        // the request whose head was passed on last is counted, and has not begun
+	stopped atomic.Bool // all reads have ended
 }
 
 // next begins the wait for the next head, unless a part of it was passed on.
 func (h *headReader) next() {
+	h.counted = false
 	if !h.awaited && len(h.buf) == 0 {
 		h.awaited = true
 		h.scan.Next()
@@ -67,12 +66,6 @@
 	return c.readHead(p)
 }
 
-// SetReadDeadline implements net.Conn.
-func (c *Conn) SetReadDeadline(t time.Time) error {
-	c.head.deadline = t
-	return c.Conn.SetReadDeadline(t)
-}
-
 // readAny reads what arrives.
 func (c *Conn) readAny(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -149,17 +142,16 @@
 // of its bytes that come after the head.
 func (c *Conn) passHead(p, last []byte, rest int, direct bool) (int, error) {
 	h := &c.head
-	if err := c.Conn.SetReadDeadline(h.deadline); err != nil {
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
 		return 0, err
 	}
 	if h.stopped.Load() {
 		return 0, os.ErrDeadlineExceeded
 	}
-	cost := intake.RequestBytes(h.scan.Bytes, h.scan.Lines)
-	if err := c.pool.take(c, cost); err != nil {
+	if err := c.pool.take(c, intake.RequestBytes(h.scan.Bytes, h.scan.Lines)); err != nil {
 		return 0, c.refuseHead(err)
 	}
-	h.ahead.Add(cost)
+	h.counted = true
 	h.awaited, h.scan, h.skipped = false, intake.Head{}, 0
 	if rest > 0 {
 		h.scan.Passed(last[len(last)-rest:])
--- a/internal/callers/pool.go
+++ b/internal/callers/pool.go
@@ -39,6 +39,9 @@
 	Connections, Whole func() int
 	// Requests returns the limits that are in force.
 	Requests func() RequestLimits
+	// BodyTimeout bounds the time in which the body of a request must come, after its head.
+	// Handlers may set another deadline. 0 means no limit.
+	BodyTimeout time.Duration
 	// Backlogs bounds what is held for callers that read slowly; nil makes writes wait for
 	// them.
 	Backlogs *backlog.Pool
@@ -375,7 +378,7 @@
 func (p *Pool) endRequest(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if rest := intake.ConnectionBytes + c.head.taken + c.head.ahead.Load(); c.held > rest {
+	if rest := intake.ConnectionBytes + c.head.taken; c.held > rest {
 		p.hold(c, rest-c.held)
 	}
 	p.forgetUnread(c)
@@ -435,7 +438,7 @@
 	server.ConnContext = withConn
 	server.ConnState = observeConn
 	server.MaxHeaderBytes = maxHeaderBytes
-	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0
+	server.ReadTimeout, server.ReadHeaderTimeout, server.IdleTimeout = 0, 0, 0
 }
 
 // maxHeaderBytes bounds the header limit that is in force.
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -198,6 +199,41 @@
 	assert.Equal(t, s.began.Load(), int64(0))
 }
 
+// Guards against a request that is cut off because its connection was open for longer than a
+// body may take, and against a body that may take as long as it likes.
+func TestBodyTimeoutBeginsWithTheBody(t *testing.T) {
+	s := startServer(t, Options{BodyTimeout: 200 * time.Millisecond})
+	conn, reader := s.dial(t)
+	for range 2 {
+		time.Sleep(300 * time.Millisecond)
+		_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc")
+		assert.NilError(t, err)
+		status, _ := answer(t, reader)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nab")
+	assert.NilError(t, err)
+	_, err = reader.ReadByte()
+	assert.Assert(t, err != nil && !errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+}
+
+// Guards against memory that stays counted for requests that the server answers by itself.
+func TestAnswersOfTheServerGiveTheirMemoryBack(t *testing.T) {
+	s := startServer(t, Options{})
+	conn, reader := s.dial(t)
+	for range 20 {
+		_, err := io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n")
+		assert.NilError(t, err)
+		status, _ := answer(t, reader)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	waitFor(t, "memory that is given back", func() bool {
+		s.pool.mu.Lock()
+		defer s.pool.mu.Unlock()
+		return s.pool.held == intake.ConnectionBytes
+	})
+}
+
 // Guards against silent connections that keep new ones out, and against the close of those
 // whose request is in progress.
 func TestSilentConnectionsYieldToNewOnes(t *testing.T) {
--- a/internal/callers/side.go
+++ b/internal/callers/side.go
@@ -38,7 +38,7 @@
 		connections = defaultSideConnections
 	}
 	pool := NewPool(Options{
-		Listener: name, Logger: log, MemoryBytes: sideMemoryBytes, Connections: func() int { return connections },
+		Listener: name, Logger: log, MemoryBytes: sideMemoryBytes, Connections: func() int { return connections }, BodyTimeout: sideReadTimeout,
 		// Reads of metrics are over once they are written, also if nobody takes them.
 		Backlogs: backlog.NewPool(sideMemoryBytes / 2),
 		Requests: func() RequestLimits {
@@ -46,7 +46,7 @@
 		},
 	})
 	server := &http.Server{
-		Handler: Handler(refuseLongBodies(handler)), ReadTimeout: sideReadTimeout, WriteTimeout: sideWriteTimeout,
+		Handler: Handler(refuseLongBodies(handler)), WriteTimeout: sideWriteTimeout,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	pool.Configure(server)
--- a/internal/callers/state.go
+++ b/internal/callers/state.go
@@ -20,7 +20,7 @@
 	connQuiet     int32 = iota // nothing was read since the last answer
 	connPartial                // bytes of a request were read
 	connReceiving              // the request's head is whole, its body is not
-	connRest                   // likewise, and the request is answered
+	connRest                   // the request is answered without it, or refused
 	connWhole                  // the request is in progress
 	connEnded                  // no further request is read
 )
@@ -64,14 +64,19 @@
 	if r.ContentLength == 0 {
 		state = connWhole
 	}
-	if c.head.ahead.Swap(0) == 0 { // it came together with what is before it
+	if !c.head.counted { // it came together with what is before it
 		if err := c.Take(requestBytes(r)); err != nil {
+			c.moveTo(connRest)
 			return err
 		}
 	}
+	c.head.counted = false
 	if state == connWhole {
 		return c.Received()
 	}
+	if timeout := c.pool.opt.BodyTimeout; timeout > 0 && c.SetReadDeadline(time.Now().Add(timeout)) != nil {
+		return ErrGone
+	}
 	if !c.moveTo(state) {
 		return ErrGone
 	}
@@ -99,6 +104,7 @@
 		return nil
 	case p.opt.Whole != nil && p.whole.Load() >= int64(p.opt.Whole()) && p.opt.Whole() > 0:
 		p.metrics.refused.WithLabelValues(string(limitDescriptors)).Inc()
+		c.moveTo(connRest)
 		return errNoRoom("descriptors")
 	case !c.moveTo(connWhole):
 		return ErrGone
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"net/http"
 	"sort"
-	"time"
 
 	"github.com/labstack/echo/v5"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -170,11 +169,9 @@
 // instead, each write has a deadline, which disconnects callers that stop
 // reading.
 func (r *Router) newServer() *http.Server {
-	limits := r.opts.Settings.Limits
 	server := &http.Server{
-		Handler:     callers.Handler(r.withConnectionClose(withWriteDeadline(r.newHandler()))),
-		ReadTimeout: time.Duration(limits.ReadTimeoutMS) * time.Millisecond,
-		ErrorLog:    slog.NewLogLogger(r.opts.Logger.Handler(), slog.LevelDebug),
+		Handler:  callers.Handler(r.withConnectionClose(withWriteDeadline(r.newHandler()))),
+		ErrorLog: slog.NewLogLogger(r.opts.Logger.Handler(), slog.LevelDebug),
 	}
 	r.callers.Configure(server)
 	return server
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -26,6 +26,7 @@
 	limits := r.opts.Settings.Limits
 	o := callers.Options{
 		Listener: "callers", Logger: r.opts.Logger, Requests: r.requestLimits,
+		BodyTimeout: time.Duration(limits.ReadTimeoutMS) * time.Millisecond,
 		// One body of the largest size must fit.
 		MemoryBytes: max(limits.CallerMemoryMB<<20, minBodies*limits.BodyBytes),
 	}
