fleet: the streams that a gateway remembers are bounded

They were kept by the id that the caller chose, of up to the limit on headers, for the longest timeout of a route and more: 14 KB a stream. They are kept by its hash now, as in the rows of the table, and 65,536 of them at a time; beyond that the oldest are forgotten early (TestStreamsAreBounded). Rows do not change.

--- a/internal/core/fleet/streams.go
+++ b/internal/core/fleet/streams.go
@@ -31,10 +31,13 @@
 	recorded  map[ServiceVersion][]byte // hashes of the ids in the current slot
 	pending   bool                      // recorded has changed since the last call of Flush
 	rotatedAt time.Time
-	recent    map[string]*stream // by id of the request that began it
-	older     map[string]*stream
+	recent    map[uint64]*stream // by the hash of the id of the request that began it
+	older     map[uint64]*stream
 }
 
+// maxStreams bounds recent, and older, whatever the retention is.
+const maxStreams = 1 << 16
+
 type stream struct {
 	begunAt  ServiceVersion
 	ended    bool
@@ -45,20 +48,20 @@
 func NewStreams(host, incarnation string) *Streams {
 	return &Streams{
 		keyPrefix: StreamPrefix + host + "/" + incarnation + "/",
-		recorded:  map[ServiceVersion][]byte{}, recent: map[string]*stream{}, older: map[string]*stream{},
+		recorded:  map[ServiceVersion][]byte{}, recent: map[uint64]*stream{}, older: map[uint64]*stream{},
 	}
 }
 
 // Begin remembers the version that began a stream, identified by the request that did,
 // for at least retention. If record is set, the next Flush records it.
 func (s *Streams) Begin(now time.Time, id string, at ServiceVersion, record bool, retention time.Duration) {
-	if now.Sub(s.rotatedAt) > retention {
-		s.recent, s.older, s.rotatedAt = map[string]*stream{}, s.recent, now
+	if now.Sub(s.rotatedAt) > retention || len(s.recent) >= maxStreams {
+		s.recent, s.older, s.rotatedAt = map[uint64]*stream{}, s.recent, now
 	}
-	began := &stream{begunAt: at}
-	s.recent[id] = began
+	began, hash := &stream{begunAt: at}, xxhash.Sum64String(id)
+	s.recent[hash] = began
 	if record {
-		s.record(id, began)
+		s.record(hash, began)
 	}
 }
 
@@ -71,18 +74,18 @@
 
 // RecordAll records the streams of a service that have not ended.
 func (s *Streams) RecordAll(service string) {
-	for _, streams := range []map[string]*stream{s.recent, s.older} {
-		for id, began := range streams {
+	for _, streams := range []map[uint64]*stream{s.recent, s.older} {
+		for hash, began := range streams {
 			if began.begunAt.Service == service && !began.ended && !began.recorded {
-				s.record(id, began)
+				s.record(hash, began)
 			}
 		}
 	}
 }
 
-func (s *Streams) record(id string, began *stream) {
+func (s *Streams) record(hash uint64, began *stream) {
 	began.recorded = true
-	s.recorded[began.begunAt] = binary.BigEndian.AppendUint64(s.recorded[began.begunAt], xxhash.Sum64String(id))
+	s.recorded[began.begunAt] = binary.BigEndian.AppendUint64(s.recorded[began.begunAt], hash)
 	s.pending = true
 }
 
@@ -95,10 +98,11 @@
 }
 
 func (s *Streams) find(id string) *stream {
-	if began := s.recent[id]; began != nil {
+	hash := xxhash.Sum64String(id)
+	if began := s.recent[hash]; began != nil {
 		return began
 	}
-	return s.older[id]
+	return s.older[hash]
 }
 
 // Pending reports whether Flush has a row to write.
--- a/internal/core/fleet/streams_test.go
+++ b/internal/core/fleet/streams_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -180,3 +181,15 @@
 	apply(testRetention+time.Second, 2, `{"settled_era":2}`)
 	assert.Equal(t, len(unsettled(2*testRetention)), 0)
 }
+
+// Guards against a memory of streams that grows with the ids of callers, or their number.
+func TestStreamsAreBounded(t *testing.T) {
+	s := NewStreams("host", "1")
+	now := time.Unix(1000, 0)
+	for i := range 3 * maxStreams {
+		s.Begin(now, strconv.Itoa(i), ServiceVersion{Service: "llm", Version: "v1"}, false, time.Hour)
+	}
+	assert.Assert(t, len(s.recent)+len(s.older) <= 2*maxStreams)
+	_, ok := s.Origin(strconv.Itoa(3*maxStreams - 1))
+	assert.Assert(t, ok)
+}
