gateway, listen: bounds of log lines, and of connections that wait to be accepted

Connections that wait to be accepted may each have filled their receive buffer, which nobody counts before; 256 may wait now. Lines about requests that were not served are bounded at 200 a second, 10 of those that need no key, and say how many were omitted; ids are cut after 256 bytes in all lines.

--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/callers"
+	"tarragonridge.example/tarragonridge/internal/logqueue"
 )
 
 // delivery is what is known of the events that were written to a caller's connection, but
@@ -63,7 +64,7 @@
 			d.missed += b.events
 		}
 	}
-	g.opt.Logger.Info("the caller read slowly", "request", req.meta.RequestID, "events", req.eventsSent, "not_delivered", d.missed,
+	g.opt.Logger.Info("the caller read slowly", "request", logqueue.Text(req.meta.RequestID), "events", req.eventsSent, "not_delivered", d.missed,
 		"waited_ms", time.Since(began).Milliseconds(), "err", writeErr)
 	if err == nil && writeErr != nil {
 		return g.notDelivered(req, writeErr)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -17,6 +17,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/retry"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/explain"
+	"tarragonridge.example/tarragonridge/internal/logqueue"
 	"tarragonridge.example/tarragonridge/internal/upstream"
 )
 
@@ -76,7 +77,7 @@
 		result, cause := g.attempt(ctx, w, r, req, t)
 		g.opt.Metrics.attempts.WithLabelValues(result.String()).Inc()
 		if result != outcomeServed {
-			g.opt.Logger.Info(explain.MessageAttemptFailed, "request", req.meta.RequestID, "target", t.ID, "version", t.Version, "outcome", result,
+			g.opt.Logger.Info(explain.MessageAttemptFailed, "request", logqueue.Text(req.meta.RequestID), "target", t.ID, "version", t.Version, "outcome", result,
 				"event", req.lastEvent, "ms", time.Since(req.arrived).Milliseconds(), "framing", req.targetFraming, "cause", cause)
 		}
 		switch result {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,8 +140,8 @@
 	stop         stopSchedule // set before phase becomes phaseDraining
 	callers      *callers.Pool
 	openRequests openRequests
-	// strangerLines bounds the log lines about requests that need no key to fail.
-	strangerLines logqueue.Limit
+	// Bounds of the log lines about requests that were not served.
+	strangerLines, callerLines logqueue.Limit
 
 	mu           sync.Mutex
 	targetView   *targets.View
@@ -196,6 +196,7 @@
 		streams:      fleet.NewStreams(o.Host, o.Incarnation),
 
 		strangerLines:   logqueue.Limit{PerSecond: strangerLinesPerS, Burst: strangerLinesBurst},
+		callerLines:     logqueue.Limit{PerSecond: callerLinesPerS, Burst: callerLinesBurst},
 		severalVersions: map[string]bool{},
 		publications:    newPublications(),
 		activated:       make(chan struct{}, 1),
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -304,7 +304,7 @@
 		phase, took, objective = "pause", req.longestGap, req.route.GapObjective
 	}
 	if objective > 0 && took > objective {
-		g.opt.Logger.Info(explain.MessageLate, "request", req.meta.RequestID, "route", req.route.Name, "team", req.team.Name, "phase", phase,
+		g.opt.Logger.Info(explain.MessageLate, "request", logqueue.Text(req.meta.RequestID), "route", req.route.Name, "team", req.team.Name, "phase", phase,
 			"ms", took.Milliseconds(), "objective_ms", objective.Milliseconds(), "status", req.status, "runs", req.runs, "rejected", req.rejections)
 	}
 }
@@ -322,12 +322,13 @@
 	if req.route != nil {
 		route = req.route.Name
 	}
-	var omitted int64
+	lines := &g.callerLines
 	if req.route == nil || needsNoKey(req.err.Kind) {
-		var ok bool
-		if omitted, ok = g.strangerLines.Allow(time.Now()); !ok {
-			return
-		}
+		lines = &g.strangerLines
+	}
+	omitted, ok := lines.Allow(time.Now())
+	if !ok {
+		return
 	}
 	g.opt.Logger.Info(explain.MessageNotServed, "request", logqueue.Text(req.meta.RequestID), "route", route, "team", req.team.Name,
 		"kind", req.err.Kind, "detail", req.err.Detail, "status", req.status, "ran", req.ran, "runs", req.runs, "rejected", req.rejections,
@@ -335,11 +336,13 @@
 		"ms", time.Since(req.arrived).Milliseconds(), "cause", req.err.Cause, "omitted", omitted)
 }
 
+// Bounds of the log lines about requests that were not served: of those that need no key to
+// fail, and of the others.
 const (
-	// strangerLinesPerS and strangerLinesBurst bound the log lines about requests that need
-	// no key to fail.
 	strangerLinesPerS  = 10
 	strangerLinesBurst = 50
+	callerLinesPerS    = 200
+	callerLinesBurst   = 2000
 )
 
 // needsNoKey reports whether a request may fail with an error though its caller has no key.
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -22,7 +22,7 @@
 
 // maxPending bounds the connections that wait to be accepted, each of which may have filled
 // its buffer.
-const maxPending = 1024
+const maxPending = 256
 
 // TCP listens on an address. The kernel holds little for each connection.
 func TCP(address string, buffer int) (net.Listener, error) {
