callers: ask for the limit of requests in progress once; two comments as it is

Received asked for the limit twice in one condition, and wrote the check of an optional limit in another form than add. A connection always has a pool, and what the kernel holds is measured of all connections: the comments say so. Behaviour is the same.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -38,7 +38,7 @@
 	tcp      *net.TCPConn
 	counted  *netcount.Conn
 	raw      syscall.RawConn
-	pool     *Pool // nil if it is not one of a pool's
+	pool     *Pool
 	state    atomic.Int32
 	since    atomic.Int64 // since when the connection does what it does; from the start of the pool
 	served   atomic.Bool
--- a/internal/callers/pool.go
+++ b/internal/callers/pool.go
@@ -88,7 +88,7 @@
 	open     map[*Conn]struct{}
 	held     int64 // bytes, of all connections
 	ending   int64 // bytes that closed connections have not given back yet
-	unread   int64 // bytes that the kernel holds of these, as last measured
+	unread   int64 // bytes that the kernel holds of all connections, as last measured
 	unreadAt time.Time
 	freed    chan struct{} // closed and replaced when bytes are given back and somebody waits
 	waiting  int           // goroutines that wait for freed
--- a/internal/callers/state.go
+++ b/internal/callers/state.go
@@ -99,10 +99,14 @@
 // has ended, and if there are too many requests in progress.
 func (c *Conn) Received() error {
 	p := c.pool
+	most := 0
+	if p.opt.Whole != nil {
+		most = p.opt.Whole()
+	}
 	switch {
 	case c.state.Load() == connWhole:
 		return nil
-	case p.opt.Whole != nil && p.whole.Load() >= int64(p.opt.Whole()) && p.opt.Whole() > 0:
+	case most > 0 && p.whole.Load() >= int64(most):
 		p.metrics.refused.WithLabelValues(string(limitDescriptors)).Inc()
 		c.moveTo(connRest)
 		return errNoRoom("descriptors")
