callers: the server is given no part of the next head

What callers saw: 400 for a request that begins with empty lines, if these arrived while the server still read the byte by which it notices that a caller leaves.

Cause: Conn.Read passed on whatever came after a head until the server was done with the request. The search for the next end of a head then began in the middle, by the last two bytes that had been passed on. A byte of an empty line was passed on as the start of a head. Worse, a body that ends a line and then an empty line looked like a whole head: the server got the rest of the next head as it came in, without the limits on its bytes and its time, and nobody counted what it parsed.

Change: intake.BodyAfter reads from a head how its body ends, as the server does, and intake.Body finds that end; the search for the next head begins exactly there, and what came in together with the end is held back. Only the one byte that the server reads while a request is in progress is still passed on, and empty lines are skipped there too. A request whose body the server sees otherwise gets 400.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -80,7 +80,6 @@
 func (p *Pool) newConn(conn net.Conn, tcp *net.TCPConn, counted *netcount.Conn, raw syscall.RawConn) *Conn {
 	c := &Conn{Conn: conn, tcp: tcp, counted: counted, raw: raw, pool: p, backlog: backlog.New(p.opt.Backlogs), ended: make(chan struct{})}
 	c.since.Store(int64(time.Since(p.start)))
-	c.head.awaited = true
 	c.changed.L = &c.mu
 	c.tryNow = func(fd uintptr) bool {
 		for {
--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -23,45 +23,35 @@
 )
 
 // headReader holds what was read of a head until it is whole, so that it costs no more than
-// its bytes until then. One read uses it at a time.
+// its bytes until then. The server is given whole heads and what belongs to their bodies: a
+// part of a head that it had would cost more than is counted, and have no limits. One read
+// uses it at a time.
 type headReader struct {
-	awaited bool // the head of a request is awaited; all else is passed on as it comes
-	scan    intake.Head
-	buf     []byte      // read and not passed on
-	taken   int64       // bytes that are counted for buf
-	skipped int64       // bytes of empty lines before the head
-	counted bool        // the request whose head was passed on last is counted, and has not begun
-	stopped atomic.Bool // all reads have ended
-}
-
-// next begins the wait for the next head, unless a part of it was passed on.
-func (h *headReader) next() {
-	h.counted = false
-	if !h.awaited && len(h.buf) == 0 {
-		h.awaited = true
-		h.scan.Next()
-	}
+	scan      intake.Head // of the head that is awaited
+	body      intake.Body // of the request that was passed on last; after it a head is awaited
+	length    int64       // of that body, -1 if it is in chunks
+	inRequest bool        // the server has not ended the request that was passed on last
+	buf       []byte      // read and not passed on
+	passable  int         // bytes at the start of buf that may be passed on
+	taken     int64       // bytes that are counted for buf
+	skipped   int64       // bytes of empty lines before the head
+	stopped   atomic.Bool // all reads have ended
 }
 
 // Read implements net.Conn. The head of a request is returned once it is whole. What arrives
 // when the connection has ended counts as not read.
 func (c *Conn) Read(p []byte) (int, error) {
 	h := &c.head
+	if h.passable == 0 && !h.body.Ended() {
+		h.passable = h.body.Scan(h.buf)
+	}
 	switch {
-	case !h.awaited && len(h.buf) > 0:
+	case h.passable > 0:
 		return c.passOn(p), nil
-	case !h.awaited:
-		n, err := c.readAny(p)
-		h.scan.Passed(p[:n])
-		return n, err
-	case len(p) == 1:
-		// While a request is in progress, the server reads a byte to notice that the caller
-		// has left.
-		n, err := c.readAny(p)
-		if _, end := h.scan.Scan(p[:n]); end > 0 {
-			h.awaited, h.scan = false, intake.Head{}
-		}
-		return n, err
+	case !h.body.Ended():
+		return c.readBody(p)
+	case h.inRequest && len(p) == 1:
+		return c.readByte(p)
 	}
 	return c.readHead(p)
 }
@@ -78,39 +68,81 @@
 // passOn returns a part of what is held back.
 func (c *Conn) passOn(p []byte) int {
 	h := &c.head
-	n := copy(p, h.buf)
+	n := copy(p, h.buf[:h.passable])
+	h.passable -= n
 	if h.buf = h.buf[n:]; len(h.buf) == 0 {
-		h.buf = nil
-		c.pool.give(c, h.taken)
-		h.taken = 0
+		c.dropBuffer()
 	}
 	return n
 }
 
+// dropBuffer gives back the buffer, of which nothing is needed.
+func (c *Conn) dropBuffer() {
+	c.pool.give(c, c.head.taken)
+	c.head.buf, c.head.taken = nil, 0
+}
+
+// readBody reads a part of a body, and holds back what comes after its end.
+func (c *Conn) readBody(p []byte) (int, error) {
+	n, err := c.readAny(p)
+	own := c.head.body.Scan(p[:n])
+	c.holdBack(p[own:n])
+	return own, err
+}
+
+// holdBack keeps what came in together with the end of a request.
+func (c *Conn) holdBack(read []byte) {
+	h := &c.head
+	if len(read) == 0 {
+		return
+	}
+	// It was read already, and is as long as the server's buffer at most.
+	size := max(len(read), firstHeadBuffer)
+	c.pool.holdRead(c, int64(size))
+	h.buf, h.taken = append(make([]byte, 0, size), read...), int64(size)
+}
+
+// readByte reads the byte by which the server notices that a caller has left while its request
+// is in progress. It belongs to the next head: empty lines before that are skipped here too.
+func (c *Conn) readByte(p []byte) (int, error) {
+	h := &c.head
+	for most := c.pool.opt.Requests().HeaderBytes + lineSlack; ; {
+		n, err := 1, error(nil)
+		if len(h.buf) > 0 {
+			h.passable = n
+			c.passOn(p)
+		} else {
+			n, err = c.readAny(p)
+		}
+		skip, _ := h.scan.Scan(p[:n])
+		if h.skipped += int64(skip); skip == 0 || h.skipped > most {
+			return n, err
+		}
+	}
+}
+
 // readHead reads until the head of a request is whole.
 func (c *Conn) readHead(p []byte) (int, error) {
 	h := &c.head
 	limits := c.pool.opt.Requests()
-	if err := c.setHeadDeadline(limits.IdleTimeout); err != nil {
+	timeout := limits.IdleTimeout
+	if h.scan.Began() {
+		timeout = limits.HeaderTimeout
+	}
+	if err := c.setHeadDeadline(timeout); err != nil {
 		return 0, err
 	}
-	for {
-		// A head that comes in at once is not copied.
-		into := p
-		if len(h.buf) > 0 || len(p) < firstHeadBuffer {
+	read, direct := h.buf, false
+	for h.buf = h.buf[:0]; ; read = nil {
+		if len(read) == 0 {
 			var err error
-			if into, err = c.headSpace(); err != nil {
-				return 0, c.refuseHead(err)
+			if read, direct, err = c.readMore(p); err != nil {
+				return 0, err
 			}
 		}
-		n, err := c.Conn.Read(into)
-		if n == 0 && err != nil {
-			return 0, c.endHead(err)
-		}
 		began := h.scan.Began()
-		skip, end := h.scan.Scan(into[:n])
-		if !began && h.scan.Began() {
-			c.state.CompareAndSwap(connQuiet, connPartial)
+		skip, end := h.scan.Scan(read)
+		if h.scan.Began() && c.state.CompareAndSwap(connQuiet, connPartial) {
 			c.since.Store(int64(time.Since(c.pool.start)))
 		}
 		if c.state.Load() == connEnded {
@@ -120,24 +152,39 @@
 		if max(h.scan.Bytes, h.skipped) > limits.HeaderBytes+lineSlack {
 			return 0, c.answerHead(limitHeadBytes, answerHeadTooLarge)
 		}
-		direct := len(h.buf) == 0 && len(p) > 0 && &into[0] == &p[0]
-		if end == 0 {
-			if !began && h.scan.Began() {
-				if err := c.setHeadDeadline(limits.HeaderTimeout); err != nil {
-					return 0, err
-				}
-			}
-			if h.scan.Began() {
-				if err := c.keep(into[skip:n], direct); err != nil {
-					return 0, c.refuseHead(err)
-				}
-			}
+		switch {
+		case end > 0:
+			return c.passHead(p, read[skip:], len(read)-end, direct)
+		case !h.scan.Began():
+			c.dropBuffer()
 			continue
+		case !began:
+			if err := c.setHeadDeadline(limits.HeaderTimeout); err != nil {
+				return 0, err
+			}
+		}
+		if err := c.keep(read[skip:], direct); err != nil {
+			return 0, c.refuseHead(err)
 		}
-		return c.passHead(p, into[skip:n], n-end, direct)
 	}
 }
 
+// readMore reads what arrives of a head, into the buffer of the server if nothing is held back
+// yet: a head that comes in at once is not copied.
+func (c *Conn) readMore(p []byte) (read []byte, direct bool, err error) {
+	into := p
+	if direct = len(c.head.buf) == 0 && len(p) >= firstHeadBuffer; !direct {
+		if into, err = c.headSpace(); err != nil {
+			return nil, false, c.refuseHead(err)
+		}
+	}
+	n, err := c.Conn.Read(into)
+	if n == 0 && err != nil {
+		return nil, false, c.endHead(err)
+	}
+	return into[:n], direct, nil
+}
+
 // passHead passes on a head that is whole. last is what was read last, and rest the number
 // of its bytes that come after the head.
 func (c *Conn) passHead(p, last []byte, rest int, direct bool) (int, error) {
@@ -151,16 +198,22 @@
 	if err := c.pool.take(c, intake.RequestBytes(h.scan.Bytes, h.scan.Lines)); err != nil {
 		return 0, c.refuseHead(err)
 	}
-	h.counted = true
-	h.awaited, h.scan, h.skipped = false, intake.Head{}, 0
-	if rest > 0 {
-		h.scan.Passed(last[len(last)-rest:])
+	h.scan, h.skipped, h.inRequest = intake.Head{}, 0, true
+	all := last
+	if !direct {
+		h.buf = append(h.buf, last...) // there is space
+		all = h.buf
 	}
-	if direct {
-		return copy(p, last), nil
+	head := len(all) - rest
+	h.body = intake.BodyAfter(all[:head])
+	h.length = h.body.Length()
+	own := head + h.body.Scan(all[head:])
+	if !direct {
+		h.passable = own
+		return c.passOn(p), nil
 	}
-	h.buf = append(h.buf, last...) // there is space
-	return c.passOn(p), nil
+	c.holdBack(all[own:])
+	return copy(p, all[:own]), nil
 }
 
 // headSpace returns the unused space of the buffer for a head, and makes more if there is
--- a/internal/callers/pool.go
+++ b/internal/callers/pool.go
@@ -363,6 +363,13 @@
 	return ok
 }
 
+// holdRead counts bytes that a connection holds already.
+func (p *Pool) holdRead(c *Conn, bytes int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hold(c, bytes)
+}
+
 // give counts bytes that a connection no longer holds.
 func (p *Pool) give(c *Conn, bytes int64) {
 	if bytes == 0 {
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -118,6 +118,10 @@
 		{"three at once, with long heads", "GET /a HTTP/1.1\r\nHost: x\r\n" + long + "\r\nGET /b HTTP/1.1\r\nHost: x\r\n" + long + "\r\nGET /c HTTP/1.1\r\nHost: x\r\n\r\n",
 			[]string{"/a 1 fields, 0 bytes", "/b 1 fields, 0 bytes", "/c 0 fields, 0 bytes"}},
 		{"empty line after a body", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\na\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n", []string{"/a 1 fields, 1 bytes", "/b 0 fields, 0 bytes"}},
+		{"empty lines while one is in progress", "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n", []string{"/slow 0 fields, 0 bytes", "/b 0 fields, 0 bytes"}},
+		{"body that ends a line, then empty lines", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\na\n\r\n\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n", []string{"/a 1 fields, 2 bytes", "/b 0 fields, 0 bytes"}},
+		{"chunks, then a long head", "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nA: b\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n" + long + "\r\n",
+			[]string{"/a 0 fields, 2 bytes", "/b 1 fields, 0 bytes"}},
 		{"while one is in progress", "GET /slow HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n" + long + "\r\n", []string{"/slow 0 fields, 0 bytes", "/b 1 fields, 0 bytes"}},
 	} {
 		for _, piece := range []int{1, 2, 7, 100, 4096, len(c.text)} {
@@ -151,6 +155,45 @@
 	})
 }
 
+// Guards against limits that are not in force for a head whose start came in with the request
+// before it, and against its cost, which nobody counts as the server parses it already.
+func TestLimitsOfRequestsThatFollow(t *testing.T) {
+	limits := RequestLimits{HeaderBytes: 1000, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 5 * time.Second}
+	s := startServer(t, Options{Requests: func() RequestLimits { return limits }})
+	for _, c := range []struct{ name, before, between string }{
+		{"after no body", "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", ""},
+		{"after a body", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc", ""},
+		{"after a body that ends a line", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n\n", "\r\n"},
+		{"after chunks", "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n", "\r\n"},
+		{"after a request that takes a while", "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n", ""},
+	} {
+		for _, next := range []struct {
+			name, text string
+			status     int
+		}{
+			{"without end", c.between + "GET /b HTTP/1.1\r\n" + strings.Repeat("a: b\r\n", 2000), http.StatusRequestHeaderFieldsTooLarge},
+			{"too late", c.between + "GET /b HTTP/1.1\r\na: b\r\n", http.StatusRequestTimeout},
+		} {
+			for _, at := range []int{0, len(c.between) + 1, len(next.text)} { // of its bytes come together with the request before
+				name := fmt.Sprintf("%s, %s, %d bytes early", c.name, next.name, at)
+				conn, reader := s.dial(t)
+				_, err := io.WriteString(conn, c.before+next.text[:at])
+				assert.NilError(t, err, name)
+				status, _ := answer(t, reader)
+				assert.Equal(t, status, http.StatusOK, name)
+				_, _ = io.WriteString(conn, next.text[at:]) // the server may have answered and closed
+				status, _ = answer(t, reader)
+				assert.Equal(t, status, next.status, name)
+			}
+		}
+	}
+	waitFor(t, "memory that is given back", func() bool {
+		s.pool.mu.Lock()
+		defer s.pool.mu.Unlock()
+		return s.pool.held == 0
+	})
+}
+
 // Guards against a request that goes on though its caller has left.
 func TestCallerWhoLeavesEndsItsRequest(t *testing.T) {
 	s := startServer(t, Options{})
--- a/internal/callers/state.go
+++ b/internal/callers/state.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"tarragonridge.example/tarragonridge/internal/core/intake"
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
 )
 
 // State of a connection. That of net/http does not tell a connection on which a part of a
@@ -58,19 +58,15 @@
 }
 
 // Begin notes that the handler of a request has begun. It fails with ErrGone if the connection
-// has ended, and if there is no memory for the request: it must not be served.
+// has ended, or if its body is not the one that was seen: it must not be served.
 func (c *Conn) Begin(r *http.Request) error {
 	state := connReceiving
 	if r.ContentLength == 0 {
 		state = connWhole
 	}
-	if !c.head.counted { // it came together with what is before it
-		if err := c.Take(requestBytes(r)); err != nil {
-			c.moveTo(connRest)
-			return err
-		}
+	if r.ContentLength != c.head.length {
+		return errkind.New(errkind.InvalidRequest, "it is not clear where the body ends")
 	}
-	c.head.counted = false
 	if state == connWhole {
 		return c.Received()
 	}
@@ -83,18 +79,6 @@
 	return nil
 }
 
-// requestBytes returns what a request costs whose head was not seen as a whole.
-func requestBytes(r *http.Request) int64 {
-	bytes, lines := int64(len(r.RequestURI)), int64(1)
-	for name, values := range r.Header {
-		for _, value := range values {
-			bytes += int64(len(name) + len(value))
-			lines++
-		}
-	}
-	return intake.RequestBytes(bytes, lines)
-}
-
 // Received notes that the request has come in whole. It fails with ErrGone if the connection
 // has ended, and if there are too many requests in progress.
 func (c *Conn) Received() error {
@@ -131,7 +115,7 @@
 			c.served.Store(true)
 		}
 		c.pool.endRequest(c)
-		c.head.next()
+		c.head.inRequest = false
 	case http.StateClosed, http.StateHijacked:
 		if c.state.Swap(connEnded) == connWhole {
 			c.pool.whole.Add(-1)
