gateway: a refusal does not wait for the rest of a body without end

What callers saw: no answer to a request with an unknown key or route whose body does not come, and a connection that stays open for good.

Cause: the server reads a short rest of a body before it sends an answer that did not need it. Only refusals for want of room set a deadline for that.

Change: each body has the time of callers.Options.BodyTimeout, which begins with it; refusals set none of their own.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -37,7 +37,7 @@
 var refusalReasons = [...]room.Resource{room.Link, room.Processor, room.Memory}
 
 // checkHost fails if the host has no room in time for a request whose body was not read.
-func (g *Gateway) checkHost(_ context.Context, w http.ResponseWriter, r *http.Request, req *request) error {
+func (g *Gateway) checkHost(r *http.Request, req *request) error {
 	if g.room == nil {
 		return nil
 	}
@@ -45,7 +45,7 @@
 	now := time.Now()
 	g.sampleRoomIfDue(now)
 	if fit := g.room.check(now, e); fit.Refuse {
-		return g.refuseEntry(w, e, fit.Resource, fit.Wait)
+		return g.refuseEntry(e, fit.Resource, fit.Wait)
 	}
 	return nil
 }
@@ -53,7 +53,7 @@
 // enterHost waits until the host has room for a request whose body was not read, or is long
 // and was read. It fails at once if that takes longer than the request's latency objective
 // allows.
-func (g *Gateway) enterHost(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) error {
+func (g *Gateway) enterHost(ctx context.Context, r *http.Request, req *request) error {
 	if g.room == nil {
 		return nil
 	}
@@ -67,16 +67,11 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return endOfWait(ctx, callers.ErrGone)
 	}
-	return g.refuseEntry(w, e, resource, wait)
+	return g.refuseEntry(e, resource, wait)
 }
 
 // refuseEntry returns the error of a request for which the host has no room.
-func (g *Gateway) refuseEntry(w http.ResponseWriter, e *entry, resource room.Resource, wait time.Duration) error {
-	// The server reads a short rest of the body before it answers, for which the caller
-	// has as long as for any body.
-	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return errkind.Wrap(err, errkind.Internal, "read deadline")
-	}
+func (g *Gateway) refuseEntry(e *entry, resource room.Resource, wait time.Duration) error {
 	refusal := errkind.New(errkind.NoRoom, "%s of this host: %d ms to wait, objective %d ms", resource, wait.Milliseconds(), e.Objective.Milliseconds())
 	refusal.RetryAfter = g.room.relief() + admit.MinReturn + rand.N(admit.MinReturn)
 	return refusal
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -19,7 +19,7 @@
 func (g *Gateway) callerOptions() callers.Options {
 	o := callers.Options{
 		Listener: "callers", MemoryBytes: cmp.Or(g.opt.CallerBytes, DefaultCallerBytes), Requests: g.requestLimits, Backlogs: g.backlogs,
-		Logger: g.opt.Logger, Slow: g.opt.Metrics.slowCallers, HeldUp: g.opt.Metrics.heldUp,
+		BodyTimeout: bodyTimeout, Logger: g.opt.Logger, Slow: g.opt.Metrics.slowCallers, HeldUp: g.opt.Metrics.heldUp,
 	}
 	if d := g.opt.Descriptors; d.Limit > 0 {
 		o.Connections = func() int { return d.Callers(g.pool.Conns()) }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -149,11 +149,13 @@
 func (g *Gateway) prepare(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) error {
 	// A place on the link for a long body that never comes would be kept from others.
 	long := r.ContentLength > intake.SmallBytes
-	enter := g.enterHost
+	var err error
 	if long {
-		enter = g.checkHost
+		err = g.checkHost(r, req)
+	} else {
+		err = g.enterHost(ctx, r, req)
 	}
-	if err := enter(ctx, w, r, req); err != nil {
+	if err != nil {
 		return err
 	}
 	if err := req.readBody(w, r); err != nil {
@@ -163,7 +165,7 @@
 		return err
 	}
 	if long {
-		if err := g.enterHost(ctx, w, r, req); err != nil {
+		if err := g.enterHost(ctx, r, req); err != nil {
 			return err
 		}
 	}
