router: errors do not repeat long texts of callers

Cause: the error of an unknown model names it, quoted, and that of a number which does not fit repeats its digits. Quoted and encoded, 3.9 MB of a body become up to 20 MB of an answer, which nobody counts.

Evidence: TestErrorsDoNotRepeatLongTexts failed before (1 MiB and more) and passes now.

--- a/internal/router/assemble_test.go
+++ b/internal/router/assemble_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/core/policy"
 )
 
 // rawEvents returns the events of a stream.
@@ -114,3 +117,15 @@
 		}
 	})
 }
+
+// Guards against errors that repeat what a caller sent, many times as long once it is quoted
+// and encoded.
+func TestErrorsDoNotRepeatLongTexts(t *testing.T) {
+	const long, most = 1 << 20, 4 << 10
+	_, err := parseCompletion([]byte(`{"model":"m","messages":[{}],"max_tokens":`+strings.Repeat("1", long)+`}`), true)
+	assert.ErrorContains(t, err, "not a valid request")
+	assert.Assert(t, len(err.Error()) < most, "%d bytes", len(err.Error()))
+	err = (&caller{}).checkModelAllowed(&policy.Document{}, strings.Repeat("\x7f", long))
+	assert.ErrorContains(t, err, "not served here")
+	assert.Assert(t, len(err.Error()) < most, "%d bytes", len(err.Error()))
+}
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -15,6 +15,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/ledger"
 	"tarragonridge.example/tarragonridge/internal/core/policy"
 	"tarragonridge.example/tarragonridge/internal/httpapi"
+	"tarragonridge.example/tarragonridge/internal/logqueue"
 )
 
 // Request headers that callers set.
@@ -181,14 +182,14 @@
 // checkModelAllowed returns an error if the caller may not use the model.
 func (cl *caller) checkModelAllowed(doc *policy.Document, model string) error {
 	if _, ok := doc.Models[model]; !ok {
-		return errkind.New(errkind.UnknownModel, "model %q is not served here", model)
+		return errkind.New(errkind.UnknownModel, "model %q is not served here", logqueue.Text(model))
 	}
 	workload, err := cl.checkWorkloadAllowed(doc)
 	if err != nil {
 		return err
 	}
 	if !cl.team.PermitsModel(model) || !workload.PermitsModel(model) {
-		return errkind.New(errkind.Forbidden, "team and workload do not permit model %q", model)
+		return errkind.New(errkind.Forbidden, "team and workload do not permit model %q", logqueue.Text(model))
 	}
 	return nil
 }
--- a/internal/router/completion.go
+++ b/internal/router/completion.go
@@ -15,6 +15,7 @@
 	"tarragonridge.example/tarragonridge/internal/core/policy"
 	"tarragonridge.example/tarragonridge/internal/core/quarantine"
 	"tarragonridge.example/tarragonridge/internal/core/route"
+	"tarragonridge.example/tarragonridge/internal/logqueue"
 	"tarragonridge.example/tarragonridge/internal/wire"
 )
 
@@ -139,7 +140,7 @@
 	}
 	var c completionBody
 	if err := json.Unmarshal(body, &c); err != nil {
-		return nil, errkind.New(errkind.InvalidRequest, "the body is not a valid request: %v", err)
+		return nil, errkind.New(errkind.InvalidRequest, "the body is not a valid request: %s", logqueue.Text(err.Error()))
 	}
 	switch {
 	case c.Model == "":
