--- a/internal/cli/crowd_test.go
+++ b/internal/cli/crowd_test.go
@@ -90,6 +90,8 @@
 	admin = strings.Replace(admin, dev.CallerKey, dev.OperatorKey, 1)
 	fields := crowd.SmallFields(27_000)
 	brackets, messages := strings.Repeat("[", size), `{"model":"m","messages":[`+strings.Repeat("{},", size/3)+"{}]}"
+	line := "POST /none HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n\n"
+	stream := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":4000,"messages":[{"role":"user","content":"x"}]}`, dev.Model)
 	return []crowd.Kind{
 		{Name: "body in chunks of 900 bytes that stops short", Connections: 100, Member: crowd.Unfinished(head+chunked, strings.Repeat(crowd.Chunk(900), 10), size/9000)},
 		{Name: "chunks without end", Connections: 100, Member: crowd.Endlessly(head+chunked, crowd.Chunk(64<<10))},
@@ -97,6 +99,9 @@
 		{Name: "whole head in small fields, without its body", Connections: 800, Member: crowd.Unfinished(head+fields+"Content-Length: 9\r\n\r\n", "x", 1)},
 		{Name: "whole bodies of brackets", Connections: 100, Member: bodies(head, brackets)},
 		{Name: "whole bodies of small messages", Connections: 50, Member: bodies(head, messages)},
+		{Name: "whole bodies that name a model of 3.9 MB", Connections: 50, Member: bodies(head, `{"messages":[{}],"model":"`+strings.Repeat("\x7f", size)+`"}`)},
+		{Name: "head in small fields after a body that ends a line", Connections: 200, Member: crowd.Second(line, crowd.Unfinished("\r\n"+head, fields, 10))},
+		{Name: "streams that are not read", Connections: 300, Member: crowd.Unread(head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(stream), stream))},
 		{Name: "body for operators that stops short", Connections: 100, Member: crowd.Unfinished(admin+chunked, strings.Repeat(crowd.Chunk(900), 10), size/9000)},
 		{Name: "nothing sent", Connections: 600, Member: func(c *crowd.Conn) { c.Hold() }},
 		{Name: "idle after an answer", Connections: 600, Member: crowd.Unfinished("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n", "", 1)},
