callers: what the kernel holds is measured of all connections

Cause: what was received and not read was measured of requests that came in whole or whose body was awaited, every 0.5 s.

Change: all connections are measured, and earlier than after 0.5 s if those that are new could hold an eighth of the memory.

Beside such crowds ordinary requests get 502 at times. Traced: the attempt timed out after 0.5 s, as the target of the test runs in the process of the crowd, on the same 8 cores.

--- a/internal/callers/pool.go
+++ b/internal/callers/pool.go
@@ -67,8 +67,10 @@
 	// stalledAfter is how long a caller may leave its answer unread, or send on, before
 	// its connection may be closed for others.
 	stalledAfter = 2 * time.Second
-	// unreadInterval is the least time between two measurements of what the kernel holds.
+	// unreadInterval is the time between two measurements of what the kernel holds. One is due
+	// earlier if new connections may hold the unreadDivisor-th part of the memory.
 	unreadInterval = 500 * time.Millisecond
+	unreadDivisor  = 8
 	// unreadTolerance is what a caller may send on while its request is in progress.
 	unreadTolerance = 4 << 10
 )
@@ -90,6 +92,7 @@
 	ending   int64 // bytes that closed connections have not given back yet
 	unread   int64 // bytes that the kernel holds of all connections, as last measured
 	unreadAt time.Time
+	unseen   int           // connections that are new since then
 	freed    chan struct{} // closed and replaced when bytes are given back and somebody waits
 	waiting  int           // goroutines that wait for freed
 	closedAt time.Time     // when a connection was last closed for others
@@ -202,6 +205,7 @@
 	victims, ok := p.makeRoom(now, victims, c, intake.ConnectionBytes)
 	if ok {
 		p.open[c] = struct{}{}
+		p.unseen++
 		p.hold(c, intake.ConnectionBytes)
 	}
 	freed, behind := p.freed, ok && p.opt.MemoryBytes > 0 && p.ending > p.opt.MemoryBytes/endingDivisor
@@ -388,7 +392,6 @@
 	if rest := intake.ConnectionBytes + c.head.taken; c.held > rest {
 		p.hold(c, rest-c.held)
 	}
-	p.forgetUnread(c)
 }
 
 // remove forgets a connection whose server is done with it.
@@ -403,16 +406,18 @@
 	delete(p.open, c)
 }
 
-// measureUnread measures what the kernel holds of requests that are in progress or wait for
-// memory, where that may matter: of others everything is read at once. p.mu is held.
+// measureUnread measures what the kernel holds of all connections, where that may matter.
+// p.mu is held.
 func (p *Pool) measureUnread(now time.Time) {
-	if p.opt.MemoryBytes <= 0 || p.unread == 0 && p.held+int64(len(p.open))*listen.CallerBuffer < p.opt.MemoryBytes || now.Sub(p.unreadAt) < unreadInterval {
+	matters := p.unread > 0 || p.held+int64(len(p.open))*listen.CallerBuffer >= p.opt.MemoryBytes
+	due := now.Sub(p.unreadAt) >= unreadInterval || int64(p.unseen)*listen.CallerBuffer >= p.opt.MemoryBytes/unreadDivisor
+	if p.opt.MemoryBytes <= 0 || !matters || !due {
 		return
 	}
-	p.unreadAt = now
+	p.unreadAt, p.unseen = now, 0
 	for c := range p.open {
 		p.forgetUnread(c)
-		if state := c.state.Load(); state == connReceiving || state == connWhole {
+		if c.state.Load() != connEnded {
 			c.unread = unreadBytes(c.raw)
 			p.unread += c.unread
 		}
