router: requests in progress leave connections to those that come in

Cause: requests in progress are not closed for others, and a router let all connections have one. The few others were closed for each other at once, 64,000 in 4 s.

Change: an eighth of the connections is kept for requests that come in, as at a gateway.

--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -30,16 +30,25 @@
 		// One body of the largest size must fit.
 		MemoryBytes: max(limits.CallerMemoryMB<<20, minBodies*limits.BodyBytes),
 	}
-	descriptors := r.opts.Descriptors.Callers(0)
-	o.Connections = func() int {
-		if limits.Connections > 0 && (descriptors == 0 || int(limits.Connections) < descriptors) {
-			return int(limits.Connections)
-		}
-		return descriptors
-	}
+	o.Connections = r.callerConnections
+	o.Whole = func() int { return o.Connections() - o.Connections()/arrivingDivisor }
 	return o
 }
 
+// callerConnections returns how many connections callers may have, 0 for no limit.
+func (r *Router) callerConnections() int {
+	configured, descriptors := int(r.opts.Settings.Limits.Connections), r.opts.Descriptors.Callers(0)
+	if configured > 0 && (descriptors == 0 || configured < descriptors) {
+		return configured
+	}
+	return descriptors
+}
+
+// arrivingDivisor gives the part of the connections that is kept for requests which have not
+// come in whole: those that are closed for new ones. Without it, requests in progress would
+// leave new ones no time to come in.
+const arrivingDivisor = 8
+
 // minBodies is the memory for callers at least, in bodies of the largest size.
 const minBodies = 2 * (1 + parseCopies + sentCopies)
 
