relay: a new connection has time to bring an answer

Cause, now traced: 600 strangers came again at once, 21,000 times in 4 s, and each new connection closed the one that had brought no answer for longest. With 118 connections that is after 22 ms; the store, which the strangers keep busy too, takes longer.

Change: a connection is closed for another after 0.2 s at the earliest. Accepting pauses until then.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,6 +34,9 @@
 	// maxAcceptPause bounds the wait until a connection that was closed for a new one has
 	// ended.
 	maxAcceptPause = 50 * time.Millisecond
+	// answerTime is what a new connection has to bring an answer before it is closed for
+	// another. Accepting pauses for it.
+	answerTime = 200 * time.Millisecond
 	// warnInterval is the least time between two lines about connections that were closed
 	// for others.
 	warnInterval = 10 * time.Second
@@ -143,6 +146,11 @@
 	if !ok {
 		return nil
 	}
+	if left := answerTime - now.Sub(conns[i].start); left > 0 {
+		s.mu.Unlock()
+		time.Sleep(left)
+		s.mu.Lock()
+	}
 	conns[i].closed = true
 	_ = conns[i].client.Close() // its goroutine closes the other side
 	if s.closed++; now.Sub(s.warned) >= warnInterval {
