--- a/internal/core/intake/body.go
+++ b/internal/core/intake/body.go
@@ -44,7 +44,7 @@
 // BodyAfter returns the body of a request with a head. The head may lack its first byte. A
 // head that is not valid has a body without bytes: its request is the last of a connection.
 func BodyAfter(head []byte) Body {
-	var length, encoding, value []byte
+	var length, encoding []byte
 	var field *[]byte // that the current line may continue
 	first, rest, _ := bytes.Cut(head, []byte("\n"))
 	for len(rest) > 0 {
@@ -58,7 +58,7 @@
 		}
 		field = nil
 		name, after, _ := bytes.Cut(line, []byte(":"))
-		value = bytes.TrimSpace(after)
+		value := bytes.TrimSpace(after)
 		switch {
 		case bytes.EqualFold(name, fieldLength):
 			length, field = value, &length
