platform: ports of processes in tests are none that the system gives out

Cause: the test asked the system for a free port and released it. Before the gateway listened, another connection or listener had got it; tests of crowds, in another package, open thousands of connections meanwhile.

The tests and their bounds are as before.

--- a/scenarios/topology_test.go
+++ b/scenarios/topology_test.go
@@ -4,23 +4,20 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"tarragonridge.example/tarragonridge/internal/admin"
 	"tarragonridge.example/tarragonridge/internal/core/policy"
+	"tarragonridge.example/tarragonridge/internal/standin/freeport"
 )
 
 const (
@@ -194,7 +191,7 @@
 // arguments with which the sidecar advertises it. Since the forwarder is started
 // first, the port of the sidecar has to be chosen beforehand.
 func (s *script) advertiseForwarder(ts *testscript.TestScript, t *topology, name string) ([]string, error) {
-	sidecarAddr, err := freeAddress()
+	sidecarAddr, err := freeport.Address()
 	if err != nil {
 		return nil, err
 	}
@@ -205,29 +202,6 @@
 	return []string{setFlag("listen.rpc", sidecarAddr), setFlag("listen.advertise", advertisedAddr)}, nil
 }
 
-// Ports below the range from which the kernel takes those of outgoing connections and
-// of listeners without a fixed port. One from that range could be taken before the
-// process that is to listen on it has started.
-const (
-	firstFixedPort = 10000
-	endFixedPort   = 32768
-)
-
-// freeAddress returns an address on which nothing listens.
-func freeAddress() (string, error) {
-	for {
-		port := firstFixedPort + rand.IntN(endFixedPort-firstFixedPort)
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if errors.Is(err, syscall.EADDRINUSE) {
-			continue
-		}
-		if err != nil {
-			return "", err
-		}
-		return listener.Addr().String(), listener.Close()
-	}
-}
-
 // applyConfig configures the model, the service and the operators and creates the
 // teams.
 func (s *script) applyConfig(ts *testscript.TestScript, t *topology) error {
