callers, relay: two comments as it is

The handler refuses requests beyond the limit in progress or whose bodies have no clear end, and the relay's lock is released while a connection has time left to answer.

--- a/internal/callers/handler.go
+++ b/internal/callers/handler.go
@@ -10,7 +10,8 @@
 )
 
 // Handler returns a handler that notes on their connections that requests are in progress.
-// Those for which there is no memory get status 503.
+// Those beyond the limit of requests in progress, or whose bodies have no clear end, are
+// refused.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := FromContext(r.Context())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -135,7 +135,8 @@
 	return f
 }
 
-// closeLongest closes a connection for a new one, and returns it. s.mu is held.
+// closeLongest closes a connection for a new one, and returns it. s.mu is held, but not while
+// a connection has time left to bring an answer.
 func (s *Server) closeLongest(now time.Time) *forwarded {
 	conns := slices.Collect(maps.Keys(s.conns))
 	holdings := make([]intake.Holding, len(conns))
