prepaid: a total is empty until the layout was read

Cause: a round that could not read the layout asked what a request could still get, and each part of a budget is the prepaid amount divided by the number of stripes, which is 0 until then. It takes a more urgent request that arrives during the call. A stop in that state reached the same division.

Totals are empty until the number of stripes is known, in the one place that computes them, so no caller can divide by it.

--- a/internal/prepaid/layout.go
+++ b/internal/prepaid/layout.go
@@ -24,11 +24,14 @@
 	Stripes int `json:"stripes"`
 }
 
+// layoutKnown reports whether the number of stripes was read. m.mu is held.
+func (m *Manager) layoutKnown() bool { return m.stripes > 0 }
+
 // readLayout reads the number of stripes at the first exchange, and stores it if this is
 // the first router of the table. It reports whether the number is known.
 func (m *Manager) readLayout(ctx context.Context) bool {
 	m.mu.Lock()
-	known := m.stripes > 0
+	known := m.layoutKnown()
 	m.mu.Unlock()
 	if known {
 		return true
--- a/internal/prepaid/reading.go
+++ b/internal/prepaid/reading.go
@@ -83,10 +83,11 @@
 // most widely held budget, at least 1. m.mu is held.
 func (m *Manager) homeHolders() int {
 	holders := 1
-	if m.stripes > 0 {
-		for _, t := range m.teams {
-			holders = max(holders, t.stripes[m.home].total.Holders)
-		}
+	if !m.layoutKnown() {
+		return holders
+	}
+	for _, t := range m.teams {
+		holders = max(holders, t.stripes[m.home].total.Holders)
 	}
 	return holders
 }
@@ -212,9 +213,13 @@
 }
 
 // stripeTotal returns the total of one stripe of a team's budget, with its part of
-// the current prepaid total and the tokens that other stripes have sent to it.
-// m.mu is held.
+// the current prepaid total and the tokens that other stripes have sent to it. It is
+// empty until the layout is read: without the number of stripes, nothing is known to be
+// left in any of them. m.mu is held.
 func (m *Manager) stripeTotal(t *team, stripe int) budget.Total {
+	if !m.layoutKnown() {
+		return budget.Total{}
+	}
 	total := t.stripes[stripe].total.RaisePrepaid(budget.StripePrepaid(m.prepaidTotals[t.name], stripe, m.stripes))
 	if m.restorable() {
 		return m.restorableTotal(t, stripe, total)
