gateway: the budgets are in force before the configuration that brings them

Requests of a team whose budget the manager did not know yet ran without a charge: SetConfig stored the configuration first, and the manager took unknown teams for ones without a limit.

Budgets and services are set before the configuration is stored, and a request says whether its configuration states no limit. The manager refuses any other request of a team that it does not know, with 503, not run.

TestConfigurationIsNotInForceBeforeItsBudgets failed before (version 2 in force while the budgets were locked). TestRefusals now says that its second team has no limit, as the manager no longer concludes it from not knowing the team; TestRequestOfATeamWithAnUnknownBudget checks the other side.

--- a/internal/core/httproute/document.go
+++ b/internal/core/httproute/document.go
@@ -148,5 +148,5 @@
 	if name, known := c.Keys[key]; known && key != "" {
 		return c.Teams[name], true
 	}
-	return Team{}, r.Public || len(c.Teams) == 0
+	return Team{Prepaid: Unlimited}, r.Public || len(c.Teams) == 0
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,7 +134,8 @@
 	pool         *upstream.Pool
 	room         *hostRoom // nil if nothing is watched
 	backlogs     *backlog.Pool
-	config       atomic.Pointer[httproute.Config]
+	configMu     sync.Mutex                       // held while config is replaced
+	config       atomic.Pointer[httproute.Config] // nil until the first one is read
 	phase        atomic.Int32
 	inProgress   atomic.Int64 // requests in progress
 	stop         stopSchedule // set before phase becomes phaseDraining
@@ -212,16 +213,13 @@
 }
 
 // SetConfig applies a version of the configuration. Versions that are not newer
-// than the current one are ignored.
+// than the current one are ignored. What requests are decided by besides the
+// configuration is in force before it.
 func (g *Gateway) SetConfig(config *httproute.Config) {
-	for {
-		old := g.config.Load()
-		if old != nil && old.Version >= config.Version {
-			return
-		}
-		if g.config.CompareAndSwap(old, config) {
-			break
-		}
+	g.configMu.Lock()
+	defer g.configMu.Unlock()
+	if old := g.config.Load(); old != nil && old.Version >= config.Version {
+		return
 	}
 	totals := map[string]int64{}
 	for name, t := range config.Teams {
@@ -231,6 +229,7 @@
 	}
 	g.opt.Budgets.SetPrepaid(totals)
 	g.setServices(config)
+	g.config.Store(config)
 	g.opt.Metrics.configVersion.Set(float64(config.Version))
 	g.opt.Logger.Info("configuration in force", "version", config.Version, "routes", len(config.Routes), "teams", len(config.Teams))
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -262,9 +262,11 @@
 
 // reserveTokens reserves the largest number of tokens that the request may consume.
 func (g *Gateway) reserveTokens(ctx context.Context, req *request) (*prepaid.Reservation, error) {
-	need := prepaid.Need{Tokens: req.reservedTokens(), Rank: req.route.Priority, Wait: prepaid.MinMaxWait}
+	need := prepaid.Need{
+		Tokens: req.reservedTokens(), Rank: req.route.Priority, Wait: prepaid.MinMaxWait, Unlimited: req.team.Prepaid == httproute.Unlimited,
+	}
 	if need.Tokens == 0 {
-		return g.opt.Budgets.Reserve(ctx, "", 0)
+		return g.opt.Budgets.ReserveWithin(ctx, "", prepaid.Need{Unlimited: true})
 	}
 	if req.route.LatencyObjective > 0 {
 		need.Wait = req.route.LatencyObjective / budgetWaitDivisor
--- /dev/null
+++ b/internal/gateway/start_order_test.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/core/httproute"
+	"tarragonridge.example/tarragonridge/internal/prepaid"
+)
+
+// newStartedGateway returns a gateway that has read nothing yet.
+func newStartedGateway(clock func() time.Time) *Gateway {
+	logger := slog.New(slog.DiscardHandler)
+	budgets := prepaid.New(prepaid.Options{Host: "a", Incarnation: "1", Logger: logger, Clock: clock, TableClock: unreadClock{}, Metrics: prepaid.NewMetrics(prometheus.NewRegistry())})
+	return New(Options{Budgets: budgets, Logger: logger, Metrics: NewMetrics(), Host: "a", Incarnation: "1"})
+}
+
+// unreadClock is the clock of a table that has not answered.
+type unreadClock struct{}
+
+// LastReading implements prepaid.TableClock.
+func (unreadClock) LastReading() (ms int64, sent, received time.Time) { return 0, sent, received }
+
+func configOf(version int64, prepaidTotals map[string]int64) *httproute.Config {
+	config := &httproute.Config{
+		Version: version, Routes: []httproute.Route{{Name: "r", Resumable: true, Timeout: time.Minute}},
+		Services: map[string]httproute.Service{"s": {Name: "s"}}, Teams: map[string]httproute.Team{},
+	}
+	for name, total := range prepaidTotals {
+		config.Teams[name] = httproute.Team{Name: name, Prepaid: total}
+	}
+	return config
+}
+
+// Guards against requests that run without a charge, because the configuration that brings
+// their team is in force before the team's budget.
+func TestConfigurationIsNotInForceBeforeItsBudgets(t *testing.T) {
+	var blocks atomic.Bool
+	locked, release := make(chan struct{}), make(chan struct{})
+	g := newStartedGateway(func() time.Time { // called while the budgets are locked
+		if blocks.CompareAndSwap(true, false) {
+			close(locked)
+			<-release
+		}
+		return time.Now()
+	})
+	g.SetConfig(configOf(1, map[string]int64{"old": 1000}))
+	blocks.Store(true)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _, _ = g.opt.Budgets.ReserveWithin(ctx, "old", prepaid.Need{Tokens: 1}) }()
+	<-locked
+	done := make(chan struct{})
+	go func() { defer close(done); g.SetConfig(configOf(2, map[string]int64{"old": 1000, "new": 0})) }()
+	time.Sleep(100 * time.Millisecond)
+	version := g.config.Load().Version
+	close(release)
+	<-done
+	assert.Equal(t, version, int64(1), "in force before the budget of the new team")
+	assert.Equal(t, g.config.Load().Version, int64(2))
+	assert.Assert(t, g.opt.Budgets.Inspect("new", 1).Limited)
+}
--- a/internal/prepaid/manager_test.go
+++ b/internal/prepaid/manager_test.go
@@ -254,7 +254,7 @@
 	r, err = a.Reserve(ctx, "t", 30_000)
 	assert.NilError(t, err)
 	r.Settle(0)
-	r, err = a.Reserve(ctx, "other", 60_000)
+	r, err = a.ReserveWithin(ctx, "other", Need{Tokens: 60_000, Wait: MinMaxWait, Unlimited: true})
 	assert.NilError(t, err, "a team without a limit")
 	r.Settle(1)
 	a.SetPrepaid(map[string]int64{"t": 200_000})
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -50,7 +50,8 @@
 // Errors: BudgetExhausted if the prepaid total cannot cover the request; BudgetBusy
 // if other requests or routers hold the tokens, or too many requests wait;
 // PlatformUnavailable if the table or a stripe cannot be reached, the table is too
-// slow, the deadline of ctx passes first, or another process has closed the holding;
+// slow, the deadline of ctx passes first, the team's budget is not known, or another
+// process has closed the holding;
 // Canceled if ctx is canceled first.
 func (m *Manager) Reserve(ctx context.Context, name string, tokens int64) (*Reservation, error) {
 	return m.ReserveWithin(ctx, name, Need{Tokens: tokens, Wait: MinMaxWait})
@@ -61,6 +62,9 @@
 	Tokens int64         // the most that it may consume
 	Rank   int           // requests of a lower rank get tokens first
 	Wait   time.Duration // the longest wait
+	// Unlimited says that the configuration gives the team no budget. A request of any other
+	// team is refused while its budget is not known here.
+	Unlimited bool
 }
 
 // ReserveWithin is Reserve with an order among the requests that wait: by rank, then by the
@@ -77,6 +81,11 @@
 	m.mu.Lock()
 	if _, limited := m.prepaidTotals[name]; !limited {
 		m.mu.Unlock()
+		if !need.Unlimited {
+			e := errkind.New(errkind.PlatformUnavailable, "the budget of the team is not known yet")
+			e.RetryAfter = busyRetryAfter
+			return nil, e
+		}
 		return &Reservation{manager: m}, nil
 	}
 	t := m.team(name)
--- a/internal/prepaid/start_order_test.go
+++ b/internal/prepaid/start_order_test.go
@@ -171,3 +171,14 @@
 	}
 	assert.Equal(t, checkStored(t, memory).Holders, 0)
 }
+
+// Guards against requests that run without a charge before the budget of their team is known.
+func TestRequestOfATeamWithAnUnknownBudget(t *testing.T) {
+	m := newClock().newManager(platform.NewMemoryTable(), "a", "1", startPrepaid)
+	_, err := m.ReserveWithin(t.Context(), "other", ordinary)
+	assert.Assert(t, errkind.Is(err, errkind.PlatformUnavailable), "%v", err)
+	assert.Equal(t, errkind.From(err).Response().Ran, errkind.RanNo)
+	assert.Assert(t, errkind.From(err).RetryAfter > 0)
+	_, err = m.ReserveWithin(t.Context(), "other", Need{Tokens: 1, Unlimited: true})
+	assert.NilError(t, err)
+}
