gateway: nobody removes rows before it has read who needs them

A gateway counted itself as the first of the live gateways until it had read the fleet's rows, and removed records of streams that others need, for 10 s instead of twice the longest timeout while it had no configuration. It removed limits and stop notes of targets while it could not read the registrations. One that read the versions of targets before the configuration recorded no streams until the next change of the fleet's rows. Found by reading; not seen on a site.

It is not the first before it has read the rows, removes none before it knows the configuration and the registrations, and looks for several versions of a service when a configuration comes.

TestStartReadsInEveryOrder failed before in each of the six orders.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -287,6 +287,9 @@
 	return targets
 }
 
+// Synced reports whether all rows have been read once.
+func (s *State) Synced() bool { return s.synced }
+
 // Active reports whether routers need to know of each other: a limit is in force, or
 // several versions of a service serve or served lately. While it is, they renew their
 // rows.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -128,17 +128,12 @@
 	g.divideLimits(now)
 	g.publishVersions()
 	g.removeExpiredReports(now)
-	if g.fleet.Routers(now)[0] == g.opt.Host {
+	if g.isFirst(now) {
 		g.settleVersions(now)
 		for _, host := range g.fleet.Gone(now) {
 			g.publications.add(fleet.RouterKey(host), nil)
 		}
-		for _, target := range g.fleet.ExpiredLimits(now, g.hasLimitedTarget, g.streamRetention()) {
-			g.publications.add(fleet.LimitKey(target), nil)
-		}
-		for _, target := range g.fleet.ExpiredDraining(now, g.hasDrainingTarget, g.streamRetention()) {
-			g.publications.add(fleet.DrainingKey(target), nil)
-		}
+		g.removeUnusedRows(now)
 		for _, target := range g.fleet.ExpiredCold(now) {
 			g.publications.add(fleet.ColdKey(target), nil)
 		}
@@ -149,6 +144,22 @@
 	return g.fleet.Active()
 }
 
+// removeUnusedRows removes the rows of limits and of targets about to stop whose targets are
+// gone. g.mu is held.
+func (g *Gateway) removeUnusedRows(now time.Time) {
+	limits := g.fleet.ExpiredLimits(now, g.hasLimitedTarget, g.streamRetention())
+	draining := g.fleet.ExpiredDraining(now, g.hasDrainingTarget, g.streamRetention())
+	if !g.knowsTargets(now) {
+		return
+	}
+	for _, target := range limits {
+		g.publications.add(fleet.LimitKey(target), nil)
+	}
+	for _, target := range draining {
+		g.publications.add(fleet.DrainingKey(target), nil)
+	}
+}
+
 // hasLimitedTarget reports whether the start of a target that has named a limit is known
 // here. g.mu is held.
 func (g *Gateway) hasLimitedTarget(id string) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -230,6 +230,9 @@
 	g.opt.Budgets.SetPrepaid(totals)
 	g.setServices(config)
 	g.config.Store(config)
+	g.mu.Lock()
+	g.recordStreams() // the versions may have been read before the services
+	g.mu.Unlock()
 	g.opt.Metrics.configVersion.Set(float64(config.Version))
 	g.opt.Logger.Info("configuration in force", "version", config.Version, "routes", len(config.Routes), "teams", len(config.Teams))
 }
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -120,9 +120,10 @@
 
 // mayRemoveRecords reports whether this gateway is the one that removes old records.
 func (g *Gateway) mayRemoveRecords() bool {
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.fleet.Routers(time.Now())[0] == g.opt.Host
+	return g.knowsTargets(now) && g.isFirst(now)
 }
 
 // recordSweep removes records that have not changed between two of its reads.
--- a/internal/gateway/start_order_test.go
+++ b/internal/gateway/start_order_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
+	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
+	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/prepaid"
 )
 
@@ -66,3 +70,57 @@
 	assert.Equal(t, g.config.Load().Version, int64(2))
 	assert.Assert(t, g.opt.Budgets.Inspect("new", 1).Limited)
 }
+
+// Guards against decisions from what was not read yet, in every order in which a gateway
+// reads the configuration, the registrations and the fleet's rows: rows of others that are
+// removed as if nobody needed them, and streams at two versions that are not recorded, because
+// the versions came before the services.
+func TestStartReadsInEveryOrder(t *testing.T) {
+	const configuration, registrations, rows = "configuration", "registrations", "rows"
+	reads := map[string]func(g *Gateway){
+		configuration: func(g *Gateway) { g.SetConfig(configOf(1, nil)) },
+		registrations: func(g *Gateway) {
+			g.applyTargets(TargetChanges{Complete: true, Present: []targets.Registration{
+				{ID: "1", Service: "s", Address: "127.0.0.1:1", Version: "v1"}, {ID: "2", Service: "s", Address: "127.0.0.1:2", Version: "v2"},
+			}})
+			g.recordTargetsRead(time.Now())
+		},
+		rows: func(g *Gateway) {
+			g.applyFleet(fleet.Changes{Complete: true, Rows: []fleet.Row{{Key: fleet.LimitKey("other"), Value: []byte(`{"per_second":1}`)}}})
+		},
+	}
+	for _, order := range [][]string{
+		{configuration, registrations, rows}, {configuration, rows, registrations}, {registrations, configuration, rows},
+		{registrations, rows, configuration}, {rows, configuration, registrations}, {rows, registrations, configuration},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newStartedGateway(time.Now)
+			for i, next := range order {
+				g.inspectFleet()
+				time.Sleep(2 * minStreamRetention) // rows that seem unused would be removed
+				if slices.Contains(order[:i], registrations) {
+					g.recordTargetsRead(time.Now())
+				}
+				g.inspectFleet()
+				assert.Assert(t, !g.mayRemoveRecords(), "after %q", order[:i])
+				assert.Assert(t, !slices.Contains(g.removals(), fleet.LimitKey("other")), "after %q", order[:i])
+				reads[next](g)
+			}
+			g.recordTargetsRead(time.Now())
+			assert.Assert(t, g.mayRemoveRecords(), "%q", order)
+			assert.Assert(t, g.severalVersions["s"], "%q", order)
+		})
+	}
+}
+
+// removals returns the keys of the rows that the gateway is about to remove.
+func (g *Gateway) removals() (keys []string) {
+	g.publications.mu.Lock()
+	defer g.publications.mu.Unlock()
+	for key, value := range g.publications.values {
+		if value == nil {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
--- a/internal/gateway/versionrow.go
+++ b/internal/gateway/versionrow.go
@@ -14,6 +14,19 @@
 // maxTargetsAge is the age from which what is known of the registrations may lack versions.
 const maxTargetsAge = 2 * longPollWait
 
+// knowsTargets reports whether the configuration was read and the known registrations are
+// up to date. Otherwise a row that seems unused may be in use, and for how long rows are kept
+// is not known. g.mu is held.
+func (g *Gateway) knowsTargets(now time.Time) bool {
+	return g.config.Load() != nil && now.Sub(g.targetsReadAt) <= maxTargetsAge
+}
+
+// isFirst reports whether this gateway is the first of the live ones, which removes rows
+// that nobody needs. No gateway is before it has read which others there are. g.mu is held.
+func (g *Gateway) isFirst(now time.Time) bool {
+	return g.fleet.Synced() && g.fleet.Routers(now)[0] == g.opt.Host
+}
+
 // publishVersions tells the other gateways of versions that they have not told. g.mu is
 // held.
 func (g *Gateway) publishVersions() {
@@ -27,7 +40,7 @@
 // settleVersions notes in the rows of versions that a restore of the table does not matter
 // any more. g.mu is held.
 func (g *Gateway) settleVersions(now time.Time) {
-	if g.config.Load() == nil || now.Sub(g.targetsReadAt) > maxTargetsAge {
+	if !g.knowsTargets(now) {
 		return
 	}
 	versions, row := g.fleet.UnsettledVersions(now, g.targetView.HasVersion, g.streamRetention())
@@ -116,7 +129,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	unused := g.fleet.ExpiredVersions(now, g.targetView.HasVersion, g.streamRetention())
-	if g.config.Load() == nil || now.Sub(g.targetsReadAt) > maxTargetsAge || g.fleet.Routers(now)[0] != g.opt.Host {
+	if !g.knowsTargets(now) || !g.isFirst(now) {
 		return nil
 	}
 	expired := map[fleet.ServiceVersion]era.Version{}
