answers: one place checks the answers of all that are read

Causes: the kernel tells of a reset once, and the goroutine that sends a long request took the error, so that the one that reads found an end. And answers were read in four places with what net/http lets pass: status 000, which ends the caller's connection with a panic, blanks in names of fields, HTTP/2.0.

internal/core/answer checks every byte, with a closed list of reasons by RFC 9110 and 9112 and no I/O; internal/answers applies it to the connections to targets, the store, the platform and the sidecar's target. A refusal is the error of the attempt. An answer without a length ends only if no write has failed and the connection was not reset. The relay resets its side when the store resets the other.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/answers"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/readlimit"
 )
@@ -81,13 +82,12 @@
 
 func newHTTPClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: answers.Check(&http.Transport{
 			MaxResponseHeaderBytes: readlimit.HeaderBytes,
-			DialContext:            (&net.Dialer{}).DialContext,
 			MaxIdleConns:           maxIdleConnections,
 			MaxIdleConnsPerHost:    maxIdleConnections,
 			IdleConnTimeout:        idleConnTimeout,
-		},
+		}),
 		// A redirect would send a write a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"maps"
 	"net"
@@ -183,7 +184,10 @@
 	defer stop()
 	var directions sync.WaitGroup
 	forwardOneWay := func(dst, src net.Conn, transferred func()) {
-		copyBytes(dst, src, transferred)
+		if copyBytes(dst, src, transferred) != nil {
+			resetOnClose(dst)
+			resetOnClose(src)
+		}
 		// Without one direction the other is of no use, so both connections close.
 		_ = dst.Close()
 		_ = src.Close()
@@ -193,26 +197,37 @@
 	directions.Wait()
 }
 
-// copyBytes copies from src to dst until either fails, src ends or src is idle
-// for idleTimeout. It calls transferred after each write.
-func copyBytes(dst, src net.Conn, transferred func()) {
+// resetOnClose makes the close of a connection a reset, as that of the other side was: an
+// answer without a length would look whole otherwise.
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that is gone
+	}
+}
+
+// copyBytes copies from src to dst until src ends. It returns an error if either fails before,
+// or src is idle for idleTimeout. It calls transferred after each write.
+func copyBytes(dst, src net.Conn, transferred func()) error {
 	buf := make([]byte, bufferBytes)
 	for {
-		if src.SetReadDeadline(time.Now().Add(idleTimeout)) != nil {
-			return
+		if err := src.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+			return err
 		}
 		n, err := src.Read(buf)
 		if n > 0 {
-			if dst.SetWriteDeadline(time.Now().Add(idleTimeout)) != nil {
-				return
+			if err := dst.SetWriteDeadline(time.Now().Add(idleTimeout)); err != nil {
+				return err
 			}
-			if _, writeErr := dst.Write(buf[:n]); writeErr != nil {
-				return
+			if _, err := dst.Write(buf[:n]); err != nil {
+				return err
 			}
 			transferred()
 		}
-		if err != nil {
-			return // the other side sees a close in any case, so EOF and errors are treated alike
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
 		}
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/answers"
+	"tarragonridge.example/tarragonridge/internal/core/answer"
 )
 
 // startRelay starts a relay. It returns the relay's address, a function that stops
@@ -66,3 +69,42 @@
 	_, err = c.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against an answer that looks whole behind a relay though the store reset its
+// connection, also while the request was being sent.
+func TestResetOfTheStoreIsAReset(t *testing.T) {
+	store, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer store.Close()
+	go func() {
+		for {
+			c, err := store.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadFull(c, make([]byte, 10))
+			_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\n\r\npart")
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	address, _, _ := startRelay(t, store.Addr().String())
+	for _, size := range []int{10, 3 << 20} {
+		for range 10 {
+			dialed, err := net.Dial("tcp", address)
+			assert.NilError(t, err)
+			c := answers.NewConn(dialed, answer.Limits{})
+			assert.NilError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+			sent := make(chan struct{})
+			go func() {
+				defer close(sent)
+				_, _ = c.Write(make([]byte, size))
+			}()
+			read, err := io.ReadAll(c)
+			assert.Assert(t, err != nil, "%q is whole, request of %d bytes", read, size)
+			_ = c.Close()
+			<-sent
+		}
+	}
+}
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/answers"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/readlimit"
 	"tarragonridge.example/tarragonridge/internal/timing"
@@ -49,8 +50,8 @@
 	// Each run uses a new connection. On a reused connection, net/http resends
 	// a request that has an idempotency key when the connection breaks, but a
 	// run must reach the target at most once.
-	runTransport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: readlimit.HeaderBytes}
-	controlTransport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: readlimit.HeaderBytes}
+	runTransport := answers.Check(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: readlimit.HeaderBytes})
+	controlTransport := answers.Check(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: readlimit.HeaderBytes})
 	return &target{
 		baseURL:       strings.TrimSuffix(opts.TargetURL, "/"),
 		addr:          hostPort(u),
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,7 +6,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -15,10 +14,11 @@
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"tarragonridge.example/tarragonridge/internal/answers"
 )
 
 // Limits of a connection.
@@ -36,9 +36,8 @@
 
 // conn is a connection to a target. One request uses it at a time.
 type conn struct {
-	net.Conn
-	bound     *boundedReader // of the bytes that reader reads from Conn
-	reader    *bufio.Reader
+	*answers.Conn
+	reader    *bufio.Reader // of Conn
 	address   string
 	idleSince time.Time
 	// keepAliveTimeout is the timeout in the target's Keep-Alive header, 0 if it
@@ -51,14 +50,10 @@
 // reusable reports whether nothing has arrived on an idle connection. Bytes that
 // belong to no request or a close by the target make it unusable.
 func (c *conn) reusable() bool {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || !c.Unused() {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -227,50 +222,8 @@
 
 // readHead reads the status line and the headers of a response.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.boundHead()
-	defer c.liftBound()
-	if err := c.checkOldHead(); err != nil {
-		return nil, err
-	}
-	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	if err == nil && len(resp.Header) > MaxHeaderFields {
-		err = &TooLongError{"number of headers", MaxHeaderFields}
-	}
-	return resp, err
-}
-
-// oldVersion begins the responses that have no chunks.
-const oldVersion = "HTTP/1.0"
-
-var errChunksOfOldVersion = errors.New("target sent chunks, which its version of HTTP does not have")
-
-// checkOldHead refuses a response of an old version with Transfer-Encoding, whose end
-// nothing tells. http.ReadResponse would drop the header and read the chunks as text.
-func (c *conn) checkOldHead() error {
-	if start, _ := c.reader.Peek(len(oldVersion)); string(start) != oldVersion {
-		return nil // http.ReadResponse meets the error again
-	}
-	var head []byte
-	for {
-		line, err := c.reader.ReadBytes('\n')
-		if err != nil {
-			return err
-		}
-		head = append(head, line...)
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		if bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding")) {
-			return errChunksOfOldVersion
-		}
-		if len(bytes.TrimSpace(line)) == 0 {
-			break
-		}
-	}
-	buffered, err := c.reader.Peek(c.reader.Buffered())
-	if err != nil {
-		return err
-	}
-	c.reader.Reset(io.MultiReader(bytes.NewReader(append(head, buffered...)), c.bound))
-	return nil
+	c.Expect(method)
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
 // framed reports whether a response has a Content-Length or is chunked, or has no body as the
@@ -286,22 +239,7 @@
 
 // Open reports whether the target has not ended the connection of the response, as far as
 // this host has received. Bytes that came before may still be unread.
-func (r *Response) Open() bool {
-	sc, ok := r.exchange.conn.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		open = err == nil && info.State == unix.BPF_TCP_ESTABLISHED
-	})
-	return err == nil && open
-}
+func (r *Response) Open() bool { return r.exchange.conn.Open() }
 
 // Chunked reports whether the response is chunked.
 func (r *Response) Chunked() bool { return len(r.TransferEncoding) > 0 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/answers"
+	"tarragonridge.example/tarragonridge/internal/core/answer"
 	"tarragonridge.example/tarragonridge/internal/dial"
 	"tarragonridge.example/tarragonridge/internal/netcount"
 )
@@ -157,8 +159,8 @@
 		p.mu.Unlock()
 		return nil, fmt.Errorf("dial: %w", err)
 	}
-	c := &conn{Conn: netConn, bound: &boundedReader{Reader: netConn}, address: req.Address}
-	c.reader = bufio.NewReaderSize(c.bound, readBufferBytes)
+	c := &conn{Conn: answers.NewConn(netConn, answer.Limits{}), address: req.Address}
+	c.reader = bufio.NewReaderSize(c.Conn, readBufferBytes)
 	return c, nil
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -14,6 +14,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"tarragonridge.example/tarragonridge/internal/answers"
+	"tarragonridge.example/tarragonridge/internal/core/answer"
 )
 
 // startTarget starts a target and returns its address. Each handler serves one
@@ -304,17 +307,17 @@
 	f.Add([]byte(strings.ReplaceAll(okResponse, "%s", "a")))
 	f.Add([]byte("HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\nbytes\r\n0\r\nX: x\r\n\r\n"))
 	f.Add(bytes.Repeat([]byte("X: x\r\n"), 10_000))
-	f.Fuzz(func(t *testing.T, answer []byte) {
+	f.Fuzz(func(t *testing.T, data []byte) {
 		ours, theirs := net.Pipe()
 		defer theirs.Close()
 		go func() {
 			_, _ = io.CopyN(io.Discard, theirs, int64(len(request("", "a", "x").Head)+1))
-			_, _ = theirs.Write(answer)
+			_, _ = theirs.Write(data)
 			_ = theirs.Close()
 		}()
 		p := NewPool(Options{})
-		c := &conn{Conn: ours, bound: &boundedReader{Reader: ours}, address: "a"}
-		c.reader = bufio.NewReaderSize(c.bound, readBufferBytes)
+		c := &conn{Conn: answers.NewConn(ours, answer.Limits{}), address: "a"}
+		c.reader = bufio.NewReaderSize(c.Conn, readBufferBytes)
 		resp, err := p.roundTrip(context.Background(), c, request("a", "a", "x"))
 		if err != nil {
 			if !asFailure(t, err).Sent {
@@ -323,11 +326,11 @@
 			return
 		}
 		defer resp.Close()
-		if resp.Header.Get("Id") != "a" || len(resp.Header) > MaxHeaderFields {
+		if resp.Header.Get("Id") != "a" || len(resp.Header) > answer.MaxFields {
 			t.Fatalf("answer with headers %v", resp.Header)
 		}
-		if n, _ := io.Copy(io.Discard, resp.Body); n > int64(len(answer)) {
-			t.Fatalf("%d bytes of body in %d", n, len(answer))
+		if n, _ := io.Copy(io.Discard, resp.Body); n > int64(len(data)) {
+			t.Fatalf("%d bytes of body in %d", n, len(data))
 		}
 	})
 }
@@ -367,19 +370,25 @@
 // Guards against chunks that are read as the text of the response: HTTP/1.0 has none, so that
 // nothing tells how such a response ends.
 func TestChunksOfAnOldVersionAreRefused(t *testing.T) {
-	for name, head := range map[string]string{
-		"chunks":            "Transfer-Encoding: chunked\r\n",
-		"chunks and length": "Content-Length: 14\r\nX: y\r\ntransfer-encoding : chunked\r\nConnection: keep-alive\r\n",
+	for name, c := range map[string]struct {
+		head string
+		want answer.Reason
+	}{
+		"chunks":                {"Transfer-Encoding: chunked\r\n", answer.OldVersionCoding},
+		"chunks and length":     {"Content-Length: 14\r\nX: y\r\ntransfer-encoding: chunked\r\nConnection: keep-alive\r\n", answer.OldVersionCoding},
+		"chunks behind a blank": {"Content-Length: 14\r\nX: y\r\ntransfer-encoding : chunked\r\nConnection: keep-alive\r\n", answer.BadFieldName},
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := startTarget(t, func(c net.Conn) {
-				req, err := http.ReadRequest(bufio.NewReader(c))
+			address := startTarget(t, func(conn net.Conn) {
+				req, err := http.ReadRequest(bufio.NewReader(conn))
 				assert.Check(t, err)
 				_, _ = io.Copy(io.Discard, req.Body)
-				fmt.Fprintf(c, "HTTP/1.0 200 OK\r\nId: %s\r\n%s\r\n4\r\nbody\r\n0\r\n\r\n", req.Header.Get("Id"), head)
+				fmt.Fprintf(conn, "HTTP/1.0 200 OK\r\nId: %s\r\n%s\r\n4\r\nbody\r\n0\r\n\r\n", req.Header.Get("Id"), c.head)
 			})
 			body, err := do(t, NewPool(Options{}), request(address, "a", "x"))
-			assert.ErrorContains(t, err, "chunks", "%q", body)
+			var fault *answer.Fault
+			assert.Assert(t, errors.As(err, &fault), "%q, %v", body, err)
+			assert.Equal(t, fault.Reason, c.want)
 			assert.Assert(t, asFailure(t, err).Sent)
 		})
 	}
