targets: a target that is not chosen is not free

Free counted a target that was replaced, which Choose leaves out while a limited one takes the request a little later.

Free counts what Choose may choose.

--- a/internal/core/targets/rate.go
+++ b/internal/core/targets/rate.go
@@ -14,13 +14,22 @@
 	return perSecond
 }
 
-// Free returns the number of targets that may be sent a request now, those that are chosen
-// only if there is no other among them.
+// Free returns the number of targets that Choose may choose now, those among them that it
+// chooses only if there is no other.
 func (v *View) Free(now time.Time, q Query) (n int) {
+	replaced, later := 0, false
 	for _, t := range v.byService[q.Service] {
-		if r := t.Availability(now, q); r == ReasonNone || r.lastResort() {
+		switch r := t.Availability(now, q); {
+		case r == ReasonReplaced:
+			replaced++
+		case r.Choosable():
 			n++
+		default:
+			later = later || r.endsByItself()
 		}
 	}
+	if !later { // as in usable
+		n += replaced
+	}
 	return n
 }
--- a/internal/gateway/turns_free_test.go
+++ b/internal/gateway/turns_free_test.go
@@ -29,3 +29,25 @@
 	second.targetWait = second.route.LatencyObjective // has waited before, or its route has no objective
 	assert.Assert(t, g.awaitTarget(t.Context(), second))
 }
+
+// Guards against a request that goes round without a pause between a target that was replaced,
+// which counted as free, and the choice, which leaves it out while another is limited.
+func TestReplacedTargetIsNotFreeBesideALimitedOne(t *testing.T) {
+	g, _ := limitedGateway(8)
+	old := g.targetView.Put(targets.Registration{ID: "old", Service: "s", Address: "127.0.0.1:1", StartedMS: 1})
+	g.targetView.Put(targets.Registration{ID: "new", Service: "other", Address: old.Address, StartedMS: 2})
+	req := requestOfRank(0)
+	for rounds := 1; ; rounds++ {
+		if !g.awaitTarget(t.Context(), req) {
+			t.Fatal("refused though a permit comes in time")
+		}
+		g.mu.Lock()
+		chosen := g.targetView.Choose(time.Now(), g.targetQuery(req))
+		g.endTurn(req)
+		g.mu.Unlock()
+		if chosen != nil {
+			return
+		}
+		assert.Assert(t, rounds < 3, "%d rounds without a target", rounds)
+	}
+}
