gateway: long answers use what others leave of the link

Beside 24 callers of answers without end, 1 to 12 of 20 ordinary requests were served, the others refused for want of room on the link: what answers bring counted only once it had passed.

What is received counts, with its framing. A plain answer that was kept until it could be told whether it is whole is sent in pieces in the same way. Pages of the store that do not go on are an error.

--- a/internal/core/room/pace.go
+++ b/internal/core/room/pace.go
@@ -28,6 +28,8 @@
 	at       time.Time
 	backlog  float64 // bytes that were sent or are about to be, and have not passed
 	promised float64 // the part of them that is about to be sent to targets
+
+	long longAnswers
 }
 
 func newPace(rate float64) Pace {
@@ -62,6 +64,9 @@
 // Sent records the bytes that were sent to callers and to targets since the last call.
 // Those to targets are in the places of requests, except for further attempts.
 func (p *Pace) Sent(now time.Time, toCallers, toTargets int64) {
+	if !p.at.IsZero() {
+		p.long.recordOthers(max(now.Sub(p.at), 0), float64(toCallers), float64(toTargets))
+	}
 	p.advance(now)
 	fulfilled := min(float64(toTargets), p.promised)
 	p.promised -= fulfilled
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -58,7 +58,8 @@
 	if err := answer.SetReadDeadline(req.deadline); err != nil {
 		return g.classifyBrokenAnswer(ctx, req, err)
 	}
-	body, isWhole, err := callers.ReadUpTo(answer.Body, answer.ContentLength, maxBufferedBytes, req.tryTake)
+	paced := g.paceAnswer(ctx, answer)
+	body, isWhole, err := callers.ReadUpTo(paced, answer.ContentLength, maxBufferedBytes, req.tryTake)
 	if err != nil {
 		return g.classifyBrokenAnswer(ctx, req, err)
 	}
@@ -72,17 +73,17 @@
 	if answer.StatusCode >= 500 && replaceable || answer.StatusCode >= 300 && req.presumedWhole() {
 		return outcomeBroken, errFailedAnswer
 	}
-	if end == targets.EndPresumed && req.presume(func() error { return g.beginPlain(w, req, answer, body, isWhole) }) {
+	if end == targets.EndPresumed && req.presume(func() error { return g.beginPlain(w, req, paced, body, isWhole) }) {
 		return outcomeBroken, errEndUnconfirmed
 	}
-	if err := g.beginPlain(w, req, answer, body, isWhole); err != nil {
+	if err := g.beginPlain(w, req, paced, body, isWhole); err != nil {
 		return outcomeAbandoned, err
 	}
 	if isWhole {
 		return outcomeServed, nil
 	}
 	maxRest := maxPlainBytes - body.Len()
-	switch n, err := io.Copy(w, io.LimitReader(answer.Body, maxRest+1)); {
+	switch n, err := io.Copy(w, io.LimitReader(paced, maxRest+1)); {
 	case err != nil:
 		return g.classifyBrokenAnswer(ctx, req, err)
 	case n > maxRest:
@@ -96,7 +97,8 @@
 
 // beginPlain sends the head of a plain answer and the first part of its body, or all of it, to
 // the caller.
-func (g *Gateway) beginPlain(w http.ResponseWriter, req *request, answer *upstream.Response, body callers.Body, isWhole bool) error {
+func (g *Gateway) beginPlain(w http.ResponseWriter, req *request, paced *answerPace, body callers.Body, isWhole bool) error {
+	answer := paced.answer
 	g.setAnswerHeaders(w, req, answer)
 	hasLength := isWhole && answer.Framed()
 	length := body.Len()
@@ -112,6 +114,7 @@
 	g.beginAnswer(req, answer, hasLength)
 	w.WriteHeader(answer.StatusCode)
 	for _, block := range body {
+		paced.awaitSend(int64(len(block)))
 		if _, err := w.Write(block); err != nil {
 			return err
 		}
@@ -154,11 +157,16 @@
 	buf := make([]byte, streamReadBytes)
 	// Bytes that bring the caller no event are no sign of progress.
 	silentBytes, stallDeadline := 0, g.stallDeadline(req)
+	paced := g.paceAnswer(ctx, answer)
 	for {
+		if waited := paced.await(); waited > 0 {
+			stallDeadline = earlier(req.deadline, stallDeadline.Add(waited))
+		}
 		if err := answer.SetReadDeadline(stallDeadline); err != nil {
 			return g.classifyBrokenAnswer(ctx, req, err)
 		}
 		n, readErr := answer.Body.Read(buf)
+		paced.count()
 		if n > 0 {
 			complete, splitErr := splitter.Add(buf[:n])
 			sentBefore := req.eventsSent
--- a/internal/netcount/netcount.go
+++ b/internal/netcount/netcount.go
@@ -72,6 +72,9 @@
 	return float64(c.own.In()+c.own.Out()) / max(now.Sub(c.since), time.Second).Seconds()
 }
 
+// Received returns the bytes that the connection has received.
+func (c *Conn) Received() int64 { return c.own.In() }
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.tcp.Read(p)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
+
 	"tarragonridge.example/tarragonridge/internal/core/era"
 )
 
@@ -66,10 +68,14 @@
 // ScanPageSize is the number of rows that ScanAll requests per Scan.
 const ScanPageSize = 500
 
-// ScanAll returns all rows whose keys start with prefix.
+// MaxScanBytes bounds what ScanAll reads.
+const MaxScanBytes = 64 << 20
+
+// ScanAll returns all rows whose keys start with prefix. It fails with
+// errkind.PlatformUnavailable if the pages do not go on, or hold over MaxScanBytes.
 func ScanAll(ctx context.Context, t Table, prefix string) ([]Row, error) {
 	var all []Row
-	after := ""
+	after, bytes := "", 0
 	for {
 		page, err := t.Scan(ctx, prefix, after, ScanPageSize)
 		if err != nil {
@@ -79,6 +85,13 @@
 		if len(page) < ScanPageSize {
 			return all, nil
 		}
-		after = page[len(page)-1].Key
+		for _, row := range page {
+			bytes += len(row.Key) + len(row.Value)
+		}
+		last := page[len(page)-1].Key
+		if last <= after || bytes > MaxScanBytes {
+			return nil, errkind.New(errkind.PlatformUnavailable, "rows %q do not end: %d bytes up to %q", prefix, bytes, last)
+		}
+		after = last
 	}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"tarragonridge.example/tarragonridge/internal/answers"
+	"tarragonridge.example/tarragonridge/internal/netcount"
 )
 
 // Limits of a connection.
@@ -241,6 +242,15 @@
 // this host has received. Bytes that came before may still be unread.
 func (r *Response) Open() bool { return r.exchange.conn.Open() }
 
+// Received returns the bytes that the connection of the response has received, 0 if they are
+// not counted.
+func (r *Response) Received() int64 {
+	if counted, ok := r.exchange.conn.Conn.Conn.(*netcount.Conn); ok {
+		return counted.Received()
+	}
+	return 0
+}
+
 // Chunked reports whether the response is chunked.
 func (r *Response) Chunked() bool { return len(r.TransferEncoding) > 0 }
 
