router: a target that refused a connection may be tried again

Innocent calls got 502 target_crashed beside crashes (scenario crash-part, one run in four with the race detector). From the logs: refused, refused, crash, refused, and refused, crash, refused, crash: each attempt at another of the four engines, after which none was left, though at most two of four runs were used.

An engine that refuses a connection restarts, and gets no new work for half a second anyway. A refusal does not rule it out for the request any more.

TestLostRunDoesNotRuleItsTargetOut has a case that failed before.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -72,7 +72,8 @@
 
 // targetNotAtFault reports whether the result of an attempt is no evidence
 // against its target: the sidecar never received the run, another request
-// crashed the target, or the run was refused for a reason that lies in the
+// crashed the target, it accepts no connection and so gets no work until it has had time to
+// restart (coolDown), or the run was refused for a reason that lies in the
 // router or is temporary. The next attempt may then use the same target, which
 // may be the only one.
 func targetNotAtFault(result attemptResult) bool {
@@ -80,7 +81,7 @@
 	case errkind.Tombstoned, errkind.Fenced, errkind.StaleConfig:
 		return true
 	}
-	return result.noCapacity || result.crashExplained
+	return result.noCapacity || result.crashExplained || result.refused
 }
 
 // registerRun creates and registers the run of an attempt.
--- a/internal/router/submit_test.go
+++ b/internal/router/submit_test.go
@@ -119,6 +119,7 @@
 	}
 	assert.Assert(t, targetNotAtFault(attemptResult{err: errkind.New(errkind.Overloaded, "full"), noCapacity: true}))
 	assert.Assert(t, targetNotAtFault(attemptResult{err: errkind.New(errkind.TargetCrashed, "another request"), crashExplained: true}))
+	assert.Assert(t, targetNotAtFault(attemptResult{err: errkind.New(errkind.NoTarget, "no connection"), retry: true, refused: true}), "it restarts")
 }
 
 // Guards against an innocent request that fails because engines which restart after crashes
