sidecar: a crash ends only the runs that began before it was noticed

From the logs: a run that began 51 ms after the crash of its engine was ended 3 ms later as the only suspect of it, its second of three crashes.

Each run in flight notices a crash by itself and ends all runs in progress; between the first and the last of them others had been accepted, and were blamed under an id of their own for the same crash.

--- a/internal/core/run/finish.go
+++ b/internal/core/run/finish.go
@@ -116,14 +116,15 @@
 	return ok && e.repeatable
 }
 
-// TargetCrashed ends all runs in progress after a crash of the target and marks the
-// suspects among them. If a suspect of an earlier crash was in progress, the suspects
+// TargetCrashed ends the runs in progress after a crash of the target that was noticed at a
+// time, and marks the suspects among them. Runs that began later were not sent to the target
+// that crashed. If a suspect of an earlier crash was in progress, the suspects
 // are that run and the runs without output, because a request that crashes its target
 // for the first time may be one of these; the crash is explained for the others.
 // Otherwise all runs are suspects. If there is only one suspect, its OnlySuspect is set.
-func (t *Table) TargetCrashed(now time.Time, detail string) []wire.RunEnd {
-	ids := t.ActiveRunIDs()
-	suspects := t.crashSuspects()
+func (t *Table) TargetCrashed(now, noticedAt time.Time, detail string) []wire.RunEnd {
+	ids := slices.DeleteFunc(t.ActiveRunIDs(), func(id string) bool { return t.activeRuns[id].startedAt.After(noticedAt) })
+	suspects := t.crashSuspects(ids)
 	ends := make([]wire.RunEnd, 0, len(ids))
 	for _, id := range ids {
 		kind := errkind.TargetCrashed
@@ -145,13 +146,13 @@
 	return ends
 }
 
-// crashSuspects returns the IDs of the runs in progress that may have crashed the
-// target.
-func (t *Table) crashSuspects() map[string]bool {
-	earlierSuspect := t.suspectInProgress()
+// crashSuspects returns those of the runs in progress with the given IDs that may have
+// crashed the target.
+func (t *Table) crashSuspects(ids []string) map[string]bool {
+	earlierSuspect := slices.ContainsFunc(ids, func(id string) bool { return t.activeRuns[id].start.Suspect })
 	suspects := map[string]bool{}
-	for id, e := range t.activeRuns {
-		if !earlierSuspect || e.start.Suspect || !e.hasOutput() {
+	for _, id := range ids {
+		if e := t.activeRuns[id]; !earlierSuspect || e.start.Suspect || !e.hasOutput() {
 			suspects[id] = true
 		}
 	}
--- a/internal/core/run/table_test.go
+++ b/internal/core/run/table_test.go
@@ -111,7 +111,7 @@
 }
 
 func (m *model) crash(t *rapid.T) {
-	for _, end := range m.table.TargetCrashed(m.now, "gone") {
+	for _, end := range m.table.TargetCrashed(m.now, m.now, "gone") {
 		m.recordEnd(t, end)
 	}
 }
@@ -298,7 +298,7 @@
 		_, err := table.AppendEvents(id, []json.RawMessage{event}, false)
 		assert.NilError(t, err)
 	}
-	ends := table.TargetCrashed(now, "gone")
+	ends := table.TargetCrashed(now, now, "gone")
 	byID := map[string]wire.RunEnd{}
 	for _, end := range ends {
 		byID[end.RunID] = end
@@ -379,3 +379,21 @@
 	assert.NilError(t, err)
 	assert.NilError(t, start("r3", true))
 }
+
+// Guards against blaming a run for a crash that was noticed before the run began: each run
+// that was in flight notices the crash by itself, the last ones after others have begun.
+func TestRunThatBeganAfterTheCrashIsNotEnded(t *testing.T) {
+	table := run.New(run.DefaultLimits(), "t1", "s1")
+	began := time.Unix(1, 0)
+	noticed, later := began.Add(time.Second), began.Add(2*time.Second)
+	start := func(now time.Time, id string) {
+		_, err := table.Start(now, wire.StartRun{RunID: id, Identity: ledger.Identity{Key: id}, OutputCap: 9, Suspect: true})
+		assert.NilError(t, err)
+	}
+	start(began, "r0")
+	ends := table.TargetCrashed(later, noticed, "gone")
+	assert.Equal(t, len(ends), 1)
+	start(later, "r1")
+	assert.Equal(t, len(table.TargetCrashed(later, noticed, "gone")), 0, "the same crash, noticed by another run")
+	assert.DeepEqual(t, table.ActiveRunIDs(), []string{"r1"})
+}
--- a/internal/sidecar/execute.go
+++ b/internal/sidecar/execute.go
@@ -236,9 +236,10 @@
 	if errors.Is(err, errEventTooLong) {
 		return failedEnding(errkind.Wrap(err, errkind.TargetFailed, "engine sent an event above the limit"))
 	}
+	noticedAt := time.Now()
 	if !x.server.target.isAlive() {
 		timing.Sleep(context.Background(), crashReadDelay)
-		x.server.handleTargetCrash()
+		x.server.handleTargetCrash(noticedAt)
 	}
 	return run.Ending{Outcome: ledger.Crashed, Kind: x.lostAnswerKind(errkind.TargetCrashed), Detail: "connection to the target broke"}
 }
@@ -293,10 +294,12 @@
 	s.closeExecution(end)
 }
 
-// handleTargetCrash ends all runs in progress after the target has gone down.
-func (s *Server) handleTargetCrash() {
+// handleTargetCrash ends the runs in progress after the target has gone down, as was noticed
+// at a time. Each run that notices the same crash calls it, also after the first of them has
+// ended all, and others have begun.
+func (s *Server) handleTargetCrash(noticedAt time.Time) {
 	s.mu.Lock()
-	ends := s.runTable.TargetCrashed(time.Now(), "target does not accept connections any more")
+	ends := s.runTable.TargetCrashed(time.Now(), noticedAt, "target does not accept connections any more")
 	for _, end := range ends {
 		s.recordRunEnd(end, wire.StartRun{RunID: end.RunID, RequestID: end.Record.RequestID, Identity: end.Record.Identity})
 		s.closeExecution(end)
