--- a/internal/core/answer/answer.go
+++ b/internal/core/answer/answer.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -272,10 +273,10 @@
 	if !ok {
 		return
 	}
-	switch strings.ToLower(name) {
-	case "content-length":
+	switch {
+	case strings.EqualFold(name, "Content-Length"):
 		c.recordLength(value)
-	case "transfer-encoding":
+	case strings.EqualFold(name, "Transfer-Encoding"):
 		for coding := range strings.SplitSeq(value, ",") {
 			c.codings++
 			c.oddCoding = c.oddCoding || !strings.EqualFold(strings.Trim(coding, " \t"), "chunked")
@@ -363,6 +364,9 @@
 	}
 }
 
+// framingFields say where an answer ends, which is too late in a trailer section.
+var framingFields = []string{"Content-Length", "Transfer-Encoding", "Trailer"}
+
 // endTrailerLine takes a line of a trailer section.
 func (c *Checker) endTrailerLine(line []byte, hasCR bool) {
 	if !hasCR {
@@ -377,8 +381,7 @@
 	if !ok {
 		return
 	}
-	switch strings.ToLower(name) {
-	case "content-length", "transfer-encoding", "trailer":
+	if slices.ContainsFunc(framingFields, func(field string) bool { return strings.EqualFold(field, name) }) {
 		c.refuse(FramingInTrailer)
 	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/callers"
+	"tarragonridge.example/tarragonridge/internal/core/answer"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/retry"
@@ -77,6 +78,9 @@
 		result, cause := g.attempt(ctx, w, r, req, t)
 		g.opt.Metrics.attempts.WithLabelValues(result.String()).Inc()
 		if result != outcomeServed {
+			if fault := (*answer.Fault)(nil); errors.As(cause, &fault) {
+				g.opt.Metrics.noAnswers.WithLabelValues(string(fault.Reason)).Inc()
+			}
 			g.opt.Logger.Info(explain.MessageAttemptFailed, "request", logqueue.Text(req.meta.RequestID), "target", t.ID, "version", t.Version, "outcome", result,
 				"event", req.lastEvent, "ms", time.Since(req.arrived).Milliseconds(), "framing", req.targetFraming, "cause", cause)
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	Registry   *prometheus.Registry
 	requests   *prometheus.CounterVec
 	attempts   *prometheus.CounterVec
+	noAnswers  *prometheus.CounterVec
 	limited    prometheus.Counter
 	turnedAway prometheus.Counter
 	// invalidHeaders counts headers about a target whose values make no sense.
@@ -45,6 +46,10 @@
 			Name: "tarragonridge_http_attempts_total",
 			Help: "Attempts at targets by outcome.",
 		}, []string{"outcome"}),
+		noAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tarragonridge_http_no_answers_total",
+			Help: "Attempts whose target sent what is no answer of HTTP/1.x, or one that was cut off, by reason.",
+		}, []string{"reason"}),
 		limited: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "tarragonridge_http_limited_attempts_total",
 			Help: "Attempts at targets that name a request limit or are cold.",
@@ -102,7 +107,7 @@
 			Name: "tarragonridge_http_config_version", Help: "Version of the routes in force here.",
 		}),
 	}
-	m.Registry.MustRegister(m.requests, m.attempts, m.limited, m.turnedAway, m.invalidHeaders, m.invalidOrders, m.crashes, m.crashReports, m.continued, m.answerEnds,
+	m.Registry.MustRegister(m.requests, m.attempts, m.noAnswers, m.limited, m.turnedAway, m.invalidHeaders, m.invalidOrders, m.crashes, m.crashReports, m.continued, m.answerEnds,
 		m.slowCallers, m.heldUp, m.widened, m.hurried, m.duration, m.configVersion, m.admission.refused, m.admission.evicted, m.admission.wait, collectors.NewGoCollector())
 	return m
 }
