--- a/internal/answers/conn.go
+++ b/internal/answers/conn.go
@@ -1,5 +1,5 @@
-// Package answers reads answers from connections, each checked by internal/core/answer.
-// Everything in the system that reads an answer of HTTP does so through a Conn.
+// Package answers reads answers from connections, each checked by internal/core/answer. The
+// processes of the system read answers of HTTP through a Conn; tools of operators do not.
 package answers
 
 import (
--- a/internal/core/answer/answer.go
+++ b/internal/core/answer/answer.go
@@ -57,8 +57,8 @@
 	openContent // until the connection ends
 )
 
-// Checker checks the answers on one connection, one after the other. The zero value has no
-// limits; use NewChecker.
+// Checker checks the answers on one connection, one after the other. Create one with
+// NewChecker.
 type Checker struct {
 	limits Limits
 	isHead bool // the next answer is one to HEAD
@@ -207,8 +207,8 @@
 	}
 }
 
-// checkBegun refuses a line as soon as what has come of it can't be right, if no limit
-// would: bytes that are no answer may never bring a line feed.
+// checkBegun refuses a line as soon as what has come of it can't be right: bytes that are no
+// answer may never bring a line feed.
 func (c *Checker) checkBegun() {
 	n := min(len(c.line), len(protocol))
 	switch {
