--- /dev/null
+++ b/review/harness-3/main.go
@@ -0,0 +1,288 @@
+// Command review-3 holds the stand-ins and the cases of review 3.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	held   = 0
+	broken = 1
+	notRun = 2
+)
+
+var cases = map[string]func(*fleet, bool) (bool, error){}
+
+func main() {
+	if len(os.Args) > 1 && os.Args[1] == "replica" {
+		runReplica(os.Args[2:])
+		return
+	}
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: review-3 CASE FOLDER")
+		os.Exit(notRun)
+	}
+	os.Exit(runCase(cases[os.Args[1]], os.Args[2]))
+}
+
+// record is record.txt of the case.
+var record struct {
+	mu    sync.Mutex
+	file  *os.File
+	began time.Time
+}
+
+// say writes a line to the record.
+func say(format string, args ...any) {
+	record.mu.Lock()
+	defer record.mu.Unlock()
+	fmt.Fprintf(record.file, "%7.3f s  %s\n", time.Since(record.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func runCase(run func(*fleet, bool) (bool, error), folder string) int {
+	var err error
+	if record.file, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return notRun
+	}
+	record.began = time.Now()
+	trouble := os.Getenv("TROUBLE") != "0"
+	say("TROUBLE=%v", trouble)
+	f, err := newFleet()
+	if f != nil {
+		defer f.end()
+	}
+	var isBroken bool
+	if err == nil {
+		isBroken, err = run(f, trouble)
+	}
+	switch {
+	case err != nil:
+		say("the case could not run: %v", err)
+		return notRun
+	case isBroken:
+		say("the rule was BROKEN")
+		return broken
+	}
+	say("the rule held")
+	return held
+}
+
+// fleet is the processes of a case.
+type fleet struct {
+	dir     string
+	store   *store
+	address string // of the store
+	procs   []*process
+}
+
+// process is a process that the case has started.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+}
+
+func newFleet() (*fleet, error) {
+	dir, err := os.MkdirTemp("", "review-3-")
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{dir: dir, store: newStore()}
+	f.address, err = f.store.serve()
+	return f, err
+}
+
+// end ends all processes.
+func (f *fleet) end() {
+	for _, p := range f.procs {
+		p.signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	}
+	_ = os.RemoveAll(f.dir)
+}
+
+// start starts a process. What it prints goes to the record, of the system's processes only
+// the lines that contain one of keep.
+func (f *fleet) start(name string, keep []string, command ...string) (*process, error) {
+	p := &process{name: name, cmd: exec.Command(command[0], command[1:]...)}
+	out, in, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	p.cmd.Stdout, p.cmd.Stderr = in, in
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	_ = in.Close()
+	f.procs = append(f.procs, p)
+	go func() {
+		for lines := bufio.NewScanner(out); lines.Scan(); {
+			line := lines.Text()
+			shown := len(keep) == 0
+			for _, k := range keep {
+				shown = shown || strings.Contains(line, k)
+			}
+			if shown {
+				if _, rest, ok := strings.Cut(line, "level="); ok {
+					line = rest // without the time, which the record has
+				}
+				say("%s: %s", name, line)
+			}
+		}
+	}()
+	return p, nil
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill kills a process and waits for its end.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+	say("%s was killed", p.name)
+}
+
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// gatewayLines are the lines of a gateway that tell how a case went.
+var gatewayLines = []string{"started", "unframed", "ended", "request not served", "attempt failed", "source", "registration gone", "presumed", "end="}
+
+// startGateway starts a gateway with settings like those of the deploy file's template, and
+// waits until it is ready. It returns its address for callers.
+func (f *fleet) startGateway(name string, graceS int) (*process, string, error) {
+	callers, ready := freeAddress(), freeAddress()
+	_, relayPort, _ := net.SplitHostPort(freeAddress())
+	text := fmt.Sprintf(`{
+  "role": "gateway", "host": %q, "failure_domain": "z-a",
+  "listen": {"callers": %q, "ready": %q},
+  "store": {"address": %q, "relay_port": %s, "writes_per_s": 800, "part_writes_per_s": 200},
+  "retries": {"ratio": 0.2, "slack": 58, "window_s": 10},
+  "limits": {"memory_mb": 284, "link_mbps": 1000},
+  "grace_s": %d, "log_level": "info",
+}`, name, callers, ready, f.address, relayPort, graceS)
+	path := filepath.Join(f.dir, name+".jsonc")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return nil, "", err
+	}
+	p, err := f.start(name, gatewayLines, "target/tarragonridge", "gateway", "--config="+path)
+	if err != nil {
+		return nil, "", err
+	}
+	for range 100 {
+		if resp, err := http.Get("http://" + ready + "/-/ready"); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return p, callers, nil
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil, "", errors.New("the gateway does not become ready")
+}
+
+// startReplica starts a replica of the service app and waits until it listens.
+func (f *fleet) startReplica(id, address string, more ...string) (*process, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	p, err := f.start("replica "+id, nil, append([]string{self, "replica", "--id=" + id, "--listen=" + address, "--store=" + f.address}, more...)...)
+	if err != nil {
+		return nil, err
+	}
+	for range 100 {
+		if c, err := net.Dial("tcp", address); err == nil {
+			_ = c.Close()
+			return p, nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil, errors.New("the replica does not listen")
+}
+
+// configure writes the operator's configuration: a route of a kind to the service app.
+func (f *fleet) configure(kind string, timeoutMS, objectiveMS int) {
+	f.store.put("op", "config", map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "r", "host": "app.example", "prefix": "/app/", "kind": kind, "service": "app", "timeout-ms": timeoutMS,
+			"target-latency-ms": objectiveMS, "priority": 2, "max-attempts": 1,
+		}},
+		"services": []any{map[string]any{"name": "app", "max-connections": 110}},
+		"limits":   map[string]any{"max-header-bytes": 32768, "max-body-bytes": 4194304, "header-timeout-ms": 5000, "idle-timeout-ms": 30000},
+		"tenants":  []any{map[string]any{"name": "t", "api-keys": []string{"key"}}},
+	})
+}
+
+// got is what a client got.
+type got struct {
+	status    int
+	signature string
+	body      int
+	complete  bool // the answer ended in order
+	err       error
+}
+
+// send sends a request and reads its answer. rate is how many bytes a second the client reads;
+// 0 means as fast as it can.
+func send(address, id, path string, deadlineMS, rate int) got {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return got{err: err}
+	}
+	defer c.Close()
+	if rate > 0 {
+		_ = c.(*net.TCPConn).SetReadBuffer(64 << 10)
+	}
+	_ = c.SetDeadline(time.Now().Add(time.Duration(deadlineMS)*time.Millisecond + 2*time.Second))
+	say("client sends %s: POST %s, deadline %d ms", id, path, deadlineMS)
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: app.example\r\nTarragonridge-Request-Id: %s\r\nTarragonridge-Deadline-Ms: %d\r\nAuthorization: Bearer key\r\nContent-Length: 2\r\n\r\nhi", path, id, deadlineMS)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return got{err: err}
+	}
+	defer resp.Body.Close()
+	g := got{status: resp.StatusCode, signature: resp.Header.Get("Tarragonridge-Response-Signature")}
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := resp.Body.Read(buf)
+		g.body += n
+		if rate > 0 {
+			time.Sleep(time.Duration(n) * time.Second / time.Duration(rate))
+		}
+		if err != nil {
+			g.complete = errors.Is(err, io.EOF)
+			if !g.complete {
+				g.err = err
+			}
+			return g
+		}
+	}
+}
+
+// mixed reports whether a success is not the replica's whole body, and says what came.
+func (g got) mixed(id string, size int) bool {
+	say("client got %s: status %d, signature %q, %d of %d bytes, ended in order: %v, error: %v", id, g.status, g.signature, g.body, size, g.complete, g.err)
+	return g.status == http.StatusOK && g.complete && g.body != size
+}
