--- a/review/harness-3/cases.go
+++ b/review/harness-3/cases.go
@@ -9,11 +9,66 @@
 )
 
 func init() {
+	cases["outage"] = outage
 	cases["slow-reader"] = slowReader
 	cases["leaving"] = leaving
 	cases["poison"] = poison
 }
 
+// outage: the store is silent for 4.5 s, in which the entries of the replicas expire. They are back
+// with the next heartbeat after its return. Later a route is added.
+func outage(f *fleet, trouble bool) (bool, error) {
+	const gateways, replicas, least = 3, 3, 20
+	const length, stable = 4500 * time.Millisecond, 3 * time.Second
+	f.configure("idempotent", 2500, 150)
+	for i := range replicas {
+		if _, err := f.startReplica(fmt.Sprintf("i-%d", i), freeAddress()); err != nil {
+			return false, err
+		}
+	}
+	var callers [gateways]string
+	for i := range callers {
+		var err error
+		if _, callers[i], err = f.startGateway(fmt.Sprintf("front-%d", i+1), 8); err != nil {
+			return false, err
+		}
+	}
+	// served sends requests under a prefix, evenly over the gateways, and counts the successes.
+	served := func(prefix, name string, n int) (ok int) {
+		for i := range n {
+			g := send(callers[i%gateways], fmt.Sprintf("%s%d", name, i), prefix+"800/30", 2500, 0)
+			if g.status == 200 && g.complete && g.body == 800 {
+				ok++
+			}
+		}
+		say("of %d requests under %s, %d were served", n, prefix, ok)
+		return ok
+	}
+	time.Sleep(3 * time.Second)
+	const before, after, added = 100, 60, 60
+	first := served("/app/", "q", before)
+	// One more replica joins, so that all gateways begin to watch anew at one moment.
+	if _, err := f.startReplica("i-joins", freeAddress()); err != nil {
+		return false, err
+	}
+	time.Sleep(870 * time.Millisecond)
+	if trouble {
+		f.store.setSilent(true)
+	}
+	time.Sleep(length)
+	if trouble {
+		f.store.setSilent(false)
+	}
+	time.Sleep(stable + 2*time.Second)
+	f.configure("idempotent", 2500, 150, "/added/")
+	time.Sleep(2 * time.Second) // config-ms
+	onAdded := served("/added/", "n", added)
+	first += served("/app/", "p", after)
+	shareFirst, shareAdded := float64(first)/(before+after), float64(onAdded)/added
+	say("in steady state: %.2f of the requests on the first route were served, %.2f of the %d on the route that was added", shareFirst, shareAdded, added)
+	return added >= least && shareAdded < shareFirst/4, nil
+}
+
 // slowReader: a replica crashes while it sends an answer without a length to a client that
 // reads slowly, and starts again at its address.
 func slowReader(f *fleet, trouble bool) (bool, error) {
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -236,18 +236,22 @@
 	return nil, errors.New("the replica does not listen")
 }
 
-// configure writes the operator's configuration: a route to the service app, and one of streams,
-// which may not be resumed, to the service llm.
-func (f *fleet) configure(kind string, timeoutMS, objectiveMS int) {
-	f.store.put("op", "config", map[string]any{
-		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "r", "host": "app.example", "prefix": "/app/", "kind": kind, "service": "app", "timeout-ms": timeoutMS,
+// configure writes the operator's configuration: a route to the service app, one of streams, which
+// may not be resumed, to the service llm, and further routes to app with the prefixes added.
+func (f *fleet) configure(kind string, timeoutMS, objectiveMS int, added ...string) {
+	routes := []any{}
+	for i, prefix := range append([]string{"/app/"}, added...) {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("r%d", i), "host": "app.example", "prefix": prefix, "kind": kind, "service": "app", "timeout-ms": timeoutMS,
 			"target-latency-ms": objectiveMS, "priority": 2, "max-attempts": 1,
-		}, map[string]any{
-			"name": "s", "host": "app.example", "prefix": "/llm/", "kind": "streaming", "service": "llm", "timeout-ms": 4000,
-			"target-latency-ms": 1200, "gap-target-ms": 500, "priority": 1, "max-attempts": 1, "sticky": true,
-		}},
+		})
+	}
+	routes = append(routes, map[string]any{
+		"name": "s", "host": "app.example", "prefix": "/llm/", "kind": "streaming", "service": "llm", "timeout-ms": 4000,
+		"target-latency-ms": 1200, "gap-target-ms": 500, "priority": 1, "max-attempts": 1, "sticky": true,
+	})
+	f.store.put("op", "config", map[string]any{
+		"version": 1 + 3*len(added), "routes": routes,
 		"services": []any{
 			map[string]any{"name": "app", "max-connections": 96},
 			map[string]any{"name": "llm", "max-connections": 360, "engine": map[string]any{"slots": 64, "stride": 4, "kv-capacity-tokens": 257859}},
--- a/review/harness-3/replica.go
+++ b/review/harness-3/replica.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -75,6 +76,9 @@
 	open.Wait()
 }
 
+// registering gives up a call that gets no answer, so that the next one is not late.
+var registering = &http.Client{Timeout: time.Second}
+
 func (r *replica) register() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -88,7 +92,7 @@
 		"cold-remaining-ms": 0, "sequence": r.sequence, "born": r.born,
 	})
 	req, _ := http.NewRequest(http.MethodPut, "http://"+r.store+"/replica/"+r.id, bytes.NewReader(entry))
-	if resp, err := http.DefaultClient.Do(req); err == nil {
+	if resp, err := registering.Do(req); err == nil {
 		_ = resp.Body.Close()
 	}
 }
@@ -139,7 +143,7 @@
 	if _, err := fmt.Sscanf(req.URL.Path, "/llm/%d/%d", &size, &ms); err == nil {
 		return r.stream(c, id, size, ms)
 	}
-	if _, err := fmt.Sscanf(req.URL.Path, "/app/%d/%d", &size, &ms); err != nil {
+	if _, err := fmt.Sscanf(strings.Replace(req.URL.Path, "/added/", "/app/", 1), "/app/%d/%d", &size, &ms); err != nil {
 		fmt.Fprintf(c, "HTTP/1.1 404 Not Found\r\nTarragonridge-Request-Id: %s\r\nTarragonridge-Response-Signature: s.%s.404\r\nContent-Length: 0\r\n\r\n", id, id)
 		return true
 	}
--- a/review/harness-3/store.go
+++ b/review/harness-3/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -20,7 +21,8 @@
 	changed  chan struct{} // closed and replaced at each change
 	started  time.Time
 	lastBeat map[string]time.Time // by id of a replica
-	down     bool                 // all calls get 503
+	entries  map[string][]byte    // without their sequence
+	silent   bool                 // calls get no answer, also those that were begun before
 }
 
 type rowID struct{ table, part, key string }
@@ -49,7 +51,7 @@
 )
 
 func newStore() *store {
-	s := &store{rows: map[rowID]row{}, changed: make(chan struct{}), started: time.Now(), lastBeat: map[string]time.Time{}}
+	s := &store{rows: map[rowID]row{}, changed: make(chan struct{}), started: time.Now(), lastBeat: map[string]time.Time{}, entries: map[string][]byte{}}
 	go s.expire()
 	return s
 }
@@ -65,23 +67,58 @@
 	mux.HandleFunc("POST /-/rows-tx", s.tx)
 	mux.HandleFunc("GET /-/rows-feed", s.feed)
 	mux.HandleFunc("PUT /replica/{id}", s.putReplica) // how the stand-in replicas register
-	go func() { _ = http.Serve(l, s.refuseWhenDown(mux)) }()
+	go func() { _ = http.Serve(l, s.unlessSilent(mux)) }()
 	return l.Addr().String(), nil
 }
 
-func (s *store) refuseWhenDown(next http.Handler) http.Handler {
+// unlessSilent leaves calls without an answer that begin or end while the store is silent.
+func (s *store) unlessSilent(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		down := s.down
-		s.mu.Unlock()
-		if down {
-			w.WriteHeader(http.StatusServiceUnavailable)
+		if s.isSilent() {
+			<-r.Context().Done()
+			return
+		}
+		answer := &heldAnswer{header: http.Header{}}
+		next.ServeHTTP(answer, r)
+		if s.isSilent() {
+			<-r.Context().Done()
 			return
 		}
-		next.ServeHTTP(w, r)
+		for name, values := range answer.header {
+			w.Header()[name] = values
+		}
+		if answer.status != 0 {
+			w.WriteHeader(answer.status)
+		}
+		_, _ = w.Write(answer.body.Bytes())
 	})
 }
 
+// heldAnswer holds an answer back until it is known whether it may go out.
+type heldAnswer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (a *heldAnswer) Header() http.Header         { return a.header }
+func (a *heldAnswer) WriteHeader(status int)      { a.status = status }
+func (a *heldAnswer) Write(p []byte) (int, error) { return a.body.Write(p) }
+
+func (s *store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
+// setSilent begins or ends an outage of the store.
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	say("store: silent=%v", silent)
+}
+
 // apply stores rows, or removes those with Tombstone. s.mu is held.
 func (s *store) apply(changes ...row) int64 {
 	s.ver++
@@ -120,10 +157,18 @@
 		return
 	}
 	data, _ := json.Marshal(entry)
+	delete(entry, "sequence")
+	rest, _ := json.Marshal(entry)
 	id := r.PathValue("id")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastBeat[id] = time.Now()
+	if _, known := s.lastBeat[id]; !known {
+		say("store: %s registers", id)
+	} else if bytes.Equal(rest, s.entries[id]) {
+		s.lastBeat[id] = time.Now()
+		return
+	}
+	s.lastBeat[id], s.entries[id] = time.Now(), rest
 	s.apply(row{Table: "servers", Key: id, Value: data})
 }
 
@@ -214,20 +259,15 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		newest := map[rowID]row{}
+		var rows []row // every change, in order
 		for _, r := range s.log {
 			if r.Table == q.Get("table") && r.Ver > after {
-				newest[rowID{r.Table, r.Part, r.Key}] = r
+				rows = append(rows, r)
 			}
 		}
 		ver, changed := s.ver, s.changed
 		s.mu.Unlock()
-		var rows []row
-		for _, r := range newest {
-			rows = append(rows, r)
-		}
 		if len(rows) > 0 {
-			sort.Slice(rows, func(i, j int) bool { return rows[i].Ver < rows[j].Ver })
 			s.answer(w, http.StatusOK, rows, false, ver)
 			return
 		}
