--- a/review/harness-3/cases.go
+++ b/review/harness-3/cases.go
@@ -10,6 +10,7 @@
 
 func init() {
 	cases["outage"] = outage
+	cases["odd-entry"] = oddEntry
 	cases["slow-reader"] = slowReader
 	cases["leaving"] = leaving
 	cases["poison"] = poison
@@ -20,7 +21,7 @@
 func outage(f *fleet, trouble bool) (bool, error) {
 	const gateways, replicas, least = 3, 3, 20
 	const length, stable = 4500 * time.Millisecond, 3 * time.Second
-	f.configure("idempotent", 2500, 150)
+	f.configure(1, appRoute("/app/", "idempotent", 2500, 150))
 	for i := range replicas {
 		if _, err := f.startReplica(fmt.Sprintf("i-%d", i), freeAddress()); err != nil {
 			return false, err
@@ -34,15 +35,8 @@
 		}
 	}
 	// served sends requests under a prefix, evenly over the gateways, and counts the successes.
-	served := func(prefix, name string, n int) (ok int) {
-		for i := range n {
-			g := send(callers[i%gateways], fmt.Sprintf("%s%d", name, i), prefix+"800/30", 2500, 0)
-			if g.status == 200 && g.complete && g.body == 800 {
-				ok++
-			}
-		}
-		say("of %d requests under %s, %d were served", n, prefix, ok)
-		return ok
+	served := func(prefix, name string, n int) int {
+		return countServed(callers[:], prefix+"800/30", name, n, func(g got) bool { return g.body == 800 })
 	}
 	time.Sleep(3 * time.Second)
 	const before, after, added = 100, 60, 60
@@ -60,7 +54,7 @@
 		f.store.setSilent(false)
 	}
 	time.Sleep(stable + 2*time.Second)
-	f.configure("idempotent", 2500, 150, "/added/")
+	f.configure(4, appRoute("/app/", "idempotent", 2500, 150), appRoute("/added/", "idempotent", 2500, 150))
 	time.Sleep(2 * time.Second) // config-ms
 	onAdded := served("/added/", "n", added)
 	first += served("/app/", "p", after)
@@ -73,7 +67,7 @@
 // reads slowly, and starts again at its address.
 func slowReader(f *fleet, trouble bool) (bool, error) {
 	const size, rate, deadlineMS = 12_000_000, 500_000, 45_000
-	f.configure("non_idempotent", deadlineMS, 5000)
+	f.configure(1, appRoute("/app/", "non_idempotent", deadlineMS, 5000))
 	address := freeAddress()
 	first, err := f.startReplica("i-first", address)
 	if err != nil {
@@ -100,7 +94,7 @@
 // without a length. It has served for drain-ms and takes no more connections by then.
 func leaving(f *fleet, trouble bool) (bool, error) {
 	const events, deadlineMS = 10, 4000
-	f.configure("non_idempotent", 2500, 1500)
+	f.configure(1, streams)
 	address := freeAddress()
 	first, err := f.startReplica("i-first", address, "--service=llm")
 	if err != nil {
@@ -127,7 +121,7 @@
 func poison(f *fleet, trouble bool) (bool, error) {
 	const gateways, repeats, rounds, replicas, most = 3, 3, 6, 8, 3
 	const pause, stable, downTime = 4 * time.Second, 3 * time.Second, 1500 * time.Millisecond
-	f.configure("idempotent", 2500, 150)
+	f.configure(1, appRoute("/app/", "idempotent", 2500, 150))
 	var stopped atomic.Bool
 	defer stopped.Store(true)
 	var mu sync.Mutex
@@ -193,3 +187,80 @@
 	}
 	return late > most, nil
 }
+
+// countServed sends requests, evenly over some gateways, and counts the successes.
+func countServed(callers []string, path, name string, n int, whole func(got) bool) (ok int) {
+	for i := range n {
+		g := send(callers[i%len(callers)], fmt.Sprintf("%s%d", name, i), path, 4000, 0)
+		if g.status == 200 && g.complete && whole(g) {
+			ok++
+		}
+	}
+	say("of %d requests for %s, %d were served", n, path, ok)
+	return ok
+}
+
+// oddEntry: another writer puts an entry with a service that the configuration does not name. Then
+// the replicas of a service are replaced by ones with other software, and a route is added.
+func oddEntry(f *fleet, trouble bool) (bool, error) {
+	const gateways, replicas, least = 3, 2, 20
+	app := appRoute("/app/", "idempotent", 2500, 150)
+	resumable := route{prefix: "/llm/", kind: "streaming", service: "llm", timeoutMS: 4000, objectiveMS: 800, attempts: 2, resumable: true}
+	added := resumable
+	added.prefix = "/added/"
+	f.configure(1, app, resumable)
+	start := func(id, version string) (*process, error) {
+		return f.startReplica(id, freeAddress(), "--service=llm", "--framed", "--version="+version)
+	}
+	var old []*process
+	for i := range replicas {
+		p, err := start(fmt.Sprintf("i-old-%d", i), "v1")
+		if err != nil {
+			return false, err
+		}
+		old = append(old, p)
+		if _, err := f.startReplica(fmt.Sprintf("i-app-%d", i), freeAddress(), "--framed"); err != nil {
+			return false, err
+		}
+	}
+	var callers [gateways]string
+	for i := range callers {
+		var err error
+		if _, callers[i], err = f.startGateway(fmt.Sprintf("front-%d", i+1), 8); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(3 * time.Second)
+	requests := func(prefix, name string, n int) int {
+		if prefix == "/app/" {
+			return countServed(callers[:], prefix+"800/30", name, n, func(g got) bool { return g.body == 800 })
+		}
+		return countServed(callers[:], prefix+"5/50", name, n, func(g got) bool { return g.events == 5 })
+	}
+	first := requests("/app/", "a", 30) + requests("/llm/", "b", 30)
+	if trouble {
+		f.store.put("servers", "i-odd", map[string]any{
+			"service": "registry.example/teams/pricing/europe/services/quotes/deployments/blue/instances/primary",
+			"version": "quotes-server@sha256:9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08",
+			"address": freeAddress(), "zone": "z-a", "slots": 6, "state": "ready", "cold-remaining-ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+		})
+		say("another writer puts servers/i-odd, of a service that is not named")
+	}
+	time.Sleep(2 * time.Second)
+	for i, p := range old { // the release: the new one starts first, the old one drains
+		if _, err := start(fmt.Sprintf("i-new-%d", i), "v2"); err != nil {
+			return false, err
+		}
+		time.Sleep(time.Second)
+		p.signal(syscall.SIGTERM)
+	}
+	time.Sleep(6 * time.Second)
+	f.configure(4, app, resumable, added)
+	time.Sleep(2 * time.Second) // config-ms
+	const n = 30
+	onAdded := requests("/added/llm/", "c", n)
+	first += requests("/app/", "d", n) + requests("/llm/", "e", n)
+	shareFirst, shareAdded := float64(first)/(4*n), float64(onAdded)/n
+	say("in steady state: %.2f of the requests on the first routes were served, %.2f of the %d on the route that was added", shareFirst, shareAdded, n)
+	return n >= least && shareAdded < shareFirst/4, nil
+}
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -236,22 +236,37 @@
 	return nil, errors.New("the replica does not listen")
 }
 
-// configure writes the operator's configuration: a route to the service app, one of streams, which
-// may not be resumed, to the service llm, and further routes to app with the prefixes added.
-func (f *fleet) configure(kind string, timeoutMS, objectiveMS int, added ...string) {
+// route is a route of the operator's configuration.
+type route struct {
+	prefix, kind, service  string
+	timeoutMS, objectiveMS int
+	attempts               int
+	resumable              bool
+}
+
+// appRoute is a route to the service app, and streams one of streams that may not be resumed to
+// the service llm.
+func appRoute(prefix, kind string, timeoutMS, objectiveMS int) route {
+	return route{prefix: prefix, kind: kind, service: "app", timeoutMS: timeoutMS, objectiveMS: objectiveMS, attempts: 1}
+}
+
+var streams = route{prefix: "/llm/", kind: "streaming", service: "llm", timeoutMS: 4000, objectiveMS: 1200, attempts: 1}
+
+// configure writes a version of the operator's configuration.
+func (f *fleet) configure(version int, all ...route) {
 	routes := []any{}
-	for i, prefix := range append([]string{"/app/"}, added...) {
-		routes = append(routes, map[string]any{
-			"name": fmt.Sprintf("r%d", i), "host": "app.example", "prefix": prefix, "kind": kind, "service": "app", "timeout-ms": timeoutMS,
-			"target-latency-ms": objectiveMS, "priority": 2, "max-attempts": 1,
-		})
+	for i, r := range all {
+		m := map[string]any{
+			"name": fmt.Sprintf("r%d", i), "host": "app.example", "prefix": r.prefix, "kind": r.kind, "service": r.service, "timeout-ms": r.timeoutMS,
+			"target-latency-ms": r.objectiveMS, "priority": 2, "max-attempts": r.attempts, "resumable": r.resumable,
+		}
+		if r.kind == "streaming" {
+			m["gap-target-ms"], m["sticky"] = 500, true
+		}
+		routes = append(routes, m)
 	}
-	routes = append(routes, map[string]any{
-		"name": "s", "host": "app.example", "prefix": "/llm/", "kind": "streaming", "service": "llm", "timeout-ms": 4000,
-		"target-latency-ms": 1200, "gap-target-ms": 500, "priority": 1, "max-attempts": 1, "sticky": true,
-	})
 	f.store.put("op", "config", map[string]any{
-		"version": 1 + 3*len(added), "routes": routes,
+		"version": version, "routes": routes,
 		"services": []any{
 			map[string]any{"name": "app", "max-connections": 96},
 			map[string]any{"name": "llm", "max-connections": 360, "engine": map[string]any{"slots": 64, "stride": 4, "kv-capacity-tokens": 257859}},
@@ -285,7 +300,7 @@
 	_ = c.SetDeadline(time.Now().Add(time.Duration(deadlineMS)*time.Millisecond + 2*time.Second))
 	say("client sends %s: POST %s, deadline %d ms", id, path, deadlineMS)
 	model := ""
-	if strings.HasPrefix(path, "/llm/") {
+	if strings.HasPrefix(path, "/llm/") || strings.HasPrefix(path, "/added/llm/") {
 		model = "Tarragonridge-Model: m\r\nTarragonridge-Token-Usage: 800,80\r\nTarragonridge-Prompt-Prefix: 5c1e07a2:600,e4402b7d:200\r\n"
 	}
 	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: app.example\r\nTarragonridge-Request-Id: %s\r\nTarragonridge-Deadline-Ms: %d\r\n%sAuthorization: Bearer key\r\nContent-Length: 2\r\n\r\nhi", path, id, deadlineMS, model)
--- a/review/harness-3/replica.go
+++ b/review/harness-3/replica.go
@@ -19,12 +19,15 @@
 )
 
 // replica is a stand-in for a replica of a service, as a process of its own, so that a test can
-// kill it. Its answers have no length and end with their connection. The path of a request says
+// kill it. Its answers have no length and end with their connection, unless it is told to send
+// them in chunks. The path of a request says
 // what it sends: /app/BYTES/MILLISECONDS is a body sent in 50 parts, and /llm/EVENTS/MILLISECONDS
 // is a stream, both within that time. A request with the path /app/poison crashes it.
 type replica struct {
 	id, address, store string
 	service            string // app or llm
+	version            string
+	framed             bool
 	born               int64
 	mu                 sync.Mutex
 	draining           bool
@@ -38,6 +41,8 @@
 	flags.StringVar(&r.address, "listen", "", "")
 	flags.StringVar(&r.store, "store", "", "")
 	flags.StringVar(&r.service, "service", "app", "")
+	flags.StringVar(&r.version, "version", "v1", "of its software")
+	flags.BoolVar(&r.framed, "framed", false, "its answers are in chunks")
 	drain := flags.Duration("drain", 2*time.Second, "drain-ms: how long it serves after it has reported that it leaves")
 	_ = flags.Parse(args)
 	l, err := net.Listen("tcp", r.address)
@@ -88,7 +93,7 @@
 		state = "draining"
 	}
 	entry, _ := json.Marshal(map[string]any{
-		"service": r.service, "address": r.address, "zone": "z-a", "version": "v1", "slots": 6, "state": state,
+		"service": r.service, "address": r.address, "zone": "z-a", "version": r.version, "slots": 6, "state": state,
 		"cold-remaining-ms": 0, "sequence": r.sequence, "born": r.born,
 	})
 	req, _ := http.NewRequest(http.MethodPut, "http://"+r.store+"/replica/"+r.id, bytes.NewReader(entry))
@@ -135,54 +140,77 @@
 		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nTarragonridge-Request-Id: %s\r\nTarragonridge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 		return true
 	}
+	path := strings.Replace(req.URL.Path, "/added/llm/", "/llm/", 1)
+	path = strings.Replace(path, "/added/", "/app/", 1)
 	var size, ms int
 	if req.URL.Path == "/app/poison" {
 		fmt.Printf("replica %s runs %s and crashes\n", r.id, id)
 		os.Exit(3)
 	}
-	if _, err := fmt.Sscanf(req.URL.Path, "/llm/%d/%d", &size, &ms); err == nil {
+	if _, err := fmt.Sscanf(path, "/llm/%d/%d", &size, &ms); err == nil {
 		return r.stream(c, id, size, ms)
 	}
-	if _, err := fmt.Sscanf(strings.Replace(req.URL.Path, "/added/", "/app/", 1), "/app/%d/%d", &size, &ms); err != nil {
+	if _, err := fmt.Sscanf(path, "/app/%d/%d", &size, &ms); err != nil {
 		fmt.Fprintf(c, "HTTP/1.1 404 Not Found\r\nTarragonridge-Request-Id: %s\r\nTarragonridge-Response-Signature: s.%s.404\r\nContent-Length: 0\r\n\r\n", id, id)
 		return true
 	}
 	fmt.Printf("replica %s runs %s: %d bytes in %d ms\n", r.id, id, size, ms)
-	if _, err := io.WriteString(c, head(id, size, "application/octet-stream")); err != nil {
+	if _, err := io.WriteString(c, r.head(id, size, "application/octet-stream")); err != nil {
 		return false
 	}
 	const pieces = 50
 	piece := bytes.Repeat([]byte("x"), size/pieces)
 	for range pieces {
-		if _, err := c.Write(piece); err != nil {
+		if err := r.send(c, piece); err != nil {
 			fmt.Printf("replica %s could not send all of %s: %v\n", r.id, id, err)
 			return false
 		}
 		time.Sleep(time.Duration(ms) * time.Millisecond / pieces)
 	}
-	fmt.Printf("replica %s has sent all of %s\n", r.id, id)
-	return false
+	return r.finish(c, id)
 }
 
-// head returns the head of an answer without a length.
-func head(id string, size int, contentType string) string {
+// head returns the head of an answer.
+func (r *replica) head(id string, size int, contentType string) string {
+	framing := "Connection: close"
+	if r.framed {
+		framing = "Transfer-Encoding: chunked"
+	}
 	return "HTTP/1.1 200 OK\r\nTarragonridge-Request-Id: " + id + "\r\nTarragonridge-Response-Signature: s." + id + "." + strconv.Itoa(size) +
-		"\r\nContent-Type: " + contentType + "\r\nConnection: close\r\n\r\n"
+		"\r\nContent-Type: " + contentType + "\r\n" + framing + "\r\n\r\n"
+}
+
+// send sends a part of an answer.
+func (r *replica) send(c net.Conn, part []byte) error {
+	if r.framed {
+		part = fmt.Appendf(nil, "%x\r\n%s\r\n", len(part), part)
+	}
+	_, err := c.Write(part)
+	return err
+}
+
+// finish ends an answer and reports whether the connection stays open.
+func (r *replica) finish(c net.Conn, id string) bool {
+	fmt.Printf("replica %s has sent all of %s\n", r.id, id)
+	if !r.framed {
+		return false
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
 }
 
 // stream sends a number of events within a time.
 func (r *replica) stream(c net.Conn, id string, events, ms int) bool {
 	fmt.Printf("replica %s runs %s: %d events in %d ms\n", r.id, id, events, ms)
-	if _, err := io.WriteString(c, head(id, events, "text/event-stream")); err != nil {
+	if _, err := io.WriteString(c, r.head(id, events, "text/event-stream")); err != nil {
 		return false
 	}
 	for i := 1; i <= events; i++ {
 		time.Sleep(time.Duration(ms) * time.Millisecond / time.Duration(events))
-		if _, err := fmt.Fprintf(c, "id: %d\ndata: piece %d of %d\n\n", i, i, events); err != nil {
+		if err := r.send(c, fmt.Appendf(nil, "id: %d\ndata: piece %d of %d\n\n", i, i, events)); err != nil {
 			fmt.Printf("replica %s could not send all of %s: %v\n", r.id, id, err)
 			return false
 		}
 	}
-	fmt.Printf("replica %s has sent all of %s\n", r.id, id)
-	return false
+	return r.finish(c, id)
 }
--- a/review/harness-3/store.go
+++ b/review/harness-3/store.go
@@ -48,6 +48,7 @@
 	heartbeat   = 1200 * time.Millisecond
 	expireAfter = 3 * heartbeat // then the entry of a silent replica is removed
 	maxRows     = 500
+	maxText     = 200 // bytes of a table, a part or a key
 )
 
 func newStore() *store {
@@ -226,6 +227,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	for _, r := range append(append(append([]row{}, m.IfRevision...), m.Puts...), m.Remove...) {
+		if len(r.Table) > maxText || len(r.Part) > maxText || len(r.Key) > maxText {
+			say("store: a transaction is refused, as the key %s has %d bytes", r.Key, len(r.Key))
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
 	time.Sleep(txTime)
 	s.mu.Lock()
 	var current []row
