--- a/review/harness-3/cases.go
+++ b/review/harness-3/cases.go
@@ -19,7 +19,7 @@
 // outage: the store is silent for 4.5 s, in which the entries of the replicas expire. They are back
 // with the next heartbeat after its return. Later a route is added.
 func outage(f *fleet, trouble bool) (bool, error) {
-	const gateways, replicas, least = 3, 3, 20
+	const gateways, replicas, least = 3, 4, 20
 	const length, stable = 4500 * time.Millisecond, 3 * time.Second
 	f.configure(1, appRoute("/app/", "idempotent", 2500, 150))
 	for i := range replicas {
@@ -68,8 +68,7 @@
 func slowReader(f *fleet, trouble bool) (bool, error) {
 	const size, rate, deadlineMS = 12_000_000, 500_000, 45_000
 	f.configure(1, appRoute("/app/", "non_idempotent", deadlineMS, 5000))
-	address := freeAddress()
-	first, err := f.startReplica("i-first", address)
+	replicas, err := f.startReplicas()
 	if err != nil {
 		return false, err
 	}
@@ -80,9 +79,10 @@
 	time.Sleep(time.Second)
 	if trouble {
 		time.AfterFunc(1500*time.Millisecond, func() {
-			first.kill()
+			crashed := replicas[<-f.runs]
+			crashed.kill()
 			time.Sleep(4500 * time.Millisecond)
-			if _, err := f.startReplica("i-second", address); err != nil {
+			if _, err := f.startReplica("i-again", crashed.address); err != nil {
 				say("%v", err)
 			}
 		})
@@ -95,8 +95,7 @@
 func leaving(f *fleet, trouble bool) (bool, error) {
 	const events, deadlineMS = 10, 4000
 	f.configure(1, streams)
-	address := freeAddress()
-	first, err := f.startReplica("i-first", address, "--service=llm")
+	replicas, err := f.startReplicas("--service=llm")
 	if err != nil {
 		return false, err
 	}
@@ -106,10 +105,11 @@
 	}
 	time.Sleep(time.Second)
 	time.AfterFunc(200*time.Millisecond, func() {
-		first.signal(syscall.SIGTERM) // the notice
+		leaves := replicas[<-f.runs]
+		leaves.signal(syscall.SIGTERM) // the notice
 		if trouble {
 			time.Sleep(2500 * time.Millisecond)
-			first.kill()
+			leaves.kill()
 		}
 	})
 	return send(callers, "q1", fmt.Sprintf("/llm/%d/3200", events), deadlineMS, 0).cutShort("q1", events), nil
@@ -201,9 +201,10 @@
 }
 
 // oddEntry: another writer puts an entry with a service that the configuration does not name. Then
-// the replicas of a service are replaced by ones with other software, and a route is added.
+// three releases replace the seven replicas of a service by ones with other software, three at
+// most each, and a route is added.
 func oddEntry(f *fleet, trouble bool) (bool, error) {
-	const gateways, replicas, least = 3, 2, 20
+	const gateways, replicas, perRelease, least = 3, 7, 3, 20
 	app := appRoute("/app/", "idempotent", 2500, 150)
 	resumable := route{prefix: "/llm/", kind: "streaming", service: "llm", timeoutMS: 4000, objectiveMS: 800, attempts: 2, resumable: true}
 	added := resumable
@@ -219,6 +220,8 @@
 			return false, err
 		}
 		old = append(old, p)
+	}
+	for i := range 2 {
 		if _, err := f.startReplica(fmt.Sprintf("i-app-%d", i), freeAddress(), "--framed"); err != nil {
 			return false, err
 		}
@@ -247,7 +250,10 @@
 		say("another writer puts servers/i-odd, of a service that is not named")
 	}
 	time.Sleep(2 * time.Second)
-	for i, p := range old { // the release: the new one starts first, the old one drains
+	for i, p := range old { // the new one starts first, the old one drains
+		if i%perRelease == 0 {
+			say("release %d", i/perRelease+1)
+		}
 		if _, err := start(fmt.Sprintf("i-new-%d", i), "v2"); err != nil {
 			return false, err
 		}
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -88,12 +88,14 @@
 	store   *store
 	address string // of the store
 	procs   []*process
+	runs    chan string // ids of replicas, as they run a request
 }
 
 // process is a process that the case has started.
 type process struct {
-	name string
-	cmd  *exec.Cmd
+	name    string
+	address string // of a replica
+	cmd     *exec.Cmd
 }
 
 func newFleet() (*fleet, error) {
@@ -101,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, store: newStore()}
+	f := &fleet{dir: dir, store: newStore(), runs: make(chan string, 1000)}
 	f.address, err = f.store.serve()
 	return f, err
 }
@@ -133,6 +135,10 @@
 	go func() {
 		for lines := bufio.NewScanner(out); lines.Scan(); {
 			line := lines.Text()
+			var id string
+			if n, _ := fmt.Sscanf(line, "replica %s runs", &id); n == 1 && strings.Contains(line, " runs ") {
+				f.runs <- id
+			}
 			shown := len(keep) == 0
 			for _, k := range keep {
 				shown = shown || strings.Contains(line, k)
@@ -169,6 +175,20 @@
 // gatewayLines are the lines of a gateway that tell how a case went.
 var gatewayLines = []string{"started", "unframed", "ended", "request not served", "attempt failed", "source", "registration gone", "presumed", "end="}
 
+// startReplicas starts seven replicas of a service, of which one is 0.143.
+func (f *fleet) startReplicas(more ...string) (map[string]*process, error) {
+	started := map[string]*process{}
+	for i := range 7 {
+		id := fmt.Sprintf("i-%d", i)
+		p, err := f.startReplica(id, freeAddress(), more...)
+		if err != nil {
+			return nil, err
+		}
+		started[id] = p
+	}
+	return started, nil
+}
+
 // startGateway starts a gateway with settings like those of the deploy file's template, and
 // waits until it is ready. It returns its address for callers.
 func (f *fleet) startGateway(name string, graceS int) (*process, string, error) {
@@ -226,6 +246,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.address = address
 	for range 100 {
 		if c, err := net.Dial("tcp", address); err == nil {
 			_ = c.Close()
