review 3: the stand-ins start and end processes under one lock

Cause: replicas that are started again from several goroutines could be left running. Change: a lock, no start after the end of a case, and an end at SIGTERM.

--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -65,6 +66,13 @@
 	f, err := newFleet()
 	if f != nil {
 		defer f.end()
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+		go func() {
+			<-stop
+			f.end()
+			os.Exit(notRun)
+		}()
 	}
 	var isBroken bool
 	if err == nil {
@@ -86,9 +94,12 @@
 type fleet struct {
 	dir     string
 	store   *store
-	address string // of the store
-	procs   []*process
+	address string      // of the store
 	runs    chan string // ids of replicas, as they run a request
+
+	mu    sync.Mutex
+	procs []*process
+	ended bool // no further process is started
 }
 
 // process is a process that the case has started.
@@ -108,8 +119,14 @@
 	return f, err
 }
 
+// errEnded is the error of a process that is not started because the case has ended.
+var errEnded = errors.New("the case has ended")
+
 // end ends all processes.
 func (f *fleet) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = true
 	for _, p := range f.procs {
 		p.signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
@@ -127,6 +144,11 @@
 		return nil, err
 	}
 	p.cmd.Stdout, p.cmd.Stderr = in, in
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ended {
+		return nil, errEnded
+	}
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
@@ -137,7 +159,10 @@
 			line := lines.Text()
 			var id string
 			if n, _ := fmt.Sscanf(line, "replica %s runs", &id); n == 1 && strings.Contains(line, " runs ") {
-				f.runs <- id
+				select {
+				case f.runs <- id:
+				default: // no case asks for so many
+				}
 			}
 			shown := len(keep) == 0
 			for _, k := range keep {
