review 3: case 15, a document refused after one request's crashes

Cause: a part of a prompt is quarantined after three successive crashes with a run of it begun, though one request was at all of them; nothing runs it any more to show that it is sound. The harness shares the start of gateways and returning replicas.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 # rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3 ] && [ -x target/tarragonridge ] || exit 2
-exec target/review-3 leaving review/15
+exec target/review-3 shared-part review/15
--- a/review/harness-3/cases.go
+++ b/review/harness-3/cases.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -12,8 +11,8 @@
 	cases["outage"] = outage
 	cases["odd-entry"] = oddEntry
 	cases["slow-reader"] = slowReader
-	cases["leaving"] = leaving
 	cases["poison"] = poison
+	cases["shared-part"] = sharedPart
 }
 
 // outage: the store is silent for 4.5 s, in which the entries of the replicas expire. They are back
@@ -27,16 +26,13 @@
 			return false, err
 		}
 	}
-	var callers [gateways]string
-	for i := range callers {
-		var err error
-		if _, callers[i], err = f.startGateway(fmt.Sprintf("front-%d", i+1), 8); err != nil {
-			return false, err
-		}
+	callers, err := f.startGateways(gateways)
+	if err != nil {
+		return false, err
 	}
 	// served sends requests under a prefix, evenly over the gateways, and counts the successes.
 	served := func(prefix, name string, n int) int {
-		return countServed(callers[:], prefix+"800/30", name, n, func(g got) bool { return g.body == 800 })
+		return countServed(callers, prefix+"800/30", name, n, func(g got) bool { return g.body == 800 })
 	}
 	time.Sleep(3 * time.Second)
 	const before, after, added = 100, 60, 60
@@ -90,31 +86,6 @@
 	return send(callers, "q1", fmt.Sprintf("/app/%d/0", size), deadlineMS, rate).mixed("q1", size), nil
 }
 
-// leaving: a replica is taken away some time after the notice, while it still sends a stream
-// without a length. It has served for drain-ms and takes no more connections by then.
-func leaving(f *fleet, trouble bool) (bool, error) {
-	const events, deadlineMS = 10, 4000
-	f.configure(1, streams)
-	replicas, err := f.startReplicas("--service=llm")
-	if err != nil {
-		return false, err
-	}
-	_, callers, err := f.startGateway("front-1", 8)
-	if err != nil {
-		return false, err
-	}
-	time.Sleep(time.Second)
-	time.AfterFunc(200*time.Millisecond, func() {
-		leaves := replicas[<-f.runs]
-		leaves.signal(syscall.SIGTERM) // the notice
-		if trouble {
-			time.Sleep(2500 * time.Millisecond)
-			leaves.kill()
-		}
-	})
-	return send(callers, "q1", fmt.Sprintf("/llm/%d/3200", events), deadlineMS, 0).cutShort("q1", events), nil
-}
-
 // poison: a request that crashes each replica that runs it comes again every few seconds. Each
 // time its client repeats it three times at once, at the next gateway each time. Without the
 // disruption the request is one that crashes nothing.
@@ -122,39 +93,14 @@
 	const gateways, repeats, rounds, replicas, most = 3, 3, 6, 8, 3
 	const pause, stable, downTime = 4 * time.Second, 3 * time.Second, 1500 * time.Millisecond
 	f.configure(1, appRoute("/app/", "idempotent", 2500, 150))
-	var stopped atomic.Bool
-	defer stopped.Store(true)
-	var mu sync.Mutex
-	var crashes []time.Time
-	for i := range replicas {
-		address := freeAddress()
-		p, err := f.startReplica(fmt.Sprintf("i-%d-1", i), address)
-		if err != nil {
-			return false, err
-		}
-		go func() { // the replica is back some time after a crash, with a new id
-			for starts := 2; ; starts++ {
-				_ = p.cmd.Wait()
-				if stopped.Load() {
-					return
-				}
-				mu.Lock()
-				crashes = append(crashes, time.Now())
-				mu.Unlock()
-				time.Sleep(downTime)
-				if p, err = f.startReplica(fmt.Sprintf("i-%d-%d", i, starts), address); err != nil {
-					say("%v", err)
-					return
-				}
-			}
-		}()
+	crashed, stop, err := f.startReturning(replicas, downTime)
+	if err != nil {
+		return false, err
 	}
-	var callers [gateways]string
-	for i := range callers {
-		var err error
-		if _, callers[i], err = f.startGateway(fmt.Sprintf("front-%d", i+1), 8); err != nil {
-			return false, err
-		}
+	defer stop()
+	callers, err := f.startGateways(gateways)
+	if err != nil {
+		return false, err
 	}
 	time.Sleep(4 * time.Second) // all are in touch
 	path := "/app/poison"
@@ -163,10 +109,9 @@
 	}
 	late := 0
 	for round := range rounds {
-		mu.Lock()
+		crashes := crashed()
 		before := len(crashes)
 		counts := before >= 3 && time.Since(crashes[2]) > stable
-		mu.Unlock()
 		for i := range 1 + repeats {
 			id := fmt.Sprintf("q%d-%d", round+1, i+1)
 			g := send(callers[i%gateways], id, path, 2500, 0)
@@ -176,9 +121,7 @@
 			}
 		}
 		time.Sleep(300 * time.Millisecond)
-		mu.Lock()
-		reached := len(crashes) - before
-		mu.Unlock()
+		reached := len(crashed()) - before
 		if counts {
 			late += reached
 		}
@@ -226,19 +169,16 @@
 			return false, err
 		}
 	}
-	var callers [gateways]string
-	for i := range callers {
-		var err error
-		if _, callers[i], err = f.startGateway(fmt.Sprintf("front-%d", i+1), 8); err != nil {
-			return false, err
-		}
+	callers, err := f.startGateways(gateways)
+	if err != nil {
+		return false, err
 	}
 	time.Sleep(3 * time.Second)
 	requests := func(prefix, name string, n int) int {
 		if prefix == "/app/" {
-			return countServed(callers[:], prefix+"800/30", name, n, func(g got) bool { return g.body == 800 })
+			return countServed(callers, prefix+"800/30", name, n, func(g got) bool { return g.body == 800 })
 		}
-		return countServed(callers[:], prefix+"5/50", name, n, func(g got) bool { return g.events == 5 })
+		return countServed(callers, prefix+"5/50", name, n, func(g got) bool { return g.events == 5 })
 	}
 	first := requests("/app/", "a", 30) + requests("/llm/", "b", 30)
 	if trouble {
@@ -270,3 +210,72 @@
 	say("in steady state: %.2f of the requests on the first routes were served, %.2f of the %d on the route that was added", shareFirst, shareAdded, n)
 	return n >= least && shareAdded < shareFirst/4, nil
 }
+
+// sharedPart: a request that crashes each replica that runs it is sent once, and repeated once.
+// The last part of its prompt that is not its own, a document, stands in other requests too,
+// which are sent before and afterwards. Without the disruption the request crashes nothing.
+func sharedPart(f *fleet, trouble bool) (bool, error) {
+	const gateways, replicas, documents = 3, 12, 40
+	const length, everyOther, everyDocument = 60 * time.Second, 50 * time.Millisecond, 2 * time.Second
+	const downTime = 3 * time.Second
+	f.configure(1, route{prefix: "/llm/", kind: "streaming", service: "llm", timeoutMS: 6000, objectiveMS: 800, attempts: 2, resumable: true})
+	_, stop, err := f.startReturning(replicas, downTime, "--service=llm", "--framed")
+	if err != nil {
+		return false, err
+	}
+	defer stop()
+	callers, err := f.startGateways(gateways)
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second) // all are in touch
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	sent, refused := 0, map[bool]int{}
+	path := func(start, own string, document int) string {
+		return fmt.Sprintf("%s?prompt=5c1e07a2:2520,%08x:3780,%s:290", start, 0xd0c00000+document, own)
+	}
+	// ask sends a request about a document. That of the other request has the number 0.
+	ask := func(gateway int, id string, document int) {
+		g := send(callers[gateway%gateways], id, path("/llm/13/500", id, document), 6000, 0)
+		mu.Lock()
+		defer mu.Unlock()
+		sent++
+		if g.refused() {
+			refused[document == 0]++
+		}
+		if document == 0 || g.refused() || g.events != 13 {
+			say("client got %s about document %d: status %d, %d of 13 events, ended in order: %v, error: %v", id, document, g.status, g.events, g.complete, g.err)
+		}
+	}
+	end := time.Now().Add(length)
+	clients.Go(func() {
+		for i := 1; time.Now().Before(end); i++ {
+			clients.Go(func() { ask(i, fmt.Sprintf("%016x", 0xa0000+i), 1+i%(documents-1)) })
+			time.Sleep(everyOther)
+		}
+	})
+	clients.Go(func() {
+		for i := 1; time.Now().Before(end); i++ {
+			clients.Go(func() { ask(i, fmt.Sprintf("%016x", 0xb0000+i), 0) })
+			time.Sleep(everyDocument)
+		}
+	})
+	time.Sleep(5*everyDocument + 700*time.Millisecond)
+	start := "/llm/poison"
+	if !trouble {
+		start = "/llm/13/500"
+	}
+	for i := range 2 {
+		id := fmt.Sprintf("%016x", 0xc0000+i)
+		g := send(callers[i], id, path(start, "f0071e55", 0), 6000, 0)
+		say("client got %s: status %d, ended in order: %v, error: %v", id, g.status, g.complete, g.err)
+		if g.status == 200 && g.complete {
+			break // a client repeats what has failed
+		}
+	}
+	clients.Wait()
+	most := 5 + sent/500
+	say("%d requests were sent, %d about the document were refused for good, %d about others; %d are allowed", sent, refused[true], refused[false], most)
+	return refused[true]+refused[false] > most, nil
+}
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -13,6 +13,8 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -214,6 +216,61 @@
 	return started, nil
 }
 
+// startReturning starts some replicas of a service. Each is back some time after a crash, with a
+// new id, until stop is called. crashes returns when replicas have crashed.
+func (f *fleet) startReturning(n int, downTime time.Duration, more ...string) (crashes func() []time.Time, stop func(), err error) {
+	var mu sync.Mutex
+	var at []time.Time
+	stopped := false
+	for i := range n {
+		address := freeAddress()
+		p, err := f.startReplica(fmt.Sprintf("i-%d-1", i), address, more...)
+		if err != nil {
+			return nil, nil, err
+		}
+		go func() {
+			for starts := 2; ; starts++ {
+				_ = p.cmd.Wait()
+				mu.Lock()
+				ended := stopped
+				at = append(at, time.Now())
+				mu.Unlock()
+				if ended {
+					return
+				}
+				time.Sleep(downTime)
+				if p, err = f.startReplica(fmt.Sprintf("i-%d-%d", i, starts), address, more...); err != nil {
+					say("%v", err)
+					return
+				}
+			}
+		}()
+	}
+	crashes = func() []time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(at)
+	}
+	stop = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+	}
+	return crashes, stop, nil
+}
+
+// startGateways starts some gateways and returns their addresses for callers.
+func (f *fleet) startGateways(n int) ([]string, error) {
+	callers := make([]string, n)
+	for i := range callers {
+		var err error
+		if _, callers[i], err = f.startGateway(fmt.Sprintf("front-%d", i+1), 8); err != nil {
+			return nil, err
+		}
+	}
+	return callers, nil
+}
+
 // startGateway starts a gateway with settings like those of the deploy file's template, and
 // waits until it is ready. It returns its address for callers.
 func (f *fleet) startGateway(name string, graceS int) (*process, string, error) {
@@ -290,14 +347,11 @@
 	resumable              bool
 }
 
-// appRoute is a route to the service app, and streams one of streams that may not be resumed to
-// the service llm.
+// appRoute is a route to the service app.
 func appRoute(prefix, kind string, timeoutMS, objectiveMS int) route {
 	return route{prefix: prefix, kind: kind, service: "app", timeoutMS: timeoutMS, objectiveMS: objectiveMS, attempts: 1}
 }
 
-var streams = route{prefix: "/llm/", kind: "streaming", service: "llm", timeoutMS: 4000, objectiveMS: 1200, attempts: 1}
-
 // configure writes a version of the operator's configuration.
 func (f *fleet) configure(version int, all ...route) {
 	routes := []any{}
@@ -318,10 +372,25 @@
 			map[string]any{"name": "llm", "max-connections": 360, "engine": map[string]any{"slots": 64, "stride": 4, "kv-capacity-tokens": 257859}},
 		},
 		"limits":  map[string]any{"max-header-bytes": 32768, "max-body-bytes": 4194304, "header-timeout-ms": 5000, "idle-timeout-ms": 30000},
-		"tenants": []any{map[string]any{"name": "t", "api-keys": []string{"key"}, "prepaid": 5_000_000}},
+		"tenants": []any{map[string]any{"name": "t", "api-keys": []string{"key"}, "prepaid": 50_000_000}},
 	})
 }
 
+// promptOf returns the parts of the prompt of a request, and how many tokens they have. A path may
+// name the parts.
+func promptOf(path string) (parts string, tokens int) {
+	parts = "5c1e07a2:600,e4402b7d:200"
+	if _, named, ok := strings.Cut(path, "?prompt="); ok {
+		parts = named
+	}
+	for part := range strings.SplitSeq(parts, ",") {
+		_, n, _ := strings.Cut(part, ":")
+		count, _ := strconv.Atoi(n) // the case names numbers
+		tokens += count
+	}
+	return parts, tokens
+}
+
 // got is what a client got.
 type got struct {
 	status    int
@@ -347,7 +416,8 @@
 	say("client sends %s: POST %s, deadline %d ms", id, path, deadlineMS)
 	model := ""
 	if strings.HasPrefix(path, "/llm/") || strings.HasPrefix(path, "/added/llm/") {
-		model = "Tarragonridge-Model: m\r\nTarragonridge-Token-Usage: 800,80\r\nTarragonridge-Prompt-Prefix: 5c1e07a2:600,e4402b7d:200\r\n"
+		prompt, tokens := promptOf(path)
+		model = fmt.Sprintf("Tarragonridge-Model: m\r\nTarragonridge-Token-Usage: %d,80\r\nTarragonridge-Prompt-Prefix: %s\r\n", tokens, prompt)
 	}
 	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: app.example\r\nTarragonridge-Request-Id: %s\r\nTarragonridge-Deadline-Ms: %d\r\n%sAuthorization: Bearer key\r\nContent-Length: 2\r\n\r\nhi", path, id, deadlineMS, model)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -380,8 +450,8 @@
 	return g.status == http.StatusOK && g.complete && g.body != size
 }
 
-// cutShort reports whether a stream ended as complete before its last event, and says what came.
-func (g got) cutShort(id string, events int) bool {
-	say("client got %s: status %d, signature %q, %d of %d events, ended in order: %v, error: %v", id, g.status, g.signature, g.events, events, g.complete, g.err)
-	return g.status == http.StatusOK && g.complete && g.events != events
+// refused reports whether the gateway has refused a proper request with a status that does not
+// promise that it may come again.
+func (g got) refused() bool {
+	return g.signature == "" && g.status >= 300 && g.status < 500 && g.status != 408 && g.status != 421 && g.status != 429
 }
--- a/review/harness-3/replica.go
+++ b/review/harness-3/replica.go
@@ -22,7 +22,8 @@
 // kill it. Its answers have no length and end with their connection, unless it is told to send
 // them in chunks. The path of a request says
 // what it sends: /app/BYTES/MILLISECONDS is a body sent in 50 parts, and /llm/EVENTS/MILLISECONDS
-// is a stream, both within that time. A request with the path /app/poison crashes it.
+// is a stream, both within that time. A request with the path /app/poison crashes it at once, and one
+// with the path /llm/poison as it begins to answer.
 type replica struct {
 	id, address, store string
 	service            string // app or llm
@@ -147,6 +148,12 @@
 		fmt.Printf("replica %s runs %s and crashes\n", r.id, id)
 		os.Exit(3)
 	}
+	if req.URL.Path == "/llm/poison" {
+		time.Sleep(prefill)
+		_, _ = io.WriteString(c, r.head(id, 0, "text/event-stream"))
+		fmt.Printf("replica %s runs %s and crashes\n", r.id, id)
+		os.Exit(3)
+	}
 	if _, err := fmt.Sscanf(path, "/llm/%d/%d", &size, &ms); err == nil {
 		return r.stream(c, id, size, ms)
 	}
@@ -199,6 +206,9 @@
 	return err == nil
 }
 
+// prefill is how long a replica reads the prompt of a request that crashes it.
+const prefill = 200 * time.Millisecond
+
 // stream sends a number of events within a time.
 func (r *replica) stream(c net.Conn, id string, events, ms int) bool {
 	fmt.Printf("replica %s runs %s: %d events in %d ms\n", r.id, id, events, ms)
