--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -13,7 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"tarragonridge.example/tarragonridge/internal/core/era"
+	"tarragonridge.example/tarragonridge/internal/core/feed"
 )
 
 // Key prefixes of the rows. All rows have Prefix.
@@ -80,24 +80,16 @@
 	routerTimeout = 3*RenewInterval + time.Second
 )
 
-// Row is a row of the table.
-type Row struct {
-	Key     string
-	Value   []byte
-	Version era.Version
-}
+// Row is a row of the table, or its removal.
+type Row = feed.Change[[]byte]
 
-// Changes are rows that were written and removed.
-type Changes struct {
-	Era      int64 // of the table, 0 if it reports none
-	Complete bool  // Rows are all rows there are
-	Rows     []Row
-	Removed  []string // keys
-}
+// Changes is an answer of the source of the rows.
+type Changes = feed.Changes[[]byte]
 
 // State is a router's view of the rows. It is not safe for concurrent use.
 type State struct {
 	self      string
+	fold      feed.Fold[[]byte]
 	synced    bool                 // all rows have been read once
 	renewedAt map[string]time.Time // when a renewal was last seen, by host
 	limits    map[string]Limit     // by target
@@ -128,105 +120,92 @@
 		unusedDraining: map[string]time.Time{}}
 }
 
-// Apply applies changes and returns the targets whose limits have changed, or that are
-// newly known to be draining or cold. It fails for rows that cannot be decoded, after it has
-// applied the others.
-func (s *State) Apply(now time.Time, c Changes) (changedTargets []string, err error) {
+// Applied is what Apply has changed.
+type Applied struct {
+	// Targets are those whose limits have changed, or that are newly known to be draining or
+	// cold.
+	Targets []string
+	Rows    []Row // the single changes, in their order
+}
+
+// Apply applies an answer of the source. It fails for rows that cannot be decoded, after it
+// has applied the others.
+func (s *State) Apply(now time.Time, c Changes) (applied Applied, err error) {
 	before, wasDraining, wasCold, wasActive := maps.Clone(s.limits), maps.Clone(s.draining), maps.Clone(s.cold), s.Active()
-	wereOut := maps.Clone(s.rooms)
 	s.readAt = now
-	if s.era != c.Era || s.eraSince.IsZero() {
-		s.era, s.eraSince = c.Era, now
+	if s.era != c.Version.Era || s.eraSince.IsZero() {
+		s.era, s.eraSince = c.Version.Era, now
 	}
-	if c.Complete {
-		s.synced = true
-		clear(s.limits)
-		clear(s.draining)
-		clear(s.cold)
-		clear(s.versions)
-		clear(s.rooms)
-		present := map[string]bool{}
-		for _, row := range c.Rows {
-			present[row.Key] = true
-		}
-		maps.DeleteFunc(s.renewedAt, func(host string, _ time.Time) bool { return !present[RouterKey(host)] })
-	}
-	for _, row := range c.Rows {
-		if rowErr := s.applyRow(now, row); rowErr != nil {
+	s.synced = s.synced || c.Complete
+	applied.Rows = s.fold.Next(c)
+	for _, row := range applied.Rows {
+		if row.Removed {
+			s.remove(row.Key)
+		} else if rowErr := s.put(now, row); rowErr != nil {
 			err = rowErr
 		}
 	}
-	if c.Complete { // rows that were known have not been written again
-		for target, cold := range s.cold {
-			if was := wasCold[target]; was.Cold == cold.Cold {
-				s.cold[target] = was
-			}
-		}
-		for host, room := range s.rooms {
-			if was := wereOut[host]; was.row == room.row {
-				s.rooms[host] = was
-			}
-		}
-	}
-	for _, key := range c.Removed {
-		if host, ok := strings.CutPrefix(key, routerPrefix); ok {
-			delete(s.renewedAt, host)
-			delete(s.domains, host)
-		}
-		s.removeRoom(key)
-		if target, ok := strings.CutPrefix(key, limitPrefix); ok {
-			delete(s.limits, target)
-		}
-		if target, ok := strings.CutPrefix(key, drainingPrefix); ok {
-			delete(s.draining, target)
-		}
-		if target, ok := strings.CutPrefix(key, coldPrefix); ok {
-			delete(s.cold, target)
-		}
-		if v, ok := ParseVersionKey(key); ok {
-			delete(s.versions, v)
-		}
-	}
 	if !wasActive && s.Active() {
 		s.countFrom = now
 	}
+	applied.Targets = s.changedTargets(before, wasDraining, wasCold)
+	return applied, err
+}
+
+// changedTargets compares what is known of targets with what was known before.
+func (s *State) changedTargets(limits map[string]Limit, draining map[string]Draining, cold map[string]coldTarget) (changed []string) {
 	for target, limit := range s.limits {
-		if old, ok := before[target]; !ok || old != limit {
-			changedTargets = append(changedTargets, target)
+		if old, ok := limits[target]; !ok || old != limit {
+			changed = append(changed, target)
 		}
 	}
-	for target := range before {
+	for target := range limits {
 		if _, ok := s.limits[target]; !ok {
-			changedTargets = append(changedTargets, target)
+			changed = append(changed, target)
 		}
 	}
-	for target, draining := range s.draining {
-		if wasDraining[target] != draining {
-			changedTargets = append(changedTargets, target)
+	for target, now := range s.draining {
+		if draining[target] != now {
+			changed = append(changed, target)
 		}
 	}
-	for target, cold := range s.cold {
-		if wasCold[target].Cold != cold.Cold {
-			changedTargets = append(changedTargets, target)
+	for target, now := range s.cold {
+		if cold[target].Cold != now.Cold {
+			changed = append(changed, target)
 		}
 	}
-	slices.Sort(changedTargets)
-	changedTargets = slices.Compact(changedTargets)
-	return changedTargets, err
+	slices.Sort(changed)
+	return slices.Compact(changed)
+}
+
+// remove forgets what the row with a key has told.
+func (s *State) remove(key string) {
+	if host, ok := strings.CutPrefix(key, routerPrefix); ok {
+		delete(s.renewedAt, host)
+		delete(s.domains, host)
+	}
+	s.removeRoom(key)
+	if target, ok := strings.CutPrefix(key, limitPrefix); ok {
+		delete(s.limits, target)
+	}
+	if target, ok := strings.CutPrefix(key, drainingPrefix); ok {
+		delete(s.draining, target)
+	}
+	if target, ok := strings.CutPrefix(key, coldPrefix); ok {
+		delete(s.cold, target)
+	}
+	if v, ok := ParseVersionKey(key); ok {
+		delete(s.versions, v)
+	}
 }
 
-func (s *State) applyRow(now time.Time, row Row) error {
+// put applies a row that was written. If it cannot be decoded, it tells as much as one that is
+// gone, but for the row of a router, which shows that the router is live.
+func (s *State) put(now time.Time, row Row) error {
 	if host, ok := strings.CutPrefix(row.Key, routerPrefix); ok {
-		if host == s.self && now.Sub(s.renewedAt[host]) > renewalTimeout {
-			s.countFrom = now
-		}
-		s.renewedAt[host] = now
-		var router RouterRow
-		if err := json.Unmarshal(row.Value, &router); err != nil {
-			return err
-		}
-		s.domains[host] = router.FailureDomain
+		return s.putRouter(now, host, row.Value)
 	}
+	s.remove(row.Key)
 	if err := s.applyRoom(now, row); err != nil {
 		return err
 	}
@@ -257,6 +236,17 @@
 	return nil
 }
 
+func (s *State) putRouter(now time.Time, host string, value []byte) error {
+	if host == s.self && now.Sub(s.renewedAt[host]) > renewalTimeout {
+		s.countFrom = now
+	}
+	s.renewedAt[host] = now
+	var router RouterRow
+	err := json.Unmarshal(value, &router)
+	s.domains[host] = router.FailureDomain
+	return err
+}
+
 // Limit returns the limit that a target has named to any router.
 func (s *State) Limit(target string) (limit Limit, ok bool) {
 	limit, ok = s.limits[target]
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -31,9 +31,9 @@
 	for _, host := range routers {
 		c.Rows = append(c.Rows, routerRow(host))
 	}
-	changed, err := s.Apply(start, c)
+	applied, err := s.Apply(start, c)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, changed, []string{"t"})
+	assert.DeepEqual(t, applied.Targets, []string{"t"})
 	return s
 }
 
@@ -137,16 +137,16 @@
 // Guards against a limit that outlives its row, and rows lost beside one that is unreadable.
 func TestLimitsFollowTheirRows(t *testing.T) {
 	s := newSyncedState(t, hosts(1))
-	changed, err := s.Apply(start, Changes{Rows: []Row{limitRow("bad", "rubbish"), limitRow("u", `{"started":2,"per_second":2.5}`)}, Removed: []string{LimitKey("t")}})
+	applied, err := s.Apply(start, Changes{Rows: []Row{limitRow("bad", "rubbish"), limitRow("u", `{"started":2,"per_second":2.5}`), {Key: LimitKey("t"), Removed: true}}})
 	assert.ErrorContains(t, err, "invalid character")
-	assert.DeepEqual(t, changed, []string{"t", "u"})
+	assert.DeepEqual(t, applied.Targets, []string{"t", "u"})
 	_, ok := s.Limit("t")
 	assert.Assert(t, !ok)
 	limit, ok := s.Limit("u")
 	assert.Assert(t, ok && limit == Limit{StartedMS: 2, PerSecond: 2.5}, "%v", limit)
-	changed, err = s.Apply(start, Changes{Complete: true})
+	applied, err = s.Apply(start, Changes{Complete: true})
 	assert.NilError(t, err)
-	assert.DeepEqual(t, changed, []string{"u"})
+	assert.DeepEqual(t, applied.Targets, []string{"u"})
 }
 
 // Guards against a limit that is forgotten while the registration of its target is missing.
@@ -164,18 +164,18 @@
 // to stop, and against rows about targets that are gone for good.
 func TestDrainingTargetsFollowTheirRows(t *testing.T) {
 	s := NewState("r1")
-	changed, err := s.Apply(start, Changes{Complete: true, Rows: []Row{
+	applied, err := s.Apply(start, Changes{Complete: true, Rows: []Row{
 		{Key: DrainingKey("t"), Value: []byte(`{"started":7}`)}, {Key: DrainingKey("u"), Value: []byte("x")},
 	}})
 	assert.ErrorContains(t, err, "invalid")
-	assert.DeepEqual(t, changed, []string{"t"})
+	assert.DeepEqual(t, applied.Targets, []string{"t"})
 	draining, ok := s.Draining("t")
 	assert.Assert(t, ok && draining.StartedMS == 7)
 	assert.Assert(t, !s.Active(), "nothing is to be divided")
 	missing := func(string) bool { return false }
 	assert.Equal(t, len(s.ExpiredDraining(start, missing, testRetention)), 0)
 	assert.DeepEqual(t, s.ExpiredDraining(start.Add(testRetention), missing, testRetention), []string{"t"})
-	_, err = s.Apply(start, Changes{Removed: []string{DrainingKey("t")}})
+	_, err = s.Apply(start, Changes{Rows: []Row{{Key: DrainingKey("t"), Removed: true}}})
 	assert.NilError(t, err)
 	_, ok = s.Draining("t")
 	assert.Assert(t, !ok)
--- a/internal/core/fleet/reports.go
+++ b/internal/core/fleet/reports.go
@@ -50,26 +50,17 @@
 	return r, err == nil && n == 3
 }
 
-// Reports returns the reports about a subject among changes, and those that were removed.
-// It fails for rows that cannot be decoded, and returns the others.
-func (c Changes) Reports(s Subject) (reports, removed []quarantine.PartReport, err error) {
-	for _, row := range c.Rows {
-		r, ok := parseReportKey(s, row.Key)
-		if !ok {
-			continue
-		}
-		var value reportValue
-		if rowErr := json.Unmarshal(row.Value, &value); rowErr != nil {
-			err = rowErr
-			continue
-		}
-		r.Depth, r.Strong, r.Progress = value.Depth, value.Strong, time.Duration(value.ProgressMS)*time.Millisecond
-		reports = append(reports, r)
+// DecodeReport returns the report about a subject that a row tells of, without what its value
+// says if the row is gone. ok is false for any other row.
+func DecodeReport(s Subject, row Row) (r quarantine.PartReport, ok bool, err error) {
+	r, ok = parseReportKey(s, row.Key)
+	if !ok || row.Removed {
+		return r, ok, nil
 	}
-	for _, key := range c.Removed {
-		if r, ok := parseReportKey(s, key); ok {
-			removed = append(removed, r)
-		}
+	var value reportValue
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return r, true, err
 	}
-	return reports, removed, err
+	r.Depth, r.Strong, r.Progress = value.Depth, value.Strong, time.Duration(value.ProgressMS)*time.Millisecond
+	return r, true, nil
 }
--- a/internal/core/fleet/reports_test.go
+++ b/internal/core/fleet/reports_test.go
@@ -20,17 +20,35 @@
 		assert.NilError(t, err)
 		other, err := EncodeReport(map[Subject]Subject{PromptParts: WholeRequests, WholeRequests: PromptParts}[subject], report)
 		assert.NilError(t, err)
-		changes := Changes{
-			Rows: []Row{
-				row, other, routerRow("a"), limitRow("t", "{}"), {Key: string(subject) + "x/1/2", Value: row.Value}, {Key: string(subject), Value: row.Value},
-				{Key: ReportKey(subject, quarantine.PartReport{Part: 7, Level: 1}), Value: []byte("none")},
-			},
-			Removed: []string{ReportKey(subject, report), RouterKey("a"), string(subject) + "x"},
+		unreadable := Row{Key: ReportKey(subject, quarantine.PartReport{Part: 7, Level: 1}), Value: []byte("none")}
+		for _, c := range []struct {
+			row  Row
+			want quarantine.PartReport
+			ok   bool
+			err  string
+		}{
+			{row: row, want: report, ok: true},
+			{row: other},
+			{row: routerRow("a")},
+			{row: limitRow("t", "{}")},
+			{row: Row{Key: string(subject) + "x/1/2", Value: row.Value}},
+			{row: Row{Key: string(subject), Value: row.Value}},
+			{row: unreadable, want: quarantine.PartReport{Part: 7, Level: 1}, ok: true, err: "invalid character"},
+			{row: Row{Key: row.Key, Removed: true}, want: quarantine.PartReport{Part: report.Part, Crash: report.Crash, Level: report.Level}, ok: true},
+			{row: Row{Key: RouterKey("a"), Removed: true}},
+			{row: Row{Key: string(subject) + "x", Removed: true}},
+		} {
+			got, ok, err := DecodeReport(subject, c.row)
+			assert.Equal(t, ok, c.ok, "%+v", c.row)
+			if c.ok {
+				assert.DeepEqual(t, got, c.want)
+			}
+			if c.err == "" {
+				assert.NilError(t, err)
+			} else {
+				assert.ErrorContains(t, err, c.err)
+			}
 		}
-		reports, removed, err := changes.Reports(subject)
-		assert.ErrorContains(t, err, "invalid character")
-		assert.DeepEqual(t, reports, []quarantine.PartReport{report})
-		assert.DeepEqual(t, removed, []quarantine.PartReport{{Part: report.Part, Crash: report.Crash, Level: report.Level}})
 	}
 	row, err := EncodeReport(PromptParts, part)
 	assert.NilError(t, err)
--- a/internal/core/fleet/room_test.go
+++ b/internal/core/fleet/room_test.go
@@ -38,7 +38,7 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, len(s.ExpiredRooms()), 2)
 
-	_, err = s.Apply(later, fleet.Changes{Removed: []string{fleet.RoomKey("a")}})
+	_, err = s.Apply(later, fleet.Changes{Rows: []fleet.Row{{Key: fleet.RoomKey("a"), Removed: true}}})
 	assert.NilError(t, err)
 	assert.Equal(t, s.Domain(later, "z", "2").OutOfRotation, 0)
 }
--- a/internal/core/fleet/streams_test.go
+++ b/internal/core/fleet/streams_test.go
@@ -107,7 +107,7 @@
 func TestVersionsExpireAfterTheRetention(t *testing.T) {
 	s := NewState("host")
 	v1, v2 := ServiceVersion{"s", "v1"}, ServiceVersion{"s", "v2"}
-	_, err := s.Apply(start, Changes{Complete: true, Rows: []Row{{Key: v1.Key(), Value: VersionValue}, {Key: v2.Key(), Value: VersionValue}}})
+	_, err := s.Apply(start, Changes{Complete: true, Rows: []Row{{Key: v1.Key(), Value: []byte("{}")}, {Key: v2.Key(), Value: []byte("{}")}}})
 	assert.NilError(t, err)
 	assert.Assert(t, s.Active())
 	assert.DeepEqual(t, slices.Sorted(slices.Values(s.Versions("s"))), []string{"v1", "v2"})
@@ -115,7 +115,7 @@
 	assert.Equal(t, len(s.ExpiredVersions(start, inUse, testRetention)), 0)
 	assert.Equal(t, len(s.ExpiredVersions(start.Add(testRetention-1), inUse, testRetention)), 0)
 	assert.DeepEqual(t, s.ExpiredVersions(start.Add(testRetention), inUse, testRetention), []ServiceVersion{v1})
-	_, err = s.Apply(start, Changes{Removed: []string{v1.Key()}})
+	_, err = s.Apply(start, Changes{Rows: []Row{{Key: v1.Key(), Removed: true}}})
 	assert.NilError(t, err)
 	assert.Assert(t, !s.Active())
 }
@@ -125,7 +125,7 @@
 func TestRowOfAReturningVersionIsWrittenAgain(t *testing.T) {
 	s := NewState("self")
 	v1 := ServiceVersion{"s", "v1"}
-	_, err := s.Apply(start, Changes{Complete: true, Rows: []Row{{Key: v1.Key(), Value: VersionValue}}})
+	_, err := s.Apply(start, Changes{Complete: true, Rows: []Row{{Key: v1.Key(), Value: []byte("{}")}}})
 	assert.NilError(t, err)
 	s.ForgetUnusedVersion(v1)
 	assert.Assert(t, s.KnowsVersion(v1), "in use all the time")
@@ -133,7 +133,7 @@
 	s.ExpiredVersions(start, unused, testRetention)
 	s.ForgetUnusedVersion(v1)
 	assert.Assert(t, !s.KnowsVersion(v1))
-	s.RecordVersion(v1, era.Version{Number: 5})
+	s.RecordWritten(v1.Key(), era.Version{Number: 5})
 	assert.Assert(t, s.KnowsVersion(v1))
 	assert.Equal(t, len(s.ExpiredVersions(start.Add(testRetention), unused, testRetention)), 0, "unused from now on only")
 }
@@ -142,8 +142,9 @@
 // again once all streams that began before it have ended.
 func TestOnlyVersionAfterARestore(t *testing.T) {
 	v1, v2 := ServiceVersion{"s", "v1"}, ServiceVersion{"s", "v2"}
+	asOf := era.Version{Number: 8}
 	row := func(v ServiceVersion, inEra int64, value string) Row {
-		return Row{Key: v.Key(), Value: []byte(value), Version: era.Version{Era: inEra, Number: 9}}
+		return Row{Key: v.Key(), Value: []byte(value), Version: era.Version{Era: inEra, Number: asOf.Number}}
 	}
 	for _, c := range []struct {
 		rows []Row
@@ -165,7 +166,8 @@
 	s := NewState("self")
 	inUse := func(v ServiceVersion) bool { return v == v1 }
 	apply := func(at time.Duration, era int64, value string) {
-		_, err := s.Apply(start.Add(at), Changes{Era: era, Complete: true, Rows: []Row{row(v1, era, value), row(v2, era, value)}})
+		asOf.Era, asOf.Number = era, asOf.Number+1
+		_, err := s.Apply(start.Add(at), Changes{Version: asOf, Complete: true, Rows: []Row{row(v1, era, value), row(v2, era, value)}})
 		assert.NilError(t, err)
 	}
 	unsettled := func(at time.Duration) []ServiceVersion {
--- a/internal/core/fleet/version.go
+++ b/internal/core/fleet/version.go
@@ -116,9 +116,12 @@
 	return ok
 }
 
-// RecordVersion records that the row of a version was written.
-func (s *State) RecordVersion(v ServiceVersion, row era.Version) {
-	s.versions[v] = versionRow{version: row}
+// RecordWritten records the row of a version that this router has written.
+func (s *State) RecordWritten(key string, row era.Version) {
+	s.fold.Written(key, row)
+	if v, ok := ParseVersionKey(key); ok {
+		s.versions[v] = versionRow{version: row}
+	}
 }
 
 // versionRow is the row of a software version.
--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -163,6 +163,20 @@
 	return true
 }
 
+// Put records a report as the table has it, in place of what is known about the same crash
+// and level. It returns false if there was such a report.
+func (t *PartTracker) Put(now time.Time, r PartReport) (added bool) {
+	if p := t.parts[r.Part]; p != nil {
+		i := slices.IndexFunc(p.reports, func(known PartReport) bool { return known.Crash == r.Crash && known.Level == r.Level })
+		if i >= 0 {
+			p.reports[i] = r
+			t.updateLevel(p)
+			return false
+		}
+	}
+	return t.Report(now, r)
+}
+
 // Withdraw forgets one report, as another router has done.
 func (t *PartTracker) Withdraw(part Part, crash uint64, level int) {
 	p := t.parts[part]
@@ -219,15 +233,6 @@
 	return passed
 }
 
-// Reset forgets all reports but these.
-func (t *PartTracker) Reset(now time.Time, reports []PartReport) {
-	clear(t.parts)
-	t.quarantined = nil
-	for _, r := range reports {
-		t.Report(now, r)
-	}
-}
-
 // Expired returns the parts whose last report is too old to matter.
 func (t *PartTracker) Expired(now time.Time) (parts []Part) {
 	for part, p := range t.parts {
--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -156,7 +156,11 @@
 	assert.Equal(t, p.Level(first), 3)
 	assert.Equal(t, len(p.Expired(now.Add(time.Hour))), 0)
 	assert.Equal(t, len(p.Expired(now.Add(time.Hour+1))), 1)
-	p.Reset(now, []quarantine.PartReport{{Part: last, Crash: 1, Level: 1}})
+	p.Withdraw(first, 1, 1)
+	p.Withdraw(first, 3, 3)
+	assert.Assert(t, p.Put(now, quarantine.PartReport{Part: last, Crash: 1, Level: 1}))
+	assert.Assert(t, !p.Put(now, quarantine.PartReport{Part: last, Crash: 1, Level: 1, Strong: true}), "in place of the first")
+	assert.Assert(t, p.Reports(last)[0].Strong && len(p.Reports(last)) == 1)
 	assert.Equal(t, p.Level(first), 0)
 	assert.Equal(t, p.Level(last), 1)
 }
--- a/internal/gateway/domain.go
+++ b/internal/gateway/domain.go
@@ -1,31 +1,12 @@
 package gateway
 
-import (
-	"maps"
-	"slices"
-	"time"
-)
+import "time"
 
-// applyEvacuations applies the operator's orders to evacuate failure domains.
-func (g *Gateway) applyEvacuations(changes OperatorChanges) {
-	for _, key := range changes.Unreadable {
-		g.opt.Metrics.invalidOrders.Inc()
-		g.opt.Logger.Warn("order of the operator names no failure domain", "key", key)
-	}
-	now := time.Now()
+// setEvacuated applies an order of the operator to evacuate a failure domain, or its end.
+func (g *Gateway) setEvacuated(domain string, evacuated bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, domain := range slices.Sorted(maps.Keys(changes.Evacuated)) {
-		g.evacuate(now, domain, changes.Evacuated[domain])
-	}
-	if !changes.Complete {
-		return
-	}
-	for domain := range g.targetView.Evacuated() {
-		if !changes.Evacuated[domain] {
-			g.evacuate(now, domain, false)
-		}
-	}
+	g.evacuate(time.Now(), domain, evacuated)
 }
 
 // evacuate puts the evacuation of a failure domain in force, or ends it. Its targets may
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -194,7 +194,7 @@
 			g.opt.Logger.Debug("failed to write fleet rows", "rows", n, "err", err)
 			return false
 		}
-		g.recordWrittenVersions(result.Versions)
+		g.recordWritten(result.Versions)
 	}
 }
 
@@ -209,16 +209,12 @@
 }
 
 // WatchFleet applies what other gateways publish until ctx ends.
-func (g *Gateway) WatchFleet(ctx context.Context, feed Feed) {
-	g.watch(ctx, "fleet", func(ctx context.Context, after platform.Version) (platform.Version, error) {
-		changes, next, err := feed.Fleet(ctx, after, longPollWait)
-		if err == nil {
-			g.applyFleet(changes)
-			if changes.Complete {
-				g.resumeRoom(time.Now())
-			}
+func (g *Gateway) WatchFleet(ctx context.Context, source Feed) {
+	watch(ctx, g, "fleet", source.Fleet, func(changes fleet.Changes) {
+		g.applyFleet(changes)
+		if changes.Complete {
+			g.resumeRoom(time.Now())
 		}
-		return next, err
 	})
 }
 
@@ -227,7 +223,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	wasActive := g.fleet.Active()
-	changed, err := g.fleet.Apply(now, changes)
+	applied, err := g.fleet.Apply(now, changes)
 	if err != nil {
 		g.opt.Logger.Error("failed to decode a fleet row", "err", err)
 	}
@@ -237,12 +233,12 @@
 		default:
 		}
 	}
-	g.applyReports(now, changes)
+	g.applyReports(now, applied.Rows)
 	g.signalVersions()
 	g.publishVersions()
 	g.divideLimits(now)
 	g.recordStreams()
-	for _, target := range changed {
+	for _, target := range applied.Targets {
 		t := g.targetView.Target(target)
 		if t == nil {
 			continue
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"tarragonridge.example/tarragonridge/internal/callers"
 	"tarragonridge.example/tarragonridge/internal/core/admit"
 	"tarragonridge.example/tarragonridge/internal/core/backlog"
+	"tarragonridge.example/tarragonridge/internal/core/feed"
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/intake"
@@ -161,10 +162,12 @@
 	returnsMu sync.Mutex
 	returns   admit.Returns // of refused callers
 
-	publications publications
-	activated    chan struct{} // signals that the fleet has become active
-	records      streamRecords
-	recordsDue   chan struct{} // signals that streams are to be recorded
+	orders        feed.Fold[*httproute.Config] // used by WatchConfig alone
+	registrations feed.Fold[Registered]        // used by WatchTargets alone
+	publications  publications
+	activated     chan struct{} // signals that the fleet has become active
+	records       streamRecords
+	recordsDue    chan struct{} // signals that streams are to be recorded
 	// versionsWritten is closed and replaced when the table has further rows of versions.
 	versionsWritten chan struct{}
 	targetsReadAt   time.Time // when the registrations were last known to be up to date
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -64,7 +64,7 @@
 		}),
 		invalidOrders: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "tarragonridge_http_invalid_orders_total",
-			Help: "Rows of the operator that order an evacuation without naming a failure domain.",
+			Help: "Rows of the operator that are ignored: evacuations without the name of a failure domain, and configurations that cannot be decoded.",
 		}),
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "tarragonridge_http_target_crashes_total",
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -62,7 +62,7 @@
 	}
 	rows := make([]fleet.Row, len(stored))
 	for i, row := range stored {
-		rows[i] = fleet.Row(row)
+		rows[i] = fleet.Row{Key: row.Key, Value: row.Value, Version: row.Version}
 	}
 	return rows, nil
 }
--- a/internal/gateway/start_order_test.go
+++ b/internal/gateway/start_order_test.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
+	"tarragonridge.example/tarragonridge/internal/core/feed"
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/core/httproute"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
@@ -80,8 +81,9 @@
 	reads := map[string]func(g *Gateway){
 		configuration: func(g *Gateway) { g.SetConfig(configOf(1, nil)) },
 		registrations: func(g *Gateway) {
-			g.applyTargets(TargetChanges{Complete: true, Present: []targets.Registration{
-				{ID: "1", Service: "s", Address: "127.0.0.1:1", Version: "v1"}, {ID: "2", Service: "s", Address: "127.0.0.1:2", Version: "v2"},
+			g.applyTargets(TargetChanges{Complete: true, Rows: []feed.Change[Registered]{
+				registered(targets.Registration{ID: "1", Service: "s", Address: "127.0.0.1:1", Version: "v1"}),
+				registered(targets.Registration{ID: "2", Service: "s", Address: "127.0.0.1:2", Version: "v2"}),
 			}})
 			g.recordTargetsRead(time.Now())
 		},
@@ -113,6 +115,11 @@
 	}
 }
 
+// registered returns the change that registers a target.
+func registered(r targets.Registration) feed.Change[Registered] {
+	return feed.Change[Registered]{Key: r.ID, Value: Registered{Registration: r}}
+}
+
 // removals returns the keys of the rows that the gateway is about to remove.
 func (g *Gateway) removals() (keys []string) {
 	g.publications.mu.Lock()
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -183,29 +183,31 @@
 	g.logQuarantined(s)
 }
 
-// applyReports applies the reports of other gateways. g.mu is held.
-func (g *Gateway) applyReports(now time.Time, changes fleet.Changes) {
+// applyReports applies the reports among changes of rows. g.mu is held.
+func (g *Gateway) applyReports(now time.Time, rows []fleet.Row) {
 	for _, s := range []*suspects{g.parts, g.requests} {
-		reports, removed, err := changes.Reports(s.subject)
-		if err != nil {
-			g.opt.Logger.Error("failed to decode a report about a crash", "err", err)
-		}
-		if changes.Complete {
-			s.Reset(now, reports)
-			reports = nil
-		}
-		for _, r := range reports {
-			if s.Report(now, r) && s == g.requests {
-				g.opt.Metrics.crashReports.WithLabelValues(reportedOther).Inc()
-			}
-		}
-		for _, r := range removed {
-			s.Withdraw(r.Part, r.Crash, r.Level)
+		for _, row := range rows {
+			g.applyReport(now, s, row)
 		}
 		g.logQuarantined(s)
 	}
 }
 
+// applyReport applies a row if it is a report about a subject. g.mu is held.
+func (g *Gateway) applyReport(now time.Time, s *suspects, row fleet.Row) {
+	r, ok, err := fleet.DecodeReport(s.subject, row)
+	switch {
+	case !ok:
+	case row.Removed:
+		s.Withdraw(r.Part, r.Crash, r.Level)
+	case err != nil:
+		g.opt.Logger.Error("failed to decode a report about a crash", "key", row.Key, "err", err)
+		s.Withdraw(r.Part, r.Crash, r.Level)
+	case s.Put(now, r) && s == g.requests:
+		g.opt.Metrics.crashReports.WithLabelValues(reportedOther).Inc()
+	}
+}
+
 // removeExpiredReports forgets reports that are too old. g.mu is held.
 func (g *Gateway) removeExpiredReports(now time.Time) {
 	for _, s := range []*suspects{g.parts, g.requests} {
--- a/internal/gateway/versionrow.go
+++ b/internal/gateway/versionrow.go
@@ -57,14 +57,12 @@
 	}
 }
 
-// recordWrittenVersions records which rows of versions were written.
-func (g *Gateway) recordWrittenVersions(rows map[string]era.Version) {
+// recordWritten records which rows were written.
+func (g *Gateway) recordWritten(rows map[string]era.Version) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for key, row := range rows {
-		if v, ok := fleet.ParseVersionKey(key); ok {
-			g.fleet.RecordVersion(v, row)
-		}
+		g.fleet.RecordWritten(key, row)
 	}
 	g.signalVersions()
 }
