--- a/internal/core/errkind/errkind.go
+++ b/internal/core/errkind/errkind.go
@@ -53,6 +53,7 @@
 	StaleConfig       Kind = "stale_config"       // the sender has an older configuration than the receiver
 	Tombstoned        Kind = "tombstoned"         // the run is rejected permanently
 	PlatformUncertain Kind = "platform_uncertain" // a commit may or may not have taken effect
+	PlatformRefused   Kind = "platform_refused"   // a commit has not taken effect, and never will as it is
 	Unreachable       Kind = "unreachable"        // the other process did not respond
 )
 
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tarragonridge.example/tarragonridge/internal/core/feed"
+	"tarragonridge.example/tarragonridge/internal/core/rowkey"
 )
 
 // Key prefixes of the rows. All rows have Prefix.
@@ -53,7 +54,7 @@
 }
 
 // ColdKey returns the key of the row of a cold target.
-func ColdKey(target string) string { return coldPrefix + target }
+func ColdKey(target string) string { return coldPrefix + TargetName(target) }
 
 // coldTarget is a row of a cold target.
 type coldTarget struct {
@@ -62,13 +63,19 @@
 }
 
 // DrainingKey returns the key of the row of a target that is about to stop.
-func DrainingKey(target string) string { return drainingPrefix + target }
+func DrainingKey(target string) string { return drainingPrefix + TargetName(target) }
 
 // RouterKey returns the key of a router's row.
-func RouterKey(host string) string { return routerPrefix + host }
+func RouterKey(host string) string { return routerPrefix + rowkey.Name(host, maxNameBytes) }
 
 // LimitKey returns the key of the row with a target's request limit.
-func LimitKey(target string) string { return limitPrefix + target }
+func LimitKey(target string) string { return limitPrefix + TargetName(target) }
+
+// maxNameBytes bounds the names of hosts and targets in keys, whatever their prefix.
+const maxNameBytes = 180
+
+// TargetName returns the name of a target in keys, by which a State knows it.
+func TargetName(id string) string { return rowkey.Name(id, maxNameBytes) }
 
 // Timing of the renewals, which routers write only while State.Active.
 const (
@@ -114,7 +121,7 @@
 
 // NewState returns the state of the router on a host before it has read any rows.
 func NewState(host string) *State {
-	return &State{self: host, renewedAt: map[string]time.Time{}, limits: map[string]Limit{}, draining: map[string]Draining{}, cold: map[string]coldTarget{},
+	return &State{self: rowkey.Name(host, maxNameBytes), renewedAt: map[string]time.Time{}, limits: map[string]Limit{}, draining: map[string]Draining{}, cold: map[string]coldTarget{},
 		domains: map[string]string{}, rooms: map[string]roomState{},
 		versions: map[ServiceVersion]versionRow{}, unusedVersions: map[ServiceVersion]time.Time{}, unusedLimits: map[string]time.Time{},
 		unusedDraining: map[string]time.Time{}}
@@ -122,8 +129,8 @@
 
 // Applied is what Apply has changed.
 type Applied struct {
-	// Targets are those whose limits have changed, or that are newly known to be draining or
-	// cold.
+	// Targets are the names (TargetName) of those whose limits have changed, or that are newly
+	// known to be draining or cold.
 	Targets []string
 	Rows    []Row // the single changes, in their order
 }
@@ -194,9 +201,7 @@
 	if target, ok := strings.CutPrefix(key, coldPrefix); ok {
 		delete(s.cold, target)
 	}
-	if v, ok := ParseVersionKey(key); ok {
-		delete(s.versions, v)
-	}
+	s.removeVersion(key)
 }
 
 // put applies a row that was written. If it cannot be decoded, it tells as much as one that is
@@ -230,10 +235,7 @@
 		}
 		s.cold[target] = coldTarget{cold, now.Add(time.Duration(cold.ForMS) * time.Millisecond)}
 	}
-	if v, ok := ParseVersionKey(row.Key); ok {
-		return s.applyVersion(v, row)
-	}
-	return nil
+	return s.applyVersion(row)
 }
 
 func (s *State) putRouter(now time.Time, host string, value []byte) error {
@@ -249,21 +251,21 @@
 
 // Limit returns the limit that a target has named to any router.
 func (s *State) Limit(target string) (limit Limit, ok bool) {
-	limit, ok = s.limits[target]
+	limit, ok = s.limits[TargetName(target)]
 	return limit, ok
 }
 
 // Draining returns the start of a target that has told any router that it is about to
 // stop.
 func (s *State) Draining(target string) (draining Draining, ok bool) {
-	draining, ok = s.draining[target]
+	draining, ok = s.draining[TargetName(target)]
 	return draining, ok
 }
 
 // Cold returns the start of a target that has told any router that it is cold, and how
 // long it stays so.
 func (s *State) Cold(now time.Time, target string) (startedMS int64, left time.Duration, ok bool) {
-	cold, ok := s.cold[target]
+	cold, ok := s.cold[TargetName(target)]
 	return cold.StartedMS, max(cold.until.Sub(now), 0), ok
 }
 
--- a/internal/core/fleet/room.go
+++ b/internal/core/fleet/room.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"strings"
 	"time"
+
+	"tarragonridge.example/tarragonridge/internal/core/rowkey"
 )
 
 // roomPrefix is followed by the host of a router that is out of the load balancer's
@@ -20,7 +22,7 @@
 }
 
 // RoomKey returns the key of the row of a router that is out of rotation.
-func RoomKey(host string) string { return roomPrefix + host }
+func RoomKey(host string) string { return roomPrefix + rowkey.Name(host, maxNameBytes) }
 
 // Timing of the renewals of a RoomRow.
 const (
--- a/internal/core/fleet/streams.go
+++ b/internal/core/fleet/streams.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/rowkey"
 )
 
 // StreamPrefix is the key prefix of the rows in which routers record the versions that
@@ -18,6 +19,12 @@
 // slotDuration is the time whose streams share a row.
 const slotDuration = 2 * time.Second
 
+// Bounds of the names in the keys of the rows.
+const (
+	maxHostBytes        = 100
+	maxIncarnationBytes = 60
+)
+
 // idBytes is the size of the hash that stands for a request id in a row.
 const idBytes = 8
 
@@ -25,7 +32,8 @@
 // began them. It records them in rows while targets of several versions serve. It is not
 // safe for concurrent use.
 type Streams struct {
-	keyPrefix string
+	host, incarnation string // of the router process
+
 	slot      int64
 	slotBegan time.Time
 	recorded  map[ServiceVersion][]byte // hashes of the ids in the current slot
@@ -44,11 +52,16 @@
 	recorded bool
 }
 
+// StreamKey returns the key of a row in which a router process records its streams.
+func StreamKey(host, incarnation string, slot int64) string {
+	return StreamPrefix + rowkey.Name(host, maxHostBytes) + "/" + rowkey.Name(incarnation, maxIncarnationBytes) + "/" + strconv.FormatInt(slot, 10)
+}
+
 // NewStreams returns the streams of a router process, none so far.
 func NewStreams(host, incarnation string) *Streams {
 	return &Streams{
-		keyPrefix: StreamPrefix + host + "/" + incarnation + "/",
-		recorded:  map[ServiceVersion][]byte{}, recent: map[uint64]*stream{}, older: map[uint64]*stream{},
+		host: host, incarnation: incarnation,
+		recorded: map[ServiceVersion][]byte{}, recent: map[uint64]*stream{}, older: map[uint64]*stream{},
 	}
 }
 
@@ -120,7 +133,7 @@
 	if err != nil {
 		return Row{}, false, err
 	}
-	row = Row{Key: s.keyPrefix + strconv.FormatInt(s.slot, 10), Value: value}
+	row = Row{Key: StreamKey(s.host, s.incarnation, s.slot), Value: value}
 	s.pending = false
 	if now.Sub(s.slotBegan) >= slotDuration {
 		s.slot++
--- a/internal/core/fleet/streams_test.go
+++ b/internal/core/fleet/streams_test.go
@@ -133,7 +133,7 @@
 	s.ExpiredVersions(start, unused, testRetention)
 	s.ForgetUnusedVersion(v1)
 	assert.Assert(t, !s.KnowsVersion(v1))
-	s.RecordWritten(v1.Key(), era.Version{Number: 5})
+	assert.NilError(t, s.RecordWritten(Row{Key: v1.Key(), Value: []byte("{}"), Version: era.Version{Number: 5}}))
 	assert.Assert(t, s.KnowsVersion(v1))
 	assert.Equal(t, len(s.ExpiredVersions(start.Add(testRetention), unused, testRetention)), 0, "unused from now on only")
 }
@@ -171,8 +171,8 @@
 		assert.NilError(t, err)
 	}
 	unsettled := func(at time.Duration) []ServiceVersion {
-		versions, value := s.UnsettledVersions(start.Add(at), inUse, testRetention)
-		assert.Equal(t, value.SettledEra, s.era)
+		versions, settledEra := s.UnsettledVersions(start.Add(at), inUse, testRetention)
+		assert.Equal(t, settledEra, s.era)
 		return versions
 	}
 	apply(0, 1, "{}")
--- a/internal/core/fleet/version.go
+++ b/internal/core/fleet/version.go
@@ -4,41 +4,93 @@
 	"encoding/json"
 	"iter"
 	"maps"
+	"regexp"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"tarragonridge.example/tarragonridge/internal/core/era"
 	"tarragonridge.example/tarragonridge/internal/core/errkind"
+	"tarragonridge.example/tarragonridge/internal/core/rowkey"
 )
 
 // VersionPrefix is the key prefix of the rows of versions, followed by a service, a slash
-// and a version of its targets.
+// and a version of its targets. If they are too long for a key, their beginnings and hashes
+// stand for them, and the value of the row has the names.
 const VersionPrefix = Prefix + "version/"
 
+// maxVersionNameBytes bounds the names of a service and of a version in a key if both do not
+// fit as they are.
+const maxVersionNameBytes = (rowkey.MaxBytes - len(VersionPrefix) - len("/")) / 2
+
 // VersionRow is the value of the row of a version.
 type VersionRow struct {
 	// SettledEra is the era of the table since whose start no stream can be in progress at
 	// a version whose row a restore of the table has lost; 0 if that is not known.
 	SettledEra int64 `json:"settled_era,omitempty"`
+	// Service and Version are set if the key does not have them.
+	Service string `json:"service,omitempty"`
+	Version string `json:"version,omitempty"`
 }
 
-// VersionValue is the value of the row of a version when it is first written.
-var VersionValue = []byte("{}")
-
 // ServiceVersion is a software version of a service's targets.
 type ServiceVersion struct{ Service, Version string }
 
 // Key returns the key of the row that says that the version serves or served lately.
-func (v ServiceVersion) Key() string { return VersionPrefix + v.String() }
+func (v ServiceVersion) Key() string {
+	if v.fitsKey() {
+		return VersionPrefix + v.String()
+	}
+	return VersionPrefix + rowkey.Name(escapeSlashes(v.Service), maxVersionNameBytes) + "/" + rowkey.Name(v.Version, maxVersionNameBytes)
+}
+
+func (v ServiceVersion) fitsKey() bool {
+	text := v.String()
+	return len(VersionPrefix)+len(text) <= rowkey.MaxBytes && utf8.ValidString(text)
+}
+
+// Row returns the value of the version's row with what it says of restores.
+func (v ServiceVersion) Row(settledEra int64) VersionRow {
+	row := VersionRow{SettledEra: settledEra}
+	if !v.fitsKey() {
+		row.Service, row.Version = v.Service, v.Version
+	}
+	return row
+}
+
+// A slash in the name of a service is written as %2F, and the text %2F, which may be part of a
+// name, as %252F, and so on.
+var (
+	slashPattern   = regexp.MustCompile(`/|%(25)*2F`)
+	escapedPattern = regexp.MustCompile(`%(25)*2F`)
+)
 
-// escapedSlash stands for a slash in the name of a service.
 const escapedSlash = "%2F"
 
-// String returns the service and the version, separated by a slash.
-func (v ServiceVersion) String() string {
-	return strings.ReplaceAll(v.Service, "/", escapedSlash) + "/" + v.Version
+func escapeSlashes(service string) string {
+	if !strings.ContainsAny(service, "/%") {
+		return service
+	}
+	return slashPattern.ReplaceAllStringFunc(service, func(found string) string {
+		if found == "/" {
+			return escapedSlash
+		}
+		return "%25" + found[len("%"):]
+	})
 }
 
+func unescapeSlashes(text string) string {
+	return escapedPattern.ReplaceAllStringFunc(text, func(found string) string {
+		if found == escapedSlash {
+			return "/"
+		}
+		return "%" + found[len("%25"):]
+	})
+}
+
+// String returns the service and the version, separated by a slash.
+func (v ServiceVersion) String() string { return escapeSlashes(v.Service) + "/" + v.Version }
+
 // MarshalText implements encoding.TextMarshaler.
 func (v ServiceVersion) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
 
@@ -48,15 +100,26 @@
 	if v.Service, v.Version, ok = strings.Cut(string(text), "/"); !ok {
 		return errkind.New(errkind.Internal, "%q has no service and version", text)
 	}
-	v.Service = strings.ReplaceAll(v.Service, escapedSlash, "/")
+	v.Service = unescapeSlashes(v.Service)
 	return nil
 }
 
-// ParseVersionKey returns the version of which a row with the key tells.
-func ParseVersionKey(key string) (v ServiceVersion, ok bool) {
-	rest, ok := strings.CutPrefix(key, VersionPrefix)
-	ok = ok && v.UnmarshalText([]byte(rest)) == nil
-	return v, ok
+// decodeVersion decodes the row of a version. ok is false for any other row.
+func decodeVersion(row Row) (v ServiceVersion, value VersionRow, ok bool, err error) {
+	text, ok := strings.CutPrefix(row.Key, VersionPrefix)
+	if !ok || v.UnmarshalText([]byte(text)) != nil {
+		return v, value, false, nil
+	}
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return v, value, true, err
+	}
+	if value.Service != "" {
+		v = ServiceVersion{Service: value.Service, Version: value.Version}
+	}
+	if v.Key() != row.Key {
+		return v, value, true, errkind.New(errkind.Internal, "the row %s names another version", row.Key)
+	}
+	return v, value, true, nil
 }
 
 // firstEra is the era of a table that was never restored. The eras of a table that reports
@@ -67,15 +130,11 @@
 // are certain to name all versions that serve or served lately.
 func OnlyVersion(service string, rows []Row) (at ServiceVersion, ok bool) {
 	for _, row := range rows {
-		v, isVersion := ParseVersionKey(row.Key)
-		if !isVersion || v.Service != service {
+		v, value, isVersion, err := decodeVersion(row)
+		switch {
+		case !isVersion, err == nil && v.Service != service, err != nil && !mayNameService(row.Key, service):
 			continue
-		}
-		if at != (ServiceVersion{}) {
-			return ServiceVersion{}, false
-		}
-		var value VersionRow
-		if err := json.Unmarshal(row.Value, &value); err != nil {
+		case err != nil || at != (ServiceVersion{}):
 			return ServiceVersion{}, false
 		}
 		at, ok = v, row.Version.Era <= firstEra || value.SettledEra == row.Version.Era
@@ -83,20 +142,26 @@
 	return at, ok
 }
 
-// UnsettledVersions returns the versions in use whose rows are to be written again, with
-// the returned value, because the rows have been complete for the retention since the
-// table was restored.
-func (s *State) UnsettledVersions(now time.Time, inUse func(ServiceVersion) bool, retention time.Duration) (versions []ServiceVersion, value VersionRow) {
-	value = VersionRow{SettledEra: s.era}
+// mayNameService reports whether the key of a row that cannot be decoded may be that of a
+// version of a service.
+func mayNameService(key, service string) bool {
+	name := escapeSlashes(service)
+	return strings.HasPrefix(key, VersionPrefix+name+"/") || strings.HasPrefix(key, VersionPrefix+rowkey.Name(name, maxVersionNameBytes)+"/")
+}
+
+// UnsettledVersions returns the versions in use whose rows are to be written again for the
+// returned era, because the rows have been complete for the retention since the table was
+// restored.
+func (s *State) UnsettledVersions(now time.Time, inUse func(ServiceVersion) bool, retention time.Duration) (versions []ServiceVersion, settledEra int64) {
 	if s.era <= firstEra || now.Sub(s.eraSince) < retention {
-		return nil, value
+		return nil, s.era
 	}
 	for v, row := range s.versions {
 		if row.settledEra != s.era && inUse(v) {
 			versions = append(versions, v)
 		}
 	}
-	return versions, value
+	return versions, s.era
 }
 
 // Versions returns the versions of a service that serve or served lately according to
@@ -116,12 +181,10 @@
 	return ok
 }
 
-// RecordWritten records the row of a version that this router has written.
-func (s *State) RecordWritten(key string, row era.Version) {
-	s.fold.Written(key, row)
-	if v, ok := ParseVersionKey(key); ok {
-		s.versions[v] = versionRow{version: row}
-	}
+// RecordWritten records a row that this router has written.
+func (s *State) RecordWritten(row Row) error {
+	s.fold.Written(row.Key, row.Version)
+	return s.applyVersion(row)
 }
 
 // versionRow is the row of a software version.
@@ -130,13 +193,20 @@
 	settledEra int64
 }
 
-func (s *State) applyVersion(v ServiceVersion, row Row) error {
-	var value VersionRow
-	if err := json.Unmarshal(row.Value, &value); err != nil {
-		return err
+// applyVersion applies a row that was written if it is that of a version.
+func (s *State) applyVersion(row Row) error {
+	v, value, ok, err := decodeVersion(row)
+	if ok && err == nil {
+		s.versions[v] = versionRow{row.Version, value.SettledEra}
+	}
+	return err
+}
+
+// removeVersion forgets the version whose row has a key, if it is that of one.
+func (s *State) removeVersion(key string) {
+	if strings.HasPrefix(key, VersionPrefix) {
+		maps.DeleteFunc(s.versions, func(v ServiceVersion, _ versionRow) bool { return v.Key() == key })
 	}
-	s.versions[v] = versionRow{row.Version, value.SettledEra}
-	return nil
 }
 
 // ForgetUnusedVersion forgets the row of a version that comes into use again, because the
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"maps"
+	"strings"
 	"sync"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
+	"tarragonridge.example/tarragonridge/internal/core/rowkey"
 	"tarragonridge.example/tarragonridge/internal/core/targets"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/timing"
@@ -26,16 +31,40 @@
 type publications struct {
 	mu     sync.Mutex
 	values map[string][]byte // by key; nil to remove the row
-	wake   chan struct{}
+	// refused are the rows that the table did not take, and when.
+	refused map[string]time.Time
+	wake    chan struct{}
 }
 
 func newPublications() publications {
-	return publications{values: map[string][]byte{}, wake: make(chan struct{}, 1)}
+	return publications{values: map[string][]byte{}, refused: map[string]time.Time{}, wake: make(chan struct{}, 1)}
+}
+
+// Bounds of what is remembered of refused rows.
+const (
+	// refusalRetention is how long a row is not written again after the table refused it.
+	refusalRetention = time.Minute
+	maxRefusedRows   = 1000
+)
+
+// refuse records that the table does not take a row.
+func (p *publications) refuse(key string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.refused, func(_ string, at time.Time) bool { return now.Sub(at) > refusalRetention })
+	if len(p.refused) < maxRefusedRows {
+		p.refused[key] = now
+	}
+	delete(p.values, key) // added again meanwhile
 }
 
 // add adds a row to be written, or to be removed if value is nil.
 func (p *publications) add(key string, value []byte) {
 	p.mu.Lock()
+	if at, refused := p.refused[key]; refused && time.Since(at) <= refusalRetention {
+		p.mu.Unlock()
+		return
+	}
 	p.values[key] = value
 	p.mu.Unlock()
 	select {
@@ -162,8 +191,8 @@
 
 // hasLimitedTarget reports whether the start of a target that has named a limit is known
 // here. g.mu is held.
-func (g *Gateway) hasLimitedTarget(id string) bool {
-	t := g.targetView.Target(id)
+func (g *Gateway) hasLimitedTarget(name string) bool {
+	t := g.targetNamed(name)
 	if t == nil {
 		return false
 	}
@@ -173,11 +202,25 @@
 
 // hasDrainingTarget reports whether the start of a target that has said that it is about
 // to stop is known here. g.mu is held.
-func (g *Gateway) hasDrainingTarget(id string) bool {
-	t := g.targetView.Target(id)
+func (g *Gateway) hasDrainingTarget(name string) bool {
+	t := g.targetNamed(name)
 	return t != nil && g.fleetDraining(t)
 }
 
+// targetNamed returns the target with a name in keys (fleet.TargetName), nil if there is none.
+// g.mu is held.
+func (g *Gateway) targetNamed(name string) *targets.Target {
+	if t := g.targetView.Target(name); t != nil || !rowkey.Hashed(name) {
+		return t
+	}
+	for _, id := range g.targetView.IDs() {
+		if fleet.TargetName(id) == name {
+			return g.targetView.Target(id)
+		}
+	}
+	return nil
+}
+
 // writeFleetRows writes all rows that are to be written and reports whether that
 // succeeded.
 func (g *Gateway) writeFleetRows(ctx context.Context) bool {
@@ -186,18 +229,53 @@
 		if n == 0 {
 			return true
 		}
-		callCtx, cancel := context.WithTimeout(ctx, fleetWriteTimeout)
-		result, err := g.opt.FleetTable.Commit(callCtx, txn)
-		cancel()
-		if err != nil {
-			g.publications.putBack(txn)
+		if err := g.commitFleetRows(ctx, txn); err != nil {
 			g.opt.Logger.Debug("failed to write fleet rows", "rows", n, "err", err)
 			return false
 		}
-		g.recordWritten(result.Versions)
 	}
 }
 
+// commitFleetRows writes the rows of a transaction, and puts them back if that fails. If the
+// table refuses the transaction for what it is, each half is written by itself, so that a row
+// which the table does not take costs only itself.
+func (g *Gateway) commitFleetRows(ctx context.Context, txn platform.Txn) error {
+	callCtx, cancel := context.WithTimeout(ctx, fleetWriteTimeout)
+	defer cancel()
+	result, err := g.opt.FleetTable.Commit(callCtx, txn)
+	switch rows := len(txn.Puts) + len(txn.Deletes); {
+	case err == nil:
+		g.recordWritten(txn.Puts, result.Versions)
+		return nil
+	case !errkind.Is(err, errkind.PlatformRefused):
+		g.publications.putBack(txn)
+		return err
+	case rows == 1:
+		g.giveUpRow(txn, err)
+		return nil
+	default:
+		puts, deletes := len(txn.Puts)/2, len(txn.Deletes)/2
+		if puts+deletes == 0 { // one of each
+			puts = 1
+		}
+		return errors.Join(
+			g.commitFleetRows(ctx, platform.Txn{Puts: txn.Puts[:puts], Deletes: txn.Deletes[:deletes]}),
+			g.commitFleetRows(ctx, platform.Txn{Puts: txn.Puts[puts:], Deletes: txn.Deletes[deletes:]}),
+		)
+	}
+}
+
+// giveUpRow records that the table refuses the only row of a transaction.
+func (g *Gateway) giveUpRow(txn platform.Txn, err error) {
+	key := strings.Join(txn.Deletes, "")
+	for _, put := range txn.Puts {
+		key = put.Key
+	}
+	g.publications.refuse(key, time.Now())
+	g.opt.Metrics.refusedRows.Inc()
+	g.opt.Logger.Error("the table refuses a row", "key", key, "err", err)
+}
+
 // LeaveFleet removes this gateway's row, so that the others use its shares of limits. It
 // leaves the row that says that the gateway is out of rotation to its next process.
 func (g *Gateway) LeaveFleet(ctx context.Context) {
@@ -239,7 +317,7 @@
 	g.divideLimits(now)
 	g.recordStreams()
 	for _, target := range applied.Targets {
-		t := g.targetView.Target(target)
+		t := g.targetNamed(target)
 		if t == nil {
 			continue
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	// invalidHeaders counts headers about a target whose values make no sense.
 	invalidHeaders prometheus.Counter
 	invalidOrders  prometheus.Counter
+	refusedRows    prometheus.Counter
 	crashes        prometheus.Counter
 	crashReports   *prometheus.CounterVec
 	continued      *prometheus.CounterVec
@@ -62,6 +63,10 @@
 			Name: "tarragonridge_http_invalid_target_headers_total",
 			Help: "Headers and registrations in which targets state limits, a pause, their stop or how long they are cold with values that make no sense.",
 		}),
+		refusedRows: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tarragonridge_http_refused_rows_total",
+			Help: "Rows that the platform's table refused for what they are; each is given up.",
+		}),
 		invalidOrders: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "tarragonridge_http_invalid_orders_total",
 			Help: "Rows of the operator that are ignored: evacuations without the name of a failure domain, and configurations that cannot be decoded.",
@@ -107,7 +112,7 @@
 			Name: "tarragonridge_http_config_version", Help: "Version of the routes in force here.",
 		}),
 	}
-	m.Registry.MustRegister(m.requests, m.attempts, m.noAnswers, m.limited, m.turnedAway, m.invalidHeaders, m.invalidOrders, m.crashes, m.crashReports, m.continued, m.answerEnds,
+	m.Registry.MustRegister(m.requests, m.attempts, m.noAnswers, m.limited, m.turnedAway, m.invalidHeaders, m.invalidOrders, m.refusedRows, m.crashes, m.crashReports, m.continued, m.answerEnds,
 		m.slowCallers, m.heldUp, m.widened, m.hurried, m.duration, m.configVersion, m.admission.refused, m.admission.evicted, m.admission.wait, collectors.NewGoCollector())
 	return m
 }
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/fleet"
 	"tarragonridge.example/tarragonridge/internal/platform"
 	"tarragonridge.example/tarragonridge/internal/timing"
@@ -113,6 +114,10 @@
 		if err == nil {
 			return
 		}
+		if errkind.Is(err, errkind.PlatformRefused) {
+			g.giveUpRow(platform.Txn{Puts: []platform.Put{{Key: row.Key, Value: row.Value}}}, err)
+			return
+		}
 		g.opt.Logger.Debug("failed to record streams", "err", err)
 		timing.Sleep(ctx, fleetRetryDelay)
 	}
--- a/internal/gateway/versionrow.go
+++ b/internal/gateway/versionrow.go
@@ -32,37 +32,41 @@
 func (g *Gateway) publishVersions() {
 	for v := range g.targetView.Versions() {
 		if !g.fleet.KnowsVersion(v) {
-			g.publications.add(v.Key(), fleet.VersionValue)
+			g.publishVersion(v, 0)
 		}
 	}
 }
 
+// publishVersion writes the row of a version with what it says of restores. g.mu is held.
+func (g *Gateway) publishVersion(v fleet.ServiceVersion, settledEra int64) {
+	value, err := json.Marshal(v.Row(settledEra))
+	if err != nil {
+		g.opt.Logger.Error("failed to encode the row of a version", "err", err)
+		return
+	}
+	g.publications.add(v.Key(), value)
+}
+
 // settleVersions notes in the rows of versions that a restore of the table does not matter
 // any more. g.mu is held.
 func (g *Gateway) settleVersions(now time.Time) {
 	if !g.knowsTargets(now) {
 		return
 	}
-	versions, row := g.fleet.UnsettledVersions(now, g.targetView.HasVersion, g.streamRetention())
-	if len(versions) == 0 {
-		return
-	}
-	value, err := json.Marshal(row)
-	if err != nil {
-		g.opt.Logger.Error("failed to encode the row of a version", "err", err)
-		return
-	}
+	versions, settledEra := g.fleet.UnsettledVersions(now, g.targetView.HasVersion, g.streamRetention())
 	for _, v := range versions {
-		g.publications.add(v.Key(), value)
+		g.publishVersion(v, settledEra)
 	}
 }
 
-// recordWritten records which rows were written.
-func (g *Gateway) recordWritten(rows map[string]era.Version) {
+// recordWritten records the rows that a transaction has written.
+func (g *Gateway) recordWritten(puts []platform.Put, versions map[string]era.Version) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for key, row := range rows {
-		g.fleet.RecordWritten(key, row)
+	for _, put := range puts {
+		if err := g.fleet.RecordWritten(fleet.Row{Key: put.Key, Value: put.Value, Version: versions[put.Key]}); err != nil {
+			g.opt.Logger.Error("failed to decode a row of this gateway", "key", put.Key, "err", err)
+		}
 	}
 	g.signalVersions()
 }
--- a/internal/platform/contentguard.go
+++ b/internal/platform/contentguard.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+
+	"tarragonridge.example/tarragonridge/internal/core/rowkey"
 )
 
 // ContentGuard makes conditions on versions hold only for the content that was read. In
@@ -87,7 +89,7 @@
 		}
 		marked.Conditions = append(marked.Conditions, c)
 		if c.Version.Mark != "" {
-			companion := companionKey(c.Key, c.Version.Mark)
+			companion := CompanionKey(c.Key, c.Version.Mark)
 			marked.Conditions = append(marked.Conditions, Condition{Key: companion, Version: c.Version})
 			companions[c.Key] = companion
 		}
@@ -100,7 +102,7 @@
 	mark := fmt.Sprintf("%0*x", markLength, rand.Uint64())
 	for _, p := range txn.Puts {
 		value := append([]byte(markPrefix+mark+"\n"), p.Value...)
-		marked.Puts = append(marked.Puts, Put{Key: p.Key, Value: value}, Put{Key: companionKey(p.Key, mark), Value: []byte("{}")})
+		marked.Puts = append(marked.Puts, Put{Key: p.Key, Value: value}, Put{Key: CompanionKey(p.Key, mark), Value: []byte("{}")})
 		deleteCompanion(p.Key)
 	}
 	for _, key := range txn.Deletes {
@@ -126,10 +128,11 @@
 
 const companionSegment = "companion/"
 
-// companionKey returns the key of the companion of a row with a mark.
-func companionKey(key, mark string) string {
+// CompanionKey returns the key of the companion of a row with a mark.
+func CompanionKey(key, mark string) string {
 	first := FirstSegment(key)
-	return first + companionSegment + strings.TrimPrefix(key, first) + "/" + mark
+	maxBytes := rowkey.MaxBytes - len(first) - len(companionSegment) - len("/") - len(mark)
+	return first + companionSegment + rowkey.Name(strings.TrimPrefix(key, first), maxBytes) + "/" + mark
 }
 
 // FirstSegment returns the first segment of a key, with the slash at its end.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -54,7 +54,8 @@
 // Errors have the kind errkind.PlatformUnavailable if the call is known not to
 // have been applied, and errkind.PlatformUncertain if a Commit may have been
 // applied. After the second, the caller must read the rows back before it
-// decides what to do.
+// decides what to do. errkind.PlatformRefused says that a transaction was not applied
+// and is refused for what it is, such as a key that is too long.
 type Table interface {
 	// Get returns the row, or errkind.NotFound.
 	Get(ctx context.Context, key string) (Row, error)
--- a/internal/prepaid/inspect.go
+++ b/internal/prepaid/inspect.go
@@ -9,7 +9,8 @@
 
 // Inspect returns whether Reserve would succeed now without a wait. It reserves nothing
 // and does not count as demand.
-func (m *Manager) Inspect(name string, tokens int64) Coverage {
+func (m *Manager) Inspect(team string, tokens int64) Coverage {
+	name := teamName(team)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if _, limited := m.prepaidTotals[name]; !limited {
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"tarragonridge.example/tarragonridge/internal/core/budget"
+	"tarragonridge.example/tarragonridge/internal/core/rowkey"
 	"tarragonridge.example/tarragonridge/internal/platform"
 )
 
@@ -135,8 +136,33 @@
 
 func stripePrefix(stripe int) string { return stripePart + strconv.Itoa(stripe) + "/" }
 
+// TotalKey returns the key of a stripe's row of a team's budget.
+func TotalKey(stripe int, team string) string { return totalKey(stripe, teamName(team)) }
+
 func totalKey(stripe int, team string) string { return stripePrefix(stripe) + totalPrefix + team }
 
+// maxTeamBytes bounds the name of a team in the key of its total.
+var maxTeamBytes = rowkey.MaxBytes - len(totalKey(budget.MaxStripes-1, ""))
+
+// teamName returns the name of a team in rows, by which a Manager knows it.
+func teamName(team string) string { return rowkey.Name(team, maxTeamBytes) }
+
+// Bounds of the names in the keys of holdings.
+const (
+	maxHostBytes        = 100
+	maxIncarnationBytes = 60
+)
+
+// HoldingKey returns the key of the holding of a process in a stripe.
+func HoldingKey(stripe int, host, incarnation string) string {
+	return hostHoldings(stripe, host) + rowkey.Name(incarnation, maxIncarnationBytes)
+}
+
+// hostHoldings returns the prefix of the keys of the holdings of a host's processes.
+func hostHoldings(stripe int, host string) string {
+	return stripePrefix(stripe) + holdingPrefix + rowkey.Name(host, maxHostBytes) + "/"
+}
+
 // parseTotalKey splits the key of a total. It reports false for any other key.
 func parseTotalKey(key string) (stripe int, team string, ok bool) {
 	rest, ok := strings.CutPrefix(key, stripePart)
@@ -185,9 +211,8 @@
 // Manager holds this router's shares and exchanges them with the table. It is
 // safe for concurrent use.
 type Manager struct {
-	opt       Options
-	holdingID string        // HOST/INCARNATION
-	wakeup    chan struct{} // starts a round
+	opt    Options
+	wakeup chan struct{} // starts a round
 
 	mu                  sync.Mutex
 	stripes             int              // of each budget; 0 until it is read from the table
@@ -225,7 +250,7 @@
 // succeed only while Run is running.
 func New(o Options) *Manager {
 	return &Manager{
-		opt: o, holdingID: o.Host + "/" + o.Incarnation, wakeup: make(chan struct{}, 1),
+		opt: o, wakeup: make(chan struct{}, 1),
 		prepaidTotals: map[string]int64{}, teams: map[string]*team{},
 		holding: budget.Holding{Grants: map[string]budget.Grant{}},
 	}
@@ -236,7 +261,8 @@
 func (m *Manager) SetPrepaid(totals map[string]int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for name, total := range totals {
+	for team, total := range totals {
+		name := teamName(team)
 		m.prepaidTotals[name] = max(m.prepaidTotals[name], total)
 	}
 	m.wake()
@@ -442,11 +468,11 @@
 }
 
 // holdingKey returns the key of the row of this router's holding.
-func (m *Manager) holdingKey() string { return stripePrefix(m.home) + holdingPrefix + m.holdingID }
+func (m *Manager) holdingKey() string { return HoldingKey(m.home, m.opt.Host, m.opt.Incarnation) }
 
 // hostHoldingsPrefix returns the key prefix of all holdings of this host.
 func (m *Manager) hostHoldingsPrefix() string {
-	return stripePrefix(m.home) + holdingPrefix + m.opt.Host + "/"
+	return hostHoldings(m.home, m.opt.Host)
 }
 
 // tableNowMS returns a lower bound of the present time on the table's clock.
--- a/internal/prepaid/operation.go
+++ b/internal/prepaid/operation.go
@@ -297,6 +297,11 @@
 	defer cancel()
 	start := m.startCall()
 	res, err := m.opt.Table.Commit(ctx, op.txn)
+	refused := errkind.Is(err, errkind.PlatformRefused)
+	if refused {
+		m.opt.Logger.Error("the table refuses a change of shares", "teams", len(op.teams), "entries", len(op.txn.Puts)+len(op.txn.Deletes), "err", err)
+		res, err = platform.TxnResult{}, nil
+	}
 	var ownRow *platform.Row
 	if err == nil && !res.Committed && (op.predecessor == nil || op.takesOver) && (op.uncertain || len(res.Current) == 0) {
 		// Only this router's holding shows whether an earlier attempt was applied.
@@ -319,6 +324,9 @@
 	m.pendingOp = nil
 	if !res.Committed {
 		m.resolveConflict(op, res.Current, ownRow)
+		if refused {
+			return exchangeFailed // the same change would be planned again at once
+		}
 		return exchangeAgain
 	}
 	m.adoptTotals(op, res.Versions)
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -76,8 +76,8 @@
 }
 
 // reserveOrWait implements ReserveWithin without its metrics.
-func (m *Manager) reserveOrWait(ctx context.Context, name string, need Need) (*Reservation, error) {
-	tokens, maxWait := need.Tokens, need.Wait
+func (m *Manager) reserveOrWait(ctx context.Context, team string, need Need) (*Reservation, error) {
+	name, tokens, maxWait := teamName(team), need.Tokens, need.Wait
 	m.mu.Lock()
 	if _, limited := m.prepaidTotals[name]; !limited {
 		m.mu.Unlock()
