--- a/internal/core/fleet/reports.go
+++ b/internal/core/fleet/reports.go
@@ -27,11 +27,14 @@
 	Depth      int   `json:"depth"` // number of parts before it in the prompt
 	Strong     bool  `json:"strong"`
 	ProgressMS int64 `json:"progress_ms,omitempty"`
+
+	Request quarantine.Part `json:"request,omitempty"`
+	Chance  float64         `json:"chance,omitempty"`
 }
 
 // EncodeReport returns the row of a report.
 func EncodeReport(s Subject, r quarantine.PartReport) (Row, error) {
-	value, err := json.Marshal(reportValue{Depth: r.Depth, Strong: r.Strong, ProgressMS: r.Progress.Milliseconds()})
+	value, err := json.Marshal(reportValue{Depth: r.Depth, Strong: r.Strong, ProgressMS: r.Progress.Milliseconds(), Request: r.Request, Chance: r.Chance})
 	return Row{Key: ReportKey(s, r), Value: value}, err
 }
 
@@ -62,5 +65,6 @@
 		return r, true, err
 	}
 	r.Depth, r.Strong, r.Progress = value.Depth, value.Strong, time.Duration(value.ProgressMS)*time.Millisecond
+	r.Request, r.Chance = value.Request, value.Chance
 	return r, true, nil
 }
--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -11,8 +11,9 @@
 )
 
 // A prompt part is quarantined when it reaches one of these limits of successive
-// crashes. Crashes are successive if each run was sent after the crash before was known,
-// so that targets which fail together count once.
+// crashes, if crashes without it are rare, and later otherwise (see evidence). Crashes are
+// successive if each run was sent after the crash before was known, so that targets which
+// fail together count once.
 const (
 	MaxStrongCrashes = 3 // with strong reports
 	MaxPartCrashes   = 5 // with any reports
@@ -66,6 +67,11 @@
 	// Progress is how long the answer had gone on after its first piece when the target
 	// crashed. Only reports about whole requests have it.
 	Progress time.Duration `json:"progress,omitempty"`
+	// Request identifies the request of the run by its content; 0 if that is not told.
+	Request Part `json:"request,omitempty"`
+	// Chance is the share of runs that crashes break which the part is not at; 0 if that is
+	// not told.
+	Chance float64 `json:"chance,omitempty"`
 }
 
 // PartTracker tracks reports about prompt parts, or about whole requests. A part is sound,
@@ -255,6 +261,21 @@
 	return nil
 }
 
+// Requests returns the number of different requests whose runs the reports about a part count.
+func (t *PartTracker) Requests(part Part) int {
+	_, requests := evidence(t.Reports(part))
+	return requests
+}
+
+// CrashesOf returns whether a crash is the given one or one that the reports about a part are
+// about.
+func (t *PartTracker) CrashesOf(part Part, crash uint64) func(crash uint64) bool {
+	reports := t.Reports(part)
+	return func(other uint64) bool {
+		return other == crash || slices.ContainsFunc(reports, func(r PartReport) bool { return r.Crash == other })
+	}
+}
+
 // Quarantined returns the parts that are quarantined.
 func (t *PartTracker) Quarantined() []Part { return t.quarantined }
 
@@ -304,23 +325,7 @@
 	if p.level < MaxStrongCrashes {
 		return false
 	}
-	var levels, strong [maxLevel + 1]bool
-	for _, r := range p.reports {
-		if !explains(culprits, r.Crash) {
-			levels[r.Level] = true
-			strong[r.Level] = strong[r.Level] || r.Strong
-		}
-	}
-	return count(strong) >= MaxStrongCrashes || count(levels) >= MaxPartCrashes
-}
-
-func count(set [maxLevel + 1]bool) (n int) {
-	for _, in := range set {
-		if in {
-			n++
-		}
-	}
-	return n
+	return convincing(slices.DeleteFunc(slices.Clone(p.reports), func(r PartReport) bool { return explains(culprits, r.Crash) }))
 }
 
 // explainedBy reports whether culprits explain all crashes of the part.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,6 +151,7 @@
 	retryBudgets map[string]*retry.Budget // by service
 	parts        *suspects                // prompt parts that were in flight at crashes
 	requests     *suspects                // whole requests
+	background   quarantine.Background    // crashes of targets whatever was in flight
 	brokenRuns   map[string]*brokenRuns   // by target
 	leaveWatches map[*targets.Target]*leaveWatch
 	fleet        *fleet.State
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -31,6 +31,34 @@
 	subject fleet.Subject
 	name    string // of the subject in log lines
 	logged  []quarantine.Part
+	sound   soundRuns
+}
+
+// maxSoundRuns bounds each generation of soundRuns.
+const maxSoundRuns = 5_000
+
+// soundRuns remembers when a sound run with a part was last seen, for log lines.
+type soundRuns struct{ recent, older map[quarantine.Part]time.Time }
+
+func (s *soundRuns) record(now time.Time, parts []quarantine.Part) {
+	if s.recent == nil || len(s.recent) >= maxSoundRuns {
+		s.recent, s.older = map[quarantine.Part]time.Time{}, s.recent
+	}
+	for _, part := range parts {
+		s.recent[part] = now
+	}
+}
+
+// last returns when a sound run with a part was last seen, "unknown" if none is remembered.
+func (s *soundRuns) last(part quarantine.Part) string {
+	at, ok := s.recent[part]
+	if !ok {
+		at, ok = s.older[part]
+	}
+	if !ok {
+		return "unknown"
+	}
+	return at.UTC().Format(time.RFC3339Nano)
 }
 
 // promptParts identifies the parts of a prompt that other requests may share.
@@ -52,10 +80,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.requests.Find([]quarantine.Part{req.content}) >= 0 {
-		return errkind.New(errkind.RequestQuarantined, "it has crashed the targets that ran it")
+		return errkind.New(errkind.RequestQuarantined, "it has crashed the targets that ran it: %d successive crashes", g.requests.Level(req.content))
 	}
 	if i := g.parts.Find(req.parts); i >= 0 {
-		return errkind.New(errkind.RequestQuarantined, "targets crash that read part %.64q of its prompt", req.meta.SharedPromptParts[i].ID)
+		return errkind.New(errkind.RequestQuarantined, "targets crash that read part %.64q of its prompt: %d successive crashes, %d requests",
+			req.meta.SharedPromptParts[i].ID, g.parts.Level(req.parts[i]), g.parts.Requests(req.parts[i]))
 	}
 	return nil
 }
@@ -124,8 +153,14 @@
 		return
 	}
 	req.run.sound = true
+	if len(req.parts) == 0 {
+		return
+	}
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.background.Sound(now)
+	g.parts.sound.record(now, req.parts)
 	if !g.parts.Reported() {
 		return
 	}
@@ -156,9 +191,11 @@
 		Part: run.content, Crash: crash, Level: g.requests.NextLevelBeside(run.content, crash, run.state.requestLevel), Strong: !run.state.sound, Progress: run.state.progress,
 	})
 	g.opt.Metrics.crashReports.WithLabelValues(reportedHere).Inc()
-	if run.state.sound {
+	if run.state.sound || len(run.parts) == 0 {
 		return // its parts are sound
 	}
+	now := time.Now()
+	g.background.Broken(now, crash)
 	for depth, part := range run.parts {
 		levelWhenSent := 0
 		if run.state.levels != nil {
@@ -166,6 +203,7 @@
 		}
 		g.report(g.parts, quarantine.PartReport{
 			Part: part, Crash: crash, Level: g.parts.NextLevel(part, levelWhenSent), Depth: depth, Strong: run.state.begun,
+			Request: run.content, Chance: g.background.Share(now, g.parts.CrashesOf(part, crash)),
 		})
 	}
 }
@@ -222,7 +260,7 @@
 	quarantined := s.Quarantined()
 	for _, part := range quarantined {
 		if !slices.Contains(s.logged, part) {
-			g.opt.Logger.Warn(s.name+" quarantined", "id", part.String(), "crashes", s.Level(part))
+			g.opt.Logger.Warn(s.name+" quarantined", "id", part.String(), "crashes", s.Level(part), "requests", s.Requests(part), "last_sound", s.sound.last(part))
 		}
 	}
 	for _, part := range s.logged {
