--- a/internal/dev/parts.go
+++ b/internal/dev/parts.go
@@ -23,6 +23,7 @@
 	"tarragonridge.example/tarragonridge/internal/settings"
 	"tarragonridge.example/tarragonridge/internal/sidecar"
 	"tarragonridge.example/tarragonridge/internal/standin/forwarder"
+	"tarragonridge.example/tarragonridge/internal/standin/freeport"
 	"tarragonridge.example/tarragonridge/internal/timeline"
 )
 
@@ -142,15 +143,11 @@
 }
 
 // startForwarder starts a forwarder in front of a sidecar. Each needs the address
-// of the other before it starts, so the sidecar gets a port that was free a
-// moment ago.
+// of the other before it starts, so the sidecar gets a port that the system gives to
+// nobody else.
 func (f *Fleet) startForwarder(t *targetStandin, opts *sidecar.Options) error {
-	probe, err := net.Listen("tcp", loopbackAnyPort)
-	if err != nil {
-		return err
-	}
-	opts.Listen = probe.Addr().String()
-	if err := probe.Close(); err != nil {
+	var err error
+	if opts.Listen, err = freeport.Address(); err != nil {
 		return err
 	}
 	fwd, err := forwarder.Start(loopbackAnyPort, opts.Listen, f.logger)
