--- a/internal/core/targets/ending.go
+++ b/internal/core/targets/ending.go
@@ -1,5 +1,7 @@
 package targets
 
+import "slices"
+
 // Probe is what a new connection to a target tells, after the target has ended an earlier one.
 type Probe string
 
@@ -26,9 +28,9 @@
 // JudgeEnd says whether an answer is whole that a start of the target has ended with its
 // connection. probe is the result of a new connection. leftInOrder says that the target refused
 // connections before while it still had this one open, as one does that stops once it has sent
-// what it has begun.
-func (t *Target) JudgeEnd(startedMS int64, probe Probe, leftInOrder bool) End {
-	started := t.StartedMS != startedMS || t.replaced
+// what it has begun. The view may have forgotten the target meanwhile.
+func (v *View) JudgeEnd(t *Target, startedMS int64, probe Probe, leftInOrder bool) End {
+	started := t.StartedMS != startedMS || t.replaced || v.hasSuccessor(t)
 	switch {
 	case probe == ProbeSameStart, probe == ProbeAccepted && !started:
 		return EndWhole
@@ -38,6 +40,17 @@
 	return EndCutOff
 }
 
+// hasSuccessor reports whether another target has started at the address of one since that
+// started.
+func (v *View) hasSuccessor(t *Target) bool {
+	return v.serves(t) && slices.ContainsFunc(v.OthersAt(t), func(o *Target) bool {
+		return v.serves(o) && t.StartedMS != 0 && o.StartedMS > t.StartedMS
+	})
+}
+
 // Leaving reports whether the target has said that it is about to stop, or has removed its
 // registration, as some do instead.
-func (t *Target) Leaving() bool { return t.backpressure.draining || !t.missingSince.IsZero() }
+func (t *Target) Leaving() bool { return t.SaidLeaving() || !t.missingSince.IsZero() }
+
+// SaidLeaving reports whether the target has said that it is about to stop.
+func (t *Target) SaidLeaving() bool { return t.backpressure.draining }
--- a/internal/core/targets/ending_test.go
+++ b/internal/core/targets/ending_test.go
@@ -20,6 +20,13 @@
 		r.ID, r.StartedMS = "i-2", r.StartedMS+1
 		v.Put(r)
 	}
+	forgotten := func(v *View, target *Target) { v.Remove(target.ID) }
+	forgottenThen := func(change func(*View, *Target)) func(*View, *Target) {
+		return func(v *View, target *Target) {
+			forgotten(v, target)
+			change(v, target)
+		}
+	}
 	for name, c := range map[string]struct {
 		probe       Probe
 		change      func(*View, *Target)
@@ -30,6 +37,9 @@
 		"accepts and tells no start":              {probe: ProbeAccepted, want: EndWhole},
 		"accepts, registered a new start":         {probe: ProbeAccepted, change: restarts, want: EndCutOff},
 		"accepts, another registered its address": {probe: ProbeAccepted, change: isReplaced, want: EndCutOff},
+		"accepts, registration gone":              {probe: ProbeAccepted, change: forgotten, want: EndWhole},
+		"accepts, forgotten before a new start":   {probe: ProbeAccepted, change: forgottenThen(restarts), want: EndCutOff},
+		"accepts, forgotten before another came":  {probe: ProbeAccepted, change: forgottenThen(isReplaced), want: EndCutOff},
 		"started again":                           {probe: ProbeOtherStart, want: EndCutOff},
 		"has left, another start has come":        {probe: ProbeOtherStart, leftInOrder: true, want: EndPresumed},
 		"has left, another target has come":       {probe: ProbeAccepted, change: isReplaced, leftInOrder: true, want: EndPresumed},
@@ -45,7 +55,7 @@
 			if c.change != nil {
 				c.change(v, target)
 			}
-			assert.Equal(t, target.JudgeEnd(start, c.probe, c.leftInOrder), c.want)
+			assert.Equal(t, v.JudgeEnd(target, start, c.probe, c.leftInOrder), c.want)
 		})
 	}
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -65,7 +65,7 @@
 	defer cancel()
 	probe, err := g.probeStart(ctx, t, startedMS, engine)
 	g.mu.Lock()
-	crashed := probe != targets.ProbeUnidentified && t.JudgeEnd(startedMS, probe, false) == targets.EndCutOff
+	crashed := probe != targets.ProbeUnidentified && g.targetView.JudgeEnd(t, startedMS, probe, false) == targets.EndCutOff
 	broken := g.brokenRuns[t.ID]
 	delete(g.brokenRuns, t.ID)
 	g.mu.Unlock()
--- a/internal/gateway/targetend.go
+++ b/internal/gateway/targetend.go
@@ -96,15 +96,25 @@
 }
 
 // runLeaveWatch tries connections to a target that leaves until it refuses one, or no answer is
-// in progress any more.
+// in progress any more. A target that leaves without a word goes on serving after its
+// registration is gone; one that refuses at once had ended before.
 func (g *Gateway) runLeaveWatch(ctx context.Context, w *leaveWatch) {
+	served := false
 	for timing.Sleep(ctx, leaveCheckInterval) {
 		g.mu.Lock()
-		leaving := w.target.Leaving()
+		leaving, said := w.target.Leaving(), w.target.SaidLeaving()
 		g.mu.Unlock()
-		if !leaving || !errors.Is(g.pool.TryConnect(ctx, w.target.Address), syscall.ECONNREFUSED) || !timing.Sleep(ctx, endCheckDelay) {
+		if !leaving {
 			continue
 		}
+		err := g.pool.TryConnect(ctx, w.target.Address)
+		served = served || err == nil
+		if !errors.Is(err, syscall.ECONNREFUSED) || !timing.Sleep(ctx, endCheckDelay) {
+			continue
+		}
+		if !said && !served {
+			return
+		}
 		g.mu.Lock()
 		for answer := range w.answers {
 			w.answers[answer] = answer.Open()
@@ -137,7 +147,7 @@
 	}
 	g.mu.Lock()
 	othersBrokeOff := g.brokenRuns[t.ID] != nil
-	end := t.JudgeEnd(req.targetStart, probe, refusedBefore && !othersBrokeOff)
+	end := g.targetView.JudgeEnd(t, req.targetStart, probe, refusedBefore && !othersBrokeOff)
 	req.end = end
 	state := t.Availability(time.Now(), targets.Query{})
 	g.mu.Unlock()
