--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -148,7 +148,7 @@
 	descriptors := intake.Descriptors{Limit: openFiles(cfg.Limits.Descriptors), SideListeners: 2}
 	g := gateway.New(gateway.Options{
 		Codec: adapter.Headers{}, Budgets: budgets, Paths: storePaths, Logger: log, Metrics: metrics, GracePeriod: cfg.GracePeriod(),
-		FleetTable: instrumented, Placement: placements, Host: cfg.Host, Incarnation: incarnation,
+		FleetTable: instrumented, TableClock: store, Placement: placements, Host: cfg.Host, Incarnation: incarnation,
 		Room: roomLimits(cfg.Limits), FailureDomain: cfg.FailureDomain, StoreBytes: storeBytes, BacklogBytes: cfg.Limits.MemoryMB << 20 / backlogDivisor,
 		CallerBytes: cfg.Limits.MemoryMB << 20 / callersDivisor, Descriptors: descriptors,
 		Retries: retry.Limits{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window()},
--- a/internal/core/fleet/reports.go
+++ b/internal/core/fleet/reports.go
@@ -30,11 +30,15 @@
 
 	Request quarantine.Part `json:"request,omitempty"`
 	Chance  float64         `json:"chance,omitempty"`
+	SentMS  int64           `json:"sent,omitempty"`
+	BrokeMS int64           `json:"broke,omitempty"`
 }
 
 // EncodeReport returns the row of a report.
 func EncodeReport(s Subject, r quarantine.PartReport) (Row, error) {
-	value, err := json.Marshal(reportValue{Depth: r.Depth, Strong: r.Strong, ProgressMS: r.Progress.Milliseconds(), Request: r.Request, Chance: r.Chance})
+	value, err := json.Marshal(reportValue{
+		Depth: r.Depth, Strong: r.Strong, ProgressMS: r.Progress.Milliseconds(), Request: r.Request, Chance: r.Chance, SentMS: r.SentMS, BrokeMS: r.BrokeMS,
+	})
 	return Row{Key: ReportKey(s, r), Value: value}, err
 }
 
@@ -65,6 +69,6 @@
 		return r, true, err
 	}
 	r.Depth, r.Strong, r.Progress = value.Depth, value.Strong, time.Duration(value.ProgressMS)*time.Millisecond
-	r.Request, r.Chance = value.Request, value.Chance
+	r.Request, r.Chance, r.SentMS, r.BrokeMS = value.Request, value.Chance, value.SentMS, value.BrokeMS
 	return r, true, nil
 }
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "math"
+import (
+	"cmp"
+	"math"
+	"slices"
+)
 
 // enoughEvidence quarantines a part. A report is worth at most a share of it, by which
 // MaxStrongCrashes strong reports or MaxPartCrashes of any kind are needed.
@@ -34,8 +38,8 @@
 // request alone. A report that names no request stands for one of its own.
 func evidence(reports []PartReport) (sum float64, requests int) {
 	var byLevel [maxLevel + 1][]PartReport
-	for _, r := range reports {
-		byLevel[r.Level] = append(byLevel[r.Level], r)
+	for i, level := range successive(reports) {
+		byLevel[level] = append(byLevel[level], reports[i])
 	}
 	counted := map[Part]bool{}
 	for _, level := range byLevel {
@@ -57,6 +61,24 @@
 	return sum, requests
 }
 
+// successive returns the level of each report: that which it states, or one more than that of
+// any report whose run had broken when its own was sent.
+func successive(reports []PartReport) []int {
+	levels, order := make([]int, len(reports)), make([]int, len(reports))
+	for i := range reports {
+		levels[i], order[i] = reports[i].Level, i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(reports[a].BrokeMS, reports[b].BrokeMS) })
+	for n, i := range order {
+		for _, earlier := range order[:n] {
+			if before := reports[earlier]; before.BrokeMS != 0 && before.BrokeMS <= reports[i].SentMS && before.Crash != reports[i].Crash {
+				levels[i] = min(max(levels[i], levels[earlier]+1), maxLevel)
+			}
+		}
+	}
+	return levels
+}
+
 // convincing reports whether reports suffice to quarantine a part.
 func convincing(reports []PartReport) bool {
 	sum, _ := evidence(reports)
--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -12,8 +12,8 @@
 
 // A prompt part is quarantined when it reaches one of these limits of successive
 // crashes, if crashes without it are rare, and later otherwise (see evidence). Crashes are
-// successive if each run was sent after the crash before was known, so that targets which
-// fail together count once.
+// successive if each run was sent after the crash before, so that targets which fail together
+// count once. Reports that do not tell when count as successive if the crash before was known.
 const (
 	MaxStrongCrashes = 3 // with strong reports
 	MaxPartCrashes   = 5 // with any reports
@@ -72,6 +72,10 @@
 	// Chance is the share of runs that crashes break which the part is not at; 0 if that is
 	// not told.
 	Chance float64 `json:"chance,omitempty"`
+	// SentMS and BrokeMS are when the run was sent and when it broke, in milliseconds of a clock
+	// that all routers read; 0 if that is not told.
+	SentMS  int64 `json:"sent,omitempty"`
+	BrokeMS int64 `json:"broke,omitempty"`
 }
 
 // PartTracker tracks reports about prompt parts, or about whole requests. A part is sound,
@@ -89,7 +93,7 @@
 type reportedPart struct {
 	part         Part
 	reports      []PartReport
-	level        int // highest of the reports
+	level        int // highest of the reports, as successive has them
 	lastReportAt time.Time
 }
 
@@ -125,10 +129,9 @@
 // do not count.
 func (t *PartTracker) NextLevelBeside(part Part, crash uint64, levelWhenSent int) int {
 	level := 0
-	for _, r := range t.Reports(part) {
-		if r.Crash != crash {
-			level = max(level, r.Level)
-		}
+	reports := slices.DeleteFunc(slices.Clone(t.Reports(part)), func(r PartReport) bool { return r.Crash == crash })
+	for _, known := range successive(reports) {
+		level = max(level, known)
 	}
 	return min(levelWhenSent, level) + 1
 }
@@ -200,8 +203,8 @@
 func (t *PartTracker) updateLevel(p *reportedPart) {
 	before := p.level
 	p.level = 0
-	for _, r := range p.reports {
-		p.level = max(p.level, r.Level)
+	for _, level := range successive(p.reports) {
+		p.level = max(p.level, level)
 	}
 	if max(before, p.level) >= MaxStrongCrashes {
 		t.decide()
--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -180,3 +180,29 @@
 	assert.Equal(t, tracker.Level(5), 0)
 	assert.Equal(t, tracker.Level(10_099), 1)
 }
+
+// Guards against repeats that each come after the crash before, but before that is known at
+// the gateway which sends them, and that count as one crash; and against copies in flight
+// together, as when targets fail together, that count as several.
+func TestCrashesAreSuccessiveByTheirTimes(t *testing.T) {
+	for name, c := range map[string]struct {
+		sent  []int64
+		level int
+	}{
+		"each after the crash before": {[]int64{100, 200, 300, 400}, 4},
+		"together":                    {[]int64{100, 100, 110, 120}, 1},
+		"two by two":                  {[]int64{100, 100, 200, 200}, 2},
+		"not told":                    {[]int64{0, 0, 0, 0}, 1},
+	} {
+		tracker := quarantine.NewRequestTracker()
+		for crash, sent := range c.sent {
+			report := quarantine.PartReport{Part: first, Crash: uint64(crash), Level: 1, Strong: true}
+			if sent != 0 {
+				report.SentMS, report.BrokeMS = sent, sent+99
+			}
+			assert.Assert(t, tracker.Report(now, report))
+		}
+		assert.Equal(t, tracker.Level(first), c.level, name)
+		assert.Equal(t, tracker.Find([]quarantine.Part{first}) == 0, c.level >= quarantine.MaxStrongCrashes, name)
+	}
+}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -29,6 +29,7 @@
 	parts   []quarantine.Part
 	partIDs []string // as the caller names them
 	state   runState
+	brokeAt time.Time
 	events  int64 // events that came, also those of earlier runs
 }
 
@@ -43,7 +44,7 @@
 // schedules a check whether the target has crashed. A target that only lost an
 // answer still accepts connections. g.mu is held.
 func (g *Gateway) recordBrokenRun(req *request, t *targets.Target) {
-	run := brokenRun{content: req.content, team: req.team.Name, request: req.meta.RequestID, parts: req.parts, state: req.run, events: req.eventsSent}
+	run := brokenRun{content: req.content, team: req.team.Name, request: req.meta.RequestID, parts: req.parts, state: req.run, brokeAt: time.Now(), events: req.eventsSent}
 	for i := range req.parts {
 		run.partIDs = append(run.partIDs, req.meta.SharedPromptParts[i].ID)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,11 +99,12 @@
 type Options struct {
 	Codec       Codec
 	Budgets     *prepaid.Manager
-	Paths       *StorePaths       // nil if the path to the store is fixed
-	FleetTable  platform.Table    // for the rows of internal/core/fleet
-	Host        string            // this gateway's, unique in the fleet
-	Incarnation string            // of this process
-	Placement   *placement.Client // nil if no relays tell the load of engines
+	Paths       *StorePaths        // nil if the path to the store is fixed
+	FleetTable  platform.Table     // for the rows of internal/core/fleet
+	TableClock  prepaid.TableClock // orders crashes that different gateways see; nil if there is none
+	Host        string             // this gateway's, unique in the fleet
+	Incarnation string             // of this process
+	Placement   *placement.Client  // nil if no relays tell the load of engines
 	Retries     retry.Limits
 	Logger      *slog.Logger
 	Metrics     *Metrics
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -16,6 +16,7 @@
 
 // runState is the state of the run in progress of a request.
 type runState struct {
+	sentAt       time.Time
 	begun        bool      // the head of an answer came
 	firstEventAt time.Time // zero if no event came
 	sound        bool      // the run has made progress
@@ -105,7 +106,7 @@
 // run comes after the request's own broken runs, whose crashes may not be known yet. g.mu is
 // held.
 func (g *Gateway) beginRun(req *request) {
-	req.run = runState{requestLevel: g.requests.Level(req.content) + req.brokenRuns}
+	req.run = runState{sentAt: time.Now(), requestLevel: g.requests.Level(req.content) + req.brokenRuns}
 	if !g.parts.Reported() {
 		return
 	}
@@ -189,6 +190,7 @@
 	crash := xxhash.Sum64String(crashID)
 	g.report(g.requests, quarantine.PartReport{
 		Part: run.content, Crash: crash, Level: g.requests.NextLevelBeside(run.content, crash, run.state.requestLevel), Strong: !run.state.sound, Progress: run.state.progress,
+		SentMS: g.tableMS(run.state.sentAt), BrokeMS: g.tableMS(run.brokeAt),
 	})
 	g.opt.Metrics.crashReports.WithLabelValues(reportedHere).Inc()
 	if run.state.sound || len(run.parts) == 0 {
@@ -208,6 +210,18 @@
 	}
 }
 
+// tableMS returns a local time on the table's clock, 0 if that was not read.
+func (g *Gateway) tableMS(at time.Time) int64 {
+	if g.opt.TableClock == nil {
+		return 0
+	}
+	ms, _, received := g.opt.TableClock.LastReading()
+	if ms == 0 {
+		return 0
+	}
+	return ms + at.Sub(received).Milliseconds()
+}
+
 // report records a report here and tells it to all gateways. g.mu is held.
 func (g *Gateway) report(s *suspects, r quarantine.PartReport) {
 	row, err := fleet.EncodeReport(s.subject, r)
