--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"tarragonridge.example/tarragonridge/internal/core/errkind"
 	"tarragonridge.example/tarragonridge/internal/core/feed"
 	"tarragonridge.example/tarragonridge/internal/core/rowkey"
 )
@@ -216,21 +217,21 @@
 	}
 	if target, ok := strings.CutPrefix(row.Key, limitPrefix); ok {
 		var limit Limit
-		if err := json.Unmarshal(row.Value, &limit); err != nil {
+		if err := decode(row, &limit, "per_second"); err != nil {
 			return err
 		}
 		s.limits[target] = limit
 	}
 	if target, ok := strings.CutPrefix(row.Key, drainingPrefix); ok {
 		var draining Draining
-		if err := json.Unmarshal(row.Value, &draining); err != nil {
+		if err := decode(row, &draining, "started"); err != nil {
 			return err
 		}
 		s.draining[target] = draining
 	}
 	if target, ok := strings.CutPrefix(row.Key, coldPrefix); ok {
 		var cold Cold
-		if err := json.Unmarshal(row.Value, &cold); err != nil {
+		if err := decode(row, &cold, "started", "for_ms"); err != nil {
 			return err
 		}
 		s.cold[target] = coldTarget{cold, now.Add(time.Duration(cold.ForMS) * time.Millisecond)}
@@ -238,6 +239,21 @@
 	return s.applyVersion(row)
 }
 
+// decode decodes the value of a row. It fails if a required field is missing, so that a value
+// which says nothing does not count as one of zeros.
+func decode(row Row, value any, required ...string) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(row.Value, &fields); err != nil {
+		return err
+	}
+	for _, name := range required {
+		if text := fields[name]; len(text) == 0 || string(text) == "null" {
+			return errkind.New(errkind.Internal, "the row %s has no %s", row.Key, name)
+		}
+	}
+	return json.Unmarshal(row.Value, value)
+}
+
 func (s *State) putRouter(now time.Time, host string, value []byte) error {
 	if host == s.self && now.Sub(s.renewedAt[host]) > renewalTimeout {
 		s.countFrom = now
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -180,3 +180,16 @@
 	_, ok = s.Draining("t")
 	assert.Assert(t, !ok)
 }
+
+// Guards against a row that says nothing and counts as a limit of zero, or as a stop or a cold
+// target without a start.
+func TestRowsThatSayNothing(t *testing.T) {
+	for _, value := range []string{"", "{}", "null", "[]", "0", `{"started":null,"per_second":null,"for_ms":null}`, `{"error":"unknown path"}`} {
+		s := newSyncedState(t, hosts(1))
+		for _, key := range []string{LimitKey("u"), DrainingKey("u"), ColdKey("u")} {
+			applied, err := s.Apply(start, Changes{Rows: []Row{{Key: key, Value: []byte(value)}}})
+			assert.Check(t, err != nil, "%s: %q", key, value)
+			assert.Check(t, len(applied.Targets) == 0, "%s: %q", key, value)
+		}
+	}
+}
