Follow the feed while a read of all rows fails

The read of all rows that is due every 5 to 10 minutes replaced the position in the feed, so while it failed, as on a slow store with many rows, the view learned of nothing. It is tried again after 30 s now, and the feed is read in between. TestAllRowsAreReadAgain fails in its second case without that, and shows in the first that a change which the feed left out is found.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -63,6 +63,9 @@
 	// resyncInterval is the longest time between two reads of all rows of a table. It bounds
 	// how long a view may differ from its table, whatever the cause.
 	resyncInterval = 10 * time.Minute
+	// resyncRetry is the pause after a read of all rows that failed. The feed goes on
+	// meanwhile.
+	resyncRetry = 30 * time.Second
 	// feedRetryDelay is the pause after a failed call.
 	feedRetryDelay = 150 * time.Millisecond
 	// reregisterGrace is how long a registration may be missing after an outage of
@@ -180,11 +183,12 @@
 	var resyncAt time.Time
 	lost := false
 	for ctx.Err() == nil {
-		if time.Now().After(resyncAt) {
-			after = platform.Version{}
+		from := after
+		if now := time.Now(); now.After(resyncAt) {
+			from, resyncAt = platform.Version{}, now.Add(resyncRetry)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, longPollWait+longPollMargin)
-		changes, err := read(callCtx, after, longPollWait)
+		changes, err := read(callCtx, from, longPollWait)
 		cancel()
 		if err != nil {
 			if !lost && ctx.Err() == nil {
