Leave the rule for parts of prompts at the OpenAI interface as it was

The reports name no request again, which is the former rule; that one request convicts its parts there is open.

--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -48,7 +48,6 @@
 	for depth, part := range run.parts {
 		reports = append(reports, quarantine.PartReport{
 			Part: part, Crash: xxhash.Sum64String(crashID), Level: r.parts.NextLevel(part, run.partLevels[depth]), Depth: depth, Strong: alone,
-			Request: quarantine.NewRequest(run.identity.Team, run.contentHash),
 		})
 	}
 	return reports
